--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,16 @@
+// Command drill runs the decision module on the simulator's wire: standard input to standard output.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"damsonscale/internal/drill"
+)
+
+func main() {
+	if err := drill.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/decide/api.go
@@ -0,0 +1,208 @@
+// Package decide holds every decision of one balancer and no input or output.
+//
+// A host makes a Balancer with New, reports each event by its method together with the time, and carries
+// out the actions that the Balancer calls on its Actions before the method returns. Times are
+// microseconds of one clock that only moves forward; durations are microseconds too.
+package decide
+
+import "fmt"
+
+// Semantics tells what a second run of a request does.
+type Semantics uint8
+
+const (
+	Idempotent   Semantics = iota // safe: may run any number of times
+	Deduplicated                  // keyed: servers of one group drop repeats for a while
+	AtMostOnce                    // unsafe: must never run twice
+)
+
+// Scope names the servers that drop each other's repeats of a keyed request.
+type Scope uint8
+
+const (
+	ScopeAll Scope = iota
+	ScopeZone
+	ScopeCell
+)
+
+// Class is one kind of request.
+type Class struct {
+	Name          string
+	Aim, Deadline int64   // answers within Aim earn all; a client waits for Deadline over all its tries
+	AimStretch    float64 // the aim grows by this many times the work hinted
+	Worth         float64
+	LateShare     float64
+	Semantics     Semantics
+	Group         Scope // for Deduplicated
+	Window        int64 // for Deduplicated: how long a repeat is recognised
+	Stream        bool
+}
+
+// Tenant is a customer with a share of the service.
+type Tenant struct {
+	Name      string
+	Allowance float64 // requests a second within its share, over all balancers
+}
+
+// Rules are the figures of the four rules.
+type Rules struct {
+	AnswerSlack    int64
+	AskEvery       int64 // ask for the list at least this often where it is not pushed
+	StopSending    int64
+	ColdFrom       float64
+	ColdFor        int64
+	OverloadFactor float64
+	FallFor        int64
+}
+
+// Limits is what the deployment permits.
+type Limits struct {
+	Cancel, ParallelTries, Probes, RetryAfter bool
+	MaxAttempts                               int
+	MaxRetryAfter                             int64
+	Tick                                      int64 // events come no closer together than this
+}
+
+// Settings is what a balancer knows at its start.
+type Settings struct {
+	Classes        []Class
+	Tenants        []Tenant
+	Rules          Rules
+	Limits         Limits
+	Zone           string
+	Me, Balancers  int
+	ListPushed     bool    // the list of servers comes by itself
+	SizesListed    bool    // Server.Size means something
+	OverShareWorth float64 // worth of what a tenant sends over its share
+}
+
+// Validate names the first setting that makes no sense.
+func (s *Settings) Validate() error {
+	if len(s.Classes) == 0 {
+		return fmt.Errorf("settings: no classes")
+	}
+	for _, c := range s.Classes {
+		switch {
+		case c.Name == "":
+			return fmt.Errorf("settings: a class without a name")
+		case c.Aim < 0 || c.Deadline < 0:
+			return fmt.Errorf("settings: class %s: negative aim or deadline", c.Name)
+		case c.Window < 0:
+			return fmt.Errorf("settings: class %s: negative window", c.Name)
+		case !(c.Worth >= 0) || !(c.LateShare >= 0) || !(c.AimStretch >= 0):
+			return fmt.Errorf("settings: class %s: negative worth, late share or aim stretch", c.Name)
+		}
+	}
+	for _, t := range s.Tenants {
+		if !(t.Allowance >= 0) {
+			return fmt.Errorf("settings: tenant %s: negative allowance", t.Name)
+		}
+	}
+	r, l := s.Rules, s.Limits
+	switch {
+	case !(r.ColdFrom >= 0 && r.ColdFrom <= 1):
+		return fmt.Errorf("settings: cold share %v is not within 0 to 1", r.ColdFrom)
+	case r.ColdFor < 0 || r.FallFor < 0 || r.AskEvery < 0 || r.StopSending < 0 || r.AnswerSlack < 0:
+		return fmt.Errorf("settings: negative time in the rules")
+	case !(r.OverloadFactor >= 0):
+		return fmt.Errorf("settings: negative overload factor")
+	case l.MaxAttempts < 0 || l.MaxRetryAfter < 0 || l.Tick < 0:
+		return fmt.Errorf("settings: negative limit")
+	case s.Balancers < 0 || s.Me < 0:
+		return fmt.Errorf("settings: negative number of balancers")
+	}
+	return nil
+}
+
+// Phase is a server's state as listed.
+type Phase uint8
+
+const (
+	InService Phase = iota
+	Draining
+	Removed
+)
+
+// Server is one entry of the list of servers.
+type Server struct {
+	ID      string
+	Size    float64 // relative, see Settings.SizesListed
+	Zone    string
+	Cell    int64
+	UpSince int64 // time of its latest start; 0: long ago
+	Phase   Phase
+}
+
+// Request is one try of a client.
+type Request struct {
+	ID      string
+	Class   int // index into Settings.Classes
+	Tenant  int // index into Settings.Tenants; -1: none
+	Left    int64
+	Key     string
+	IsRetry bool
+	Work    int64 // work hinted; 0: none
+}
+
+// Result is how an attempt ended.
+type Result uint8
+
+const (
+	Served        Result = iota
+	Errored              // may have run
+	Full                 // never ran
+	TimedOut             // may have run, may still run
+	ConnectFailed        // never ran
+	Reset                // may have run
+	Cancelled            // may have run
+	Moot                 // never sent
+)
+
+// NeverRan tells whether the result proves that the attempt had no effect.
+func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot }
+
+// Load is what a server reports of itself; a negative figure is absent.
+type Load struct{ InFlight, Queue, Busy, Latency, Rate, FailRate float64 }
+
+// Outcome reports the end of one attempt; each attempt has exactly one.
+type Outcome struct {
+	Request string
+	Attempt int // numbered from 0 in the order of the sends
+	Server  string
+	Result  Result
+	Latency int64
+	Closed  bool // the request has its final answer
+	Load    *Load
+}
+
+// Probe reports the end of one probe.
+type Probe struct {
+	Server  string
+	Result  Result
+	Latency int64
+	Load    *Load
+}
+
+// Events of a Balancer, one method each, all with the time now:
+//
+//	Begin(now)                    the first event, once
+//	Listed(now, servers, whole)   the list, whole or its changes
+//	ListFailed(now)               an ask failed or the watch broke
+//	Request(now, request)         taken, and owed one final answer
+//	Outcome(now, outcome)         an attempt ended
+//	Started(now, id, attempt)     a streamed answer began
+//	Gone(now, id)                 the client left
+//	Probed(now, probe)            a probe ended
+//	Timer(now, token)             a timer of the Balancer's came due
+
+// Actions is what a Balancer can do. Its methods must not call back into the Balancer.
+type Actions interface {
+	Send(request, server string, timeout int64)
+	Cancel(request string, attempt int)
+	Refuse(request string, retryAfter int64) // final: no, and a new try is harmless
+	Fail(request string)                     // final: failed, nothing promised
+	Probe(server string)
+	Watch(on bool) // ask for the list's changes from now on
+	Wake(in int64, token int64)
+	Log(line string)
+}
--- /dev/null
+++ b/decide/decide.go
@@ -0,0 +1,514 @@
+// The decisions of one balancer. Its interface (settings, events, actions) is in api.go.
+//
+// Every attempt goes to a server drawn by EXP3: exponential weights grown by importance-weighted payoffs
+// of this balancer's own attempts, mixed with a uniform floor. The rest keeps the four rules around it.
+
+package decide
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	second = int64(1_000_000)
+
+	gamma   = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
+	keepLog = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
+	redraws = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
+
+	quantileUp  = 0.20   // log step of a latency mark passed by a sample; down is this times the odds
+	markShare   = 0.95   // the latency mark that time-outs stand on: one honest answer in 20 is later
+	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
+	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
+
+	retryPerServed = 0.15 // retries earned by an answer: keeps a storm of retries under a sixth more work
+	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
+
+	askBackoff    = 200_000 // µs before a broken list is asked again, doubled each time, jittered by half
+	askBackoffMax = 4e6     // keeps the list asked well inside the time after which it counts as told
+)
+
+// Timer tokens below firstRequest name a purpose; the others name a request by its number.
+const (
+	tokenSecond = iota
+	tokenAsk
+	firstRequest
+)
+
+// Balancer decides for one sidecar. It knows only what its events told it.
+type Balancer struct {
+	set       Settings
+	act       Actions
+	rng       *rand.Rand
+	servers   []*server // as listed, in a stable order
+	known     map[string]*server
+	open      map[string]*request
+	classes   []classState
+	retries   float64   // retry budget
+	asks      int       // failed asks for the list in a row
+	warmPerUs float64   // what this balancer sends a warm server of size 1, per µs
+	cand      []*server // scratch of a draw
+}
+
+// server is what this balancer knows of one server.
+type server struct {
+	Server
+	log       float64 // EXP3's log-weight
+	weight    float64 // exp(log)
+	inFlight  int     // own attempts out
+	coldSince int64   // start of its latest warm-up; 0: warm
+	sends     []int64 // while cold: times of own sends within the rule's window
+	sentWarm  int     // own sends this second
+}
+
+// classState is a class with the latencies seen of it.
+type classState struct {
+	Class
+	mark float64 // µs: one answer in 20 takes longer
+	half float64 // µs: median
+}
+
+// request is one request taken, kept until it is answered and none of its attempts is out.
+type request struct {
+	Request
+	class    *classState
+	taken    int64
+	deadline int64
+	tries    []attempt
+	out      int
+	ended    bool
+	started  bool // its stream has begun
+}
+
+// attempt is one send. Its server's group is kept as it was when sent.
+type attempt struct {
+	server   *server
+	zone     string
+	cell     int64
+	sentAt   int64
+	p        float64 // probability of the draw that chose the server
+	done     bool
+	neverRan bool
+}
+
+// New makes a balancer that has seen nothing yet.
+func New(set Settings, seed uint64, act Actions) *Balancer {
+	b := &Balancer{
+		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
+		known: map[string]*server{}, open: map[string]*request{},
+	}
+	for _, c := range set.Classes {
+		if c.Deadline == 0 {
+			c.Deadline = 60 * second // a class without one: long enough for any call between services
+		}
+		if c.Aim == 0 {
+			c.Aim = c.Deadline
+		}
+		b.classes = append(b.classes, classState{Class: c, mark: float64(c.Aim) / 2, half: float64(c.Aim) / 4})
+	}
+	return b
+}
+
+// Begin asks for the list where it does not come by itself.
+func (b *Balancer) Begin(now int64) {
+	b.act.Wake(second, tokenSecond)
+	if !b.set.ListPushed {
+		b.act.Watch(true)
+	}
+}
+
+// ---- Requests
+
+// Request takes a request and sends its first attempt.
+func (b *Balancer) Request(now int64, in Request) {
+	r := &request{Request: in, class: &b.classes[in.Class], taken: now}
+	if r.Left < 0 {
+		r.Left = r.class.Deadline
+	}
+	r.deadline = now + r.Left
+	b.open[in.ID] = r
+	b.try(now, r)
+}
+
+// try sends an attempt for r, or answers it at once when none may be sent.
+func (b *Balancer) try(now int64, r *request) {
+	if s, p := b.draw(now, r); s != nil && b.mayTry(now, r) {
+		b.send(now, r, s, p)
+	} else if r.out == 0 {
+		b.giveUp(now, r)
+	}
+}
+
+// mayTry tells whether a further attempt is allowed at all, whatever the server.
+func (b *Balancer) mayTry(now int64, r *request) bool {
+	return !r.ended && !r.started && now < r.deadline && (r.out == 0 || b.set.Limits.ParallelTries) &&
+		(b.set.Limits.MaxAttempts == 0 || len(r.tries) < b.set.Limits.MaxAttempts)
+}
+
+// effect returns the first attempt that may have run, or nil.
+func (r *request) effect() *attempt {
+	for i := range r.tries {
+		if !r.tries[i].neverRan {
+			return &r.tries[i]
+		}
+	}
+	return nil
+}
+
+// mayRepeat is rule 2 for a send: would s run the request a second time?
+func (r *request) mayRepeat(now int64, s *server) bool {
+	first := r.effect()
+	if first == nil || r.class.Semantics == Idempotent {
+		return true
+	}
+	if r.class.Semantics == AtMostOnce || now-first.sentAt >= r.class.Window {
+		return false
+	}
+	switch r.class.Group {
+	case ScopeZone:
+		return s.Zone == first.zone
+	case ScopeCell:
+		return s.Cell == first.cell
+	}
+	return true
+}
+
+// mayRefuse is rule 2 for a refusal: is a new try of the client harmless?
+func (r *request) mayRefuse(now int64) bool {
+	first := r.effect()
+	return first == nil || r.class.Semantics == Idempotent ||
+		r.class.Semantics == Deduplicated && r.class.Group == ScopeAll && now-first.sentAt < r.class.Window
+}
+
+// giveUp answers at once: refused where that is true, else failed.
+func (b *Balancer) giveUp(now int64, r *request) {
+	if r.mayRefuse(now) {
+		b.act.Refuse(r.ID, 0)
+	} else {
+		b.act.Fail(r.ID)
+	}
+	b.end(r)
+}
+
+// end closes r and calls back what is still out for it.
+func (b *Balancer) end(r *request) {
+	r.ended = true
+	if r.out == 0 {
+		delete(b.open, r.ID)
+		return
+	}
+	if b.set.Limits.Cancel {
+		for i := range r.tries {
+			if !r.tries[i].done {
+				b.act.Cancel(r.ID, i)
+			}
+		}
+	}
+}
+
+// send starts one attempt.
+func (b *Balancer) send(now int64, r *request, s *server, p float64) {
+	r.tries = append(r.tries, attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p})
+	r.out++
+	s.inFlight++
+	if b.warmth(now, s) < 1 {
+		s.sends = append(s.sends, now)
+	} else {
+		s.sentWarm++
+	}
+	b.act.Send(r.ID, s.ID, b.timeout(now, r))
+}
+
+// timeout is how long an attempt may take: a multiple of the latency mark while a next try could still
+// follow, else all the time that is left.
+func (b *Balancer) timeout(now int64, r *request) int64 {
+	left := r.deadline - now
+	t := max(int64(timeoutMark*r.class.mark), minTimeout)
+	last := b.set.Limits.MaxAttempts > 0 && len(r.tries) >= b.set.Limits.MaxAttempts
+	if last || r.class.Stream || r.class.Semantics == AtMostOnce || t+int64(r.class.half) >= left {
+		return left
+	}
+	return t
+}
+
+// Outcome settles an attempt: its server learns, and its request is answered or tried again.
+func (b *Balancer) Outcome(now int64, o Outcome) {
+	r := b.open[o.Request]
+	if r == nil || o.Attempt >= len(r.tries) || r.tries[o.Attempt].done {
+		return
+	}
+	a := &r.tries[o.Attempt]
+	a.done, a.neverRan = true, o.Result.NeverRan()
+	a.server.inFlight--
+	r.out--
+	b.observe(now, r, a, o)
+	if o.Closed && !r.ended {
+		b.end(r)
+	}
+	if r.ended {
+		if r.out == 0 {
+			delete(b.open, r.ID)
+		}
+		return
+	}
+	if now >= r.deadline || r.out == 0 && !b.affordRetry(a) {
+		b.giveUp(now, r)
+	} else if r.out == 0 {
+		b.try(now, r)
+	}
+}
+
+// affordRetry pays for a further attempt; one that never ran cost the servers next to nothing.
+func (b *Balancer) affordRetry(a *attempt) bool {
+	if a.neverRan {
+		return true
+	}
+	if b.retries < 1 {
+		return false
+	}
+	b.retries--
+	return true
+}
+
+// Started hands an attempt to the client: its stream has no deadline and gets no further attempt.
+func (b *Balancer) Started(now int64, id string, n int) {
+	r := b.open[id]
+	if r == nil || r.ended || n >= len(r.tries) {
+		return
+	}
+	r.started = true
+	for i := range r.tries {
+		if i != n && !r.tries[i].done && b.set.Limits.Cancel {
+			b.act.Cancel(id, i)
+		}
+	}
+}
+
+// Gone ends a request whose client left.
+func (b *Balancer) Gone(now int64, id string) {
+	if r := b.open[id]; r != nil && !r.ended {
+		b.end(r)
+	}
+}
+
+// ---- EXP3
+
+// draw picks a server for r by EXP3 and returns it with its probability, or nil when none may be used.
+func (b *Balancer) draw(now int64, r *request) (*server, float64) {
+	b.cand = b.cand[:0]
+	var tried []*server
+	for _, s := range b.servers {
+		if !b.eligible(now, r, s) {
+			continue
+		}
+		if r.tried(s) {
+			tried = append(tried, s)
+		} else {
+			b.cand = append(b.cand, s)
+		}
+	}
+	if len(b.cand) == 0 { // without replacement, while others remain
+		b.cand = append(b.cand, tried...)
+	}
+	if len(b.cand) == 0 {
+		return nil, 0
+	}
+	sum := 0.0
+	for _, s := range b.cand {
+		sum += s.weight
+	}
+	floor, crowd := gamma/float64(len(b.cand)), b.crowd()
+	for n := 0; ; n++ {
+		s := b.pick(sum, floor)
+		if n == redraws || float64(s.inFlight) <= crowd {
+			return s, (1-gamma)*s.weight/sum + floor
+		}
+	}
+}
+
+// pick draws one of the candidates at random by p = (1-gamma)*w/sum + floor.
+func (b *Balancer) pick(sum, floor float64) *server {
+	x := b.rng.Float64()
+	for _, s := range b.cand {
+		if x -= (1-gamma)*s.weight/sum + floor; x < 0 {
+			return s
+		}
+	}
+	return b.cand[len(b.cand)-1]
+}
+
+// crowd is how many own attempts a server may hold before a draw of it is drawn again.
+func (b *Balancer) crowd() float64 {
+	total := 0
+	for _, s := range b.servers {
+		total += s.inFlight
+	}
+	return 1 + 2*float64(total)/float64(len(b.servers))
+}
+
+// eligible tells whether an attempt of r may go to s now.
+func (b *Balancer) eligible(now int64, r *request, s *server) bool {
+	return s.Phase == InService && r.mayRepeat(now, s) && b.allowance(now, s)
+}
+
+func (r *request) tried(s *server) bool {
+	for i := range r.tries {
+		if r.tries[i].server == s {
+			return true
+		}
+	}
+	return false
+}
+
+// observe lets the drawn server learn from its attempt, and the class from its latency.
+func (b *Balancer) observe(now int64, r *request, a *attempt, o Outcome) {
+	if o.Result == Cancelled || o.Result == Moot {
+		return
+	}
+	payoff := 0.0
+	if o.Result == Served {
+		payoff = r.class.payoff(o.Latency)
+		b.retries = min(b.retries+retryPerServed, retryBurst)
+	}
+	if o.Result == Served || o.Result == TimedOut {
+		r.class.sample(float64(o.Latency))
+	}
+	s := a.server
+	s.setLog(s.log + gamma*payoff/(a.p*float64(max(1, len(b.servers)))))
+}
+
+// payoff is 1 for an answer within the aim, and falls with the latency after it.
+func (c *classState) payoff(latency int64) float64 {
+	if latency <= c.Aim {
+		return 1
+	}
+	return float64(c.Aim) / float64(latency)
+}
+
+// sample moves the latency marks; a time-out counts as an answer at least that late.
+func (c *classState) sample(latency float64) {
+	c.mark = step(c.mark, latency, markShare)
+	c.half = step(c.half, latency, 0.5)
+}
+
+// step moves an estimate of a quantile towards a sample: far up when passed, a little down when not.
+func step(mark, sample, share float64) float64 {
+	if sample > mark {
+		return mark * math.Exp(quantileUp*share)
+	}
+	return mark * math.Exp(-quantileUp*(1-share))
+}
+
+// setLog keeps weights within what a float can divide by.
+func (s *server) setLog(l float64) {
+	s.log = min(max(l, -300), 300)
+	s.weight = math.Exp(s.log)
+}
+
+func (b *Balancer) meanLog() float64 {
+	sum, n := 0.0, 0
+	for _, s := range b.servers {
+		sum, n = sum+s.log, n+1
+	}
+	return sum / float64(max(n, 1))
+}
+
+// Timer serves the timers set by Wake.
+func (b *Balancer) Timer(now, token int64) {
+	switch token {
+	case tokenSecond:
+		b.everySecond(now)
+	case tokenAsk:
+		b.act.Watch(true)
+	}
+}
+
+// everySecond forgets: log-weights shrink towards their mean, which is then taken as zero.
+func (b *Balancer) everySecond(now int64) {
+	b.act.Wake(second, tokenSecond)
+	mean := b.meanLog()
+	sent, size := 0, 0.0
+	for _, s := range b.servers {
+		s.setLog((s.log - mean) * keepLog)
+		if s.Phase == InService && b.warmth(now, s) >= 1 {
+			sent, size = sent+s.sentWarm, size+s.Size
+		}
+		s.sentWarm = 0
+	}
+	if size > 0 {
+		b.warmPerUs += (float64(sent)/size/float64(second) - b.warmPerUs) / 4
+	}
+}
+
+// ---- Cold servers
+
+// warmth is the least share of its capacity that s has by now: even growth over the stated time.
+func (b *Balancer) warmth(now int64, s *server) float64 {
+	age := now - s.coldSince
+	if s.coldSince == 0 || age >= b.set.Rules.ColdFor {
+		return 1
+	}
+	from := b.set.Rules.ColdFrom
+	return from + (1-from)*float64(max(age, 0))/float64(b.set.Rules.ColdFor)
+}
+
+// allowance is rule 4: within any window of the rule a cold server gets no more than its warm-up's part
+// of what this balancer sends a warm server of its size, and one send in any case.
+func (b *Balancer) allowance(now int64, s *server) bool {
+	w := b.warmth(now, s)
+	if w >= 1 {
+		return true
+	}
+	for len(s.sends) > 0 && now-s.sends[0] >= b.set.Rules.FallFor {
+		s.sends = s.sends[1:]
+	}
+	budget := w * b.warmPerUs * s.Size * float64(b.set.Rules.FallFor)
+	return float64(len(s.sends)) < max(1, budget)
+}
+
+// ---- The list of servers
+
+// Listed takes the list, whole or its changes.
+func (b *Balancer) Listed(now int64, list []Server, whole bool) {
+	b.asks = 0
+	if whole {
+		for _, s := range b.servers {
+			s.Phase = Removed
+		}
+	}
+	mean := b.meanLog()
+	for _, in := range list {
+		if !(in.Size > 0) || !b.set.SizesListed {
+			in.Size = 1
+		}
+		s := b.known[in.ID]
+		if s == nil {
+			s = &server{}
+			s.setLog(mean)
+			b.known[in.ID] = s
+		}
+		if in.UpSince > s.UpSince || s.ID == "" {
+			s.coldSince, s.sends = in.UpSince, nil
+		}
+		s.Server = in
+		if in.Phase != Removed && !slices.Contains(b.servers, s) {
+			b.servers = append(b.servers, s)
+		}
+	}
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.Phase == Removed })
+}
+
+// ListFailed asks again, later each time, so that a struggling list is not asked by all at once.
+func (b *Balancer) ListFailed(now int64) {
+	wait := min(float64(askBackoff)*math.Exp2(float64(b.asks)), askBackoffMax)
+	if b.set.Rules.AskEvery > 0 {
+		wait = min(wait, float64(b.set.Rules.AskEvery)/2)
+	}
+	b.asks++
+	b.act.Wake(int64(wait*(0.5+b.rng.Float64()/2)), tokenAsk)
+}
+
+// Probed learns nothing: this balancer does not probe.
+func (b *Balancer) Probed(now int64, p Probe) {}
--- /dev/null
+++ b/internal/drill/settings.go
@@ -0,0 +1,87 @@
+package drill
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"damsonscale/decide"
+)
+
+// info is the settings object as the wire has it; unknown keys are skipped.
+type info struct {
+	Balancers, Me  int
+	Zone           string
+	RegistryMode   string
+	WeightSource   string
+	OverShareWorth float64
+	TickUs         int64
+	Services       []struct {
+		Name, Semantics, Group       string
+		AimUs, DeadlineUs, WindowUs  int64
+		AimStretch, LateShare, Worth float64
+		Stream                       bool
+	}
+	Realms []struct {
+		Name          string
+		AllowancePerS float64
+	}
+	Limits struct {
+		Cancel, ParallelTries, Probes, RetryAfter bool
+		MaxAttempts                               int
+		MaxRetryAfterUs                           int64
+	}
+	Guarantees struct {
+		AnswerSlackUs, AskEveryUs, ColdUs, FallUs, StopSendingWithinUs int64
+		ColdFrom, OverloadFactor                                       float64
+	}
+}
+
+var semantics = map[string]decide.Semantics{
+	"idempotent": decide.Idempotent, "deduplicated": decide.Deduplicated, "at_most_once": decide.AtMostOnce,
+}
+
+var scopes = map[string]decide.Scope{
+	"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell,
+}
+
+// settings reads the settings and refuses those that make no sense.
+func settings(text []byte) (set decide.Settings, err error) {
+	var in info
+	if err := json.Unmarshal(text, &in); err != nil {
+		return set, fmt.Errorf("settings are not the JSON expected: %w", err)
+	}
+	set = decide.Settings{
+		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
+		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
+		SizesListed: in.WeightSource == "nominal" || in.WeightSource == "rough",
+		Limits: decide.Limits{
+			Cancel: in.Limits.Cancel, ParallelTries: in.Limits.ParallelTries, Probes: in.Limits.Probes,
+			RetryAfter: in.Limits.RetryAfter, MaxAttempts: in.Limits.MaxAttempts,
+			MaxRetryAfter: in.Limits.MaxRetryAfterUs, Tick: in.TickUs,
+		},
+		Rules: decide.Rules{
+			AnswerSlack: in.Guarantees.AnswerSlackUs, AskEvery: in.Guarantees.AskEveryUs,
+			StopSending: in.Guarantees.StopSendingWithinUs, ColdFrom: in.Guarantees.ColdFrom,
+			ColdFor: in.Guarantees.ColdUs, OverloadFactor: in.Guarantees.OverloadFactor,
+			FallFor: in.Guarantees.FallUs,
+		},
+	}
+	for _, s := range in.Services {
+		kind, ok := semantics[s.Semantics]
+		if !ok {
+			return set, fmt.Errorf("settings: class %s: unknown semantics %q", s.Name, s.Semantics)
+		}
+		group, ok := scopes[s.Group]
+		if !ok {
+			return set, fmt.Errorf("settings: class %s: unknown group %q", s.Name, s.Group)
+		}
+		set.Classes = append(set.Classes, decide.Class{
+			Name: s.Name, Aim: s.AimUs, Deadline: s.DeadlineUs, AimStretch: s.AimStretch, Worth: s.Worth,
+			LateShare: s.LateShare, Semantics: kind, Group: group, Window: s.WindowUs, Stream: s.Stream,
+		})
+	}
+	for _, t := range in.Realms {
+		set.Tenants = append(set.Tenants, decide.Tenant{Name: t.Name, Allowance: t.AllowancePerS})
+	}
+	return set, set.Validate()
+}
