--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,7 @@
 	classes   []classState
 	retries   float64   // retry budget
 	asks      int       // failed asks for the list in a row
-	warmPerUs float64   // what this balancer sends a warm server of size 1, per µs
+	warmPerUs float64   // answers a warm server of size 1 gives this balancer, per µs
 	cand      []*server // scratch of a draw
 }
 
@@ -60,7 +60,7 @@
 	inFlight  int     // own attempts out
 	coldSince int64   // start of its latest warm-up; 0: warm
 	sends     []int64 // while cold: times of own sends within the rule's window
-	sentWarm  int     // own sends this second
+	answered  int     // own answers this second, while warm
 }
 
 // classState is a class with the latencies seen of it.
@@ -215,8 +215,6 @@
 	s.inFlight++
 	if b.warmth(now, s) < 1 {
 		s.sends = append(s.sends, now)
-	} else {
-		s.sentWarm++
 	}
 	b.act.Send(r.ID, s.ID, b.timeout(now, r))
 }
@@ -369,6 +367,7 @@
 	}
 	payoff := 0.0
 	if o.Result == Served {
+		a.server.answered++
 		payoff = r.class.payoff(o.Latency)
 		b.retries = min(b.retries+retryPerServed, retryBurst)
 	}
@@ -429,16 +428,16 @@
 func (b *Balancer) everySecond(now int64) {
 	b.act.Wake(second, tokenSecond)
 	mean := b.meanLog()
-	sent, size := 0, 0.0
+	answered, size := 0, 0.0
 	for _, s := range b.servers {
 		s.setLog((s.log - mean) * keepLog)
 		if s.Phase == InService && b.warmth(now, s) >= 1 {
-			sent, size = sent+s.sentWarm, size+s.Size
+			answered, size = answered+s.answered, size+s.Size
 		}
-		s.sentWarm = 0
+		s.answered = 0
 	}
 	if size > 0 {
-		b.warmPerUs += (float64(sent)/size/float64(second) - b.warmPerUs) / 4
+		b.warmPerUs += (float64(answered)/size/float64(second) - b.warmPerUs) / 4
 	}
 }
 
@@ -455,7 +454,9 @@
 }
 
 // allowance is rule 4: within any window of the rule a cold server gets no more than its warm-up's part
-// of what this balancer sends a warm server of its size, and one send in any case.
+// of the answers that this balancer gets from a warm server of its size, and one send in any case.
+// Answers, not sends: in a jam a warm server is sent far more than it can do, and a cold one that got
+// its part of that fell over.
 func (b *Balancer) allowance(now int64, s *server) bool {
 	w := b.warmth(now, s)
 	if w >= 1 {
