A learned limit per server and a short worth-ordered queue end the jams

Cause: nothing bounded what a balancer held at a server; full servers turned attempts away and the retries kept them full. Change: per server a limit of own attempts, up with early answers, down with late ones and failures; a queue of at most half the aim, worthiest first; prompt refusal beyond. EXP3 draws among the servers that have room.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,6 +23,15 @@
 	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 
+	limitStart = 4.0 // own attempts a server of mean size may hold at first: corrected within a few answers
+	limitLeast = 1.0 // a server not suspended may always hold one, or it could never show better
+	limitMost  = 1e4 // attempts; keeps the figure finite on an idle fleet
+	lateCut    = 0.9 // of the limit, kept after an answer past the early mark: several must agree
+	failCut    = 0.6 // of the limit, kept after a full or silent answer: one is plain enough
+	earlyShare = 0.5 // of the aim: later answers warn of a crowd while there is time to act
+	queueShare = 0.5 // of the aim that a request may wait unsent: the rest is for its answer
+	queueLeast = 4.0 // requests that may wait whatever the drain: a start knows none yet
+
 	retryPerServed = 0.15 // retries earned by an answer: keeps a storm of retries under a sixth more work
 	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
 
@@ -34,6 +43,7 @@
 const (
 	tokenSecond = iota
 	tokenAsk
+	tokenQueue
 	firstRequest
 )
 
@@ -46,10 +56,13 @@
 	known     map[string]*server
 	open      map[string]*request
 	classes   []classState
-	retries   float64   // retry budget
-	asks      int       // failed asks for the list in a row
-	warmPerUs float64   // answers a warm server of size 1 gives this balancer, per µs
-	cand      []*server // scratch of a draw
+	retries   float64    // retry budget
+	asks      int        // failed asks for the list in a row
+	warmPerUs float64    // answers a warm server of size 1 gives this balancer, per µs
+	cand      []*server  // scratch of a draw
+	queue     []*request // waiting for room, worthiest first
+	drain     float64    // answers this balancer gets, per µs
+	answers   int        // answers this second
 }
 
 // server is what this balancer knows of one server.
@@ -58,6 +71,8 @@
 	log       float64 // EXP3's log-weight
 	weight    float64 // exp(log)
 	inFlight  int     // own attempts out
+	limit     float64 // own attempts it may hold
+	cutAt     int64   // when the limit was last cut
 	coldSince int64   // start of its latest warm-up; 0: warm
 	sends     []int64 // while cold: times of own sends within the rule's window
 	answered  int     // own answers this second, while warm
@@ -79,7 +94,9 @@
 	tries    []attempt
 	out      int
 	ended    bool
-	started  bool // its stream has begun
+	value    float64 // worth for the time it takes: who waits first and who is refused last
+	until    int64   // when waiting unsent ends
+	started  bool    // its stream has begun
 }
 
 // attempt is one send. Its server's group is kept as it was when sent.
@@ -128,15 +145,66 @@
 		r.Left = r.class.Deadline
 	}
 	r.deadline = now + r.Left
+	r.value = r.class.Worth / r.class.half
+	r.until = min(now+int64(queueShare*float64(r.class.Aim)), r.deadline)
 	b.open[in.ID] = r
-	b.try(now, r)
+	if len(b.queue) > 0 {
+		b.wait(now, r)
+	} else {
+		b.try(now, r)
+	}
+}
+
+// wait queues r while an answer is likely, and refuses the least worthy of those that would wait too long.
+func (b *Balancer) wait(now int64, r *request) {
+	if now >= r.until {
+		b.giveUp(now, r)
+		return
+	}
+	at, _ := slices.BinarySearchFunc(b.queue, r, func(have, add *request) int {
+		if have.value >= add.value {
+			return -1
+		}
+		return 1
+	})
+	b.queue = slices.Insert(b.queue, at, r)
+	b.act.Wake(r.until-now, tokenQueue)
+	for float64(len(b.queue)) > max(queueLeast, b.drain*queueShare*float64(r.class.Aim)) {
+		last := b.queue[len(b.queue)-1]
+		b.queue = b.queue[:len(b.queue)-1]
+		b.giveUp(now, last)
+	}
+}
+
+// pump sends what waits, worthiest first, and answers what has waited too long.
+func (b *Balancer) pump(now int64) {
+	waiting := b.queue
+	b.queue = nil
+	for i, r := range waiting {
+		if r.ended {
+			continue
+		}
+		if now >= r.until {
+			b.giveUp(now, r)
+			continue
+		}
+		if s, p := b.draw(now, r); s != nil {
+			b.send(now, r, s, p)
+		} else {
+			b.queue = append(b.queue, waiting[i])
+		}
+	}
 }
 
 // try sends an attempt for r, or answers it at once when none may be sent.
 func (b *Balancer) try(now int64, r *request) {
-	if s, p := b.draw(now, r); s != nil && b.mayTry(now, r) {
+	if !b.mayTry(now, r) {
+		b.giveUp(now, r)
+	} else if s, p := b.draw(now, r); s != nil {
 		b.send(now, r, s, p)
-	} else if r.out == 0 {
+	} else if b.roomMayCome(now, r) {
+		b.wait(now, r)
+	} else {
 		b.giveUp(now, r)
 	}
 }
@@ -147,6 +215,16 @@
 		(b.set.Limits.MaxAttempts == 0 || len(r.tries) < b.set.Limits.MaxAttempts)
 }
 
+// roomMayCome tells whether a server that r could use is only full for now.
+func (b *Balancer) roomMayCome(now int64, r *request) bool {
+	for _, s := range b.servers {
+		if s.Phase == InService && r.mayRepeat(now, s) && s.inFlight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // effect returns the first attempt that may have run, or nil.
 func (r *request) effect() *attempt {
 	for i := range r.tries {
@@ -233,6 +311,11 @@
 
 // Outcome settles an attempt: its server learns, and its request is answered or tried again.
 func (b *Balancer) Outcome(now int64, o Outcome) {
+	b.settle(now, o)
+	b.pump(now)
+}
+
+func (b *Balancer) settle(now int64, o Outcome) {
 	r := b.open[o.Request]
 	if r == nil || o.Attempt >= len(r.tries) || r.tries[o.Attempt].done {
 		return
@@ -348,7 +431,7 @@
 
 // eligible tells whether an attempt of r may go to s now.
 func (b *Balancer) eligible(now int64, r *request, s *server) bool {
-	return s.Phase == InService && r.mayRepeat(now, s) && b.allowance(now, s)
+	return s.Phase == InService && float64(s.inFlight) < s.limit && r.mayRepeat(now, s) && b.allowance(now, s)
 }
 
 func (r *request) tried(s *server) bool {
@@ -365,9 +448,11 @@
 	if o.Result == Cancelled || o.Result == Moot {
 		return
 	}
+	a.server.adapt(now, r, a, o)
 	payoff := 0.0
 	if o.Result == Served {
 		a.server.answered++
+		b.answers++
 		payoff = r.class.payoff(o.Latency)
 		b.retries = min(b.retries+retryPerServed, retryBurst)
 	}
@@ -378,6 +463,23 @@
 	s.setLog(s.log + gamma*payoff/(a.p*float64(max(1, len(b.servers)))))
 }
 
+// adapt moves a server's limit: up with early answers when it was used, down with late ones and with
+// failures, once for what was sent before the last cut.
+func (s *server) adapt(now int64, r *request, a *attempt, o Outcome) {
+	late := float64(o.Latency) > earlyShare*float64(r.class.Aim)
+	switch {
+	case o.Result == Served && !late:
+		if float64(s.inFlight+1) > s.limit-1 {
+			s.limit = min(s.limit+1/s.limit, limitMost)
+		}
+	case o.Result == Served:
+		s.limit = max(limitLeast, s.limit*lateCut)
+	case a.sentAt > s.cutAt && (o.Result == Full || o.Result == TimedOut):
+		s.limit = max(limitLeast, min(s.limit, float64(s.inFlight+1))*failCut)
+		s.cutAt = now
+	}
+}
+
 // payoff is 1 for an answer within the aim, and falls with the latency after it.
 func (c *classState) payoff(latency int64) float64 {
 	if latency <= c.Aim {
@@ -421,6 +523,8 @@
 		b.everySecond(now)
 	case tokenAsk:
 		b.act.Watch(true)
+	case tokenQueue:
+		b.pump(now)
 	}
 }
 
@@ -428,6 +532,8 @@
 func (b *Balancer) everySecond(now int64) {
 	b.act.Wake(second, tokenSecond)
 	mean := b.meanLog()
+	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
+	b.answers = 0
 	answered, size := 0, 0.0
 	for _, s := range b.servers {
 		s.setLog((s.log - mean) * keepLog)
@@ -486,7 +592,7 @@
 		}
 		s := b.known[in.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{limit: limitStart}
 			s.setLog(mean)
 			b.known[in.ID] = s
 		}
