--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,14 +23,15 @@
 	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 
-	limitStart = 4.0 // own attempts a server of mean size may hold at first: corrected within a few answers
-	limitLeast = 1.0 // a server not suspended may always hold one, or it could never show better
-	limitMost  = 1e4 // attempts; keeps the figure finite on an idle fleet
-	lateCut    = 0.9 // of the limit, kept after an answer past the early mark: several must agree
-	failCut    = 0.6 // of the limit, kept after a full or silent answer: one is plain enough
-	earlyShare = 0.5 // of the aim: later answers warn of a crowd while there is time to act
-	queueShare = 0.5 // of the aim that a request may wait unsent: the rest is for its answer
-	queueLeast = 4.0 // requests that may wait whatever the drain: a start knows none yet
+	limitStart = 4.0  // own attempts a server of mean size may hold at first: corrected within a few answers
+	limitLeast = 1.0  // a server not suspended may always hold one, or it could never show better
+	limitMost  = 1e4  // attempts; keeps the figure finite on an idle fleet
+	limitUp    = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	limitDown  = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
+	failCut    = 0.6  // of the limit, kept after a full or silent answer: one is plain enough
+	earlyShare = 0.5  // of the aim: later answers warn of a crowd while there is time to act
+	queueShare = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
+	queueLeast = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
 	retryPerServed = 0.15 // retries earned by an answer: keeps a storm of retries under a sixth more work
 	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
@@ -63,6 +64,8 @@
 	queue     []*request // waiting for room, worthiest first
 	drain     float64    // answers this balancer gets, per µs
 	answers   int        // answers this second
+	limit     float64    // own attempts out in all
+	out       int        // own attempts out now
 }
 
 // server is what this balancer knows of one server.
@@ -113,7 +116,7 @@
 // New makes a balancer that has seen nothing yet.
 func New(set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{
-		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
+		set: set, act: act, limit: limitMost, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
 		known: map[string]*server{}, open: map[string]*request{},
 	}
 	for _, c := range set.Classes {
@@ -215,10 +218,10 @@
 		(b.set.Limits.MaxAttempts == 0 || len(r.tries) < b.set.Limits.MaxAttempts)
 }
 
-// roomMayCome tells whether a server that r could use is only full for now.
+// roomMayCome tells whether r lacks only room: at a server it could use, or in all.
 func (b *Balancer) roomMayCome(now int64, r *request) bool {
 	for _, s := range b.servers {
-		if s.Phase == InService && r.mayRepeat(now, s) && s.inFlight > 0 {
+		if s.Phase == InService && r.mayRepeat(now, s) && (s.inFlight > 0 || float64(b.out) >= b.limit) {
 			return true
 		}
 	}
@@ -291,6 +294,7 @@
 	r.tries = append(r.tries, attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p})
 	r.out++
 	s.inFlight++
+	b.out++
 	if b.warmth(now, s) < 1 {
 		s.sends = append(s.sends, now)
 	}
@@ -323,6 +327,7 @@
 	a := &r.tries[o.Attempt]
 	a.done, a.neverRan = true, o.Result.NeverRan()
 	a.server.inFlight--
+	b.out--
 	r.out--
 	b.observe(now, r, a, o)
 	if o.Closed && !r.ended {
@@ -379,6 +384,9 @@
 // draw picks a server for r by EXP3 and returns it with its probability, or nil when none may be used.
 func (b *Balancer) draw(now int64, r *request) (*server, float64) {
 	b.cand = b.cand[:0]
+	if float64(b.out) >= b.limit {
+		return nil, 0
+	}
 	var tried []*server
 	for _, s := range b.servers {
 		if !b.eligible(now, r, s) {
@@ -448,7 +456,7 @@
 	if o.Result == Cancelled || o.Result == Moot {
 		return
 	}
-	a.server.adapt(now, r, a, o)
+	b.adapt(now, r, a, o)
 	payoff := 0.0
 	if o.Result == Served {
 		a.server.answered++
@@ -463,21 +471,41 @@
 	s.setLog(s.log + gamma*payoff/(a.p*float64(max(1, len(b.servers)))))
 }
 
-// adapt moves a server's limit: up with early answers when it was used, down with late ones and with
-// failures, once for what was sent before the last cut.
-func (s *server) adapt(now int64, r *request, a *attempt, o Outcome) {
-	late := float64(o.Latency) > earlyShare*float64(r.class.Aim)
+// adapt moves the limits of the server and of this balancer in all. Small balancers that each keep one
+// attempt at every server can fill a fleet together: the limit in all may fall to one.
+func (b *Balancer) adapt(now int64, r *request, a *attempt, o Outcome) {
+	s, early := a.server, false
 	switch {
-	case o.Result == Served && !late:
-		if float64(s.inFlight+1) > s.limit-1 {
-			s.limit = min(s.limit+1/s.limit, limitMost)
-		}
 	case o.Result == Served:
-		s.limit = max(limitLeast, s.limit*lateCut)
-	case a.sentAt > s.cutAt && (o.Result == Full || o.Result == TimedOut):
-		s.limit = max(limitLeast, min(s.limit, float64(s.inFlight+1))*failCut)
-		s.cutAt = now
+		early = float64(o.Latency) <= earlyShare*float64(r.class.Aim)
+	case o.Result == TimedOut || o.Result == Full:
+		if a.sentAt > s.cutAt { // once for what was sent before the last cut
+			s.limit, s.cutAt = max(limitLeast, min(s.limit, float64(s.inFlight+1))*failCut), now
+		}
+	default:
+		return
+	}
+	s.limit = moved(s.limit, s.inFlight+1, early)
+	b.limit = moved(min(b.limit, 2*b.listLimit()), b.out+1, early)
+}
+
+// listLimit is what the servers' limits allow together.
+func (b *Balancer) listLimit() (sum float64) {
+	for _, s := range b.servers {
+		sum += s.limit
+	}
+	return sum
+}
+
+// moved raises a limit that was used after an early answer, and lowers it after a late one.
+func moved(limit float64, used int, early bool) float64 {
+	if early && float64(used)+1 > limit {
+		return min(limit*limitUp, limitMost)
+	}
+	if early {
+		return limit
 	}
+	return max(limitLeast, limit*limitDown)
 }
 
 // payoff is 1 for an answer within the aim, and falls with the latency after it.
