Limits of servers may fall below one and add up to what may be out

Now a limit under one gives a server its part in turn, and a sick server's low limit does not pull the healthy ones down. Early means 3/4 of the aim, as half of it passed honest answers of slow machines for late.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -24,12 +24,12 @@
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 
 	limitStart = 4.0  // own attempts a server of mean size may hold at first: corrected within a few answers
-	limitLeast = 1.0  // a server not suspended may always hold one, or it could never show better
+	limitLeast = 0.1  // limits of all servers add up to what may be out: below one, a server gets its part in turn
 	limitMost  = 1e4  // attempts; keeps the figure finite on an idle fleet
 	limitUp    = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitDown  = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut    = 0.6  // of the limit, kept after a full or silent answer: one is plain enough
-	earlyShare = 0.5  // of the aim: later answers warn of a crowd while there is time to act
+	earlyShare = 0.75 // of the aim: later answers warn of a crowd while there is time to act
 	queueShare = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
@@ -64,7 +64,6 @@
 	queue     []*request // waiting for room, worthiest first
 	drain     float64    // answers this balancer gets, per µs
 	answers   int        // answers this second
-	limit     float64    // own attempts out in all
 	out       int        // own attempts out now
 }
 
@@ -116,7 +115,7 @@
 // New makes a balancer that has seen nothing yet.
 func New(set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{
-		set: set, act: act, limit: limitMost, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
+		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
 		known: map[string]*server{}, open: map[string]*request{},
 	}
 	for _, c := range set.Classes {
@@ -221,7 +220,7 @@
 // roomMayCome tells whether r lacks only room: at a server it could use, or in all.
 func (b *Balancer) roomMayCome(now int64, r *request) bool {
 	for _, s := range b.servers {
-		if s.Phase == InService && r.mayRepeat(now, s) && (s.inFlight > 0 || float64(b.out) >= b.limit) {
+		if s.Phase == InService && r.mayRepeat(now, s) && (s.inFlight > 0 || b.full()) {
 			return true
 		}
 	}
@@ -384,7 +383,7 @@
 // draw picks a server for r by EXP3 and returns it with its probability, or nil when none may be used.
 func (b *Balancer) draw(now int64, r *request) (*server, float64) {
 	b.cand = b.cand[:0]
-	if float64(b.out) >= b.limit {
+	if b.full() {
 		return nil, 0
 	}
 	var tried []*server
@@ -471,8 +470,7 @@
 	s.setLog(s.log + gamma*payoff/(a.p*float64(max(1, len(b.servers)))))
 }
 
-// adapt moves the limits of the server and of this balancer in all. Small balancers that each keep one
-// attempt at every server can fill a fleet together: the limit in all may fall to one.
+// adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, r *request, a *attempt, o Outcome) {
 	s, early := a.server, false
 	switch {
@@ -486,15 +484,18 @@
 		return
 	}
 	s.limit = moved(s.limit, s.inFlight+1, early)
-	b.limit = moved(min(b.limit, 2*b.listLimit()), b.out+1, early)
 }
 
-// listLimit is what the servers' limits allow together.
-func (b *Balancer) listLimit() (sum float64) {
+// full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
+// that each keep one attempt at every server and fill the fleet together: limits may fall below one.
+func (b *Balancer) full() bool {
+	sum := 0.0
 	for _, s := range b.servers {
-		sum += s.limit
+		if s.Phase == InService {
+			sum += s.limit
+		}
 	}
-	return sum
+	return float64(b.out) >= max(1, sum)
 }
 
 // moved raises a limit that was used after an early answer, and lowers it after a late one.
