Two failures in a row suspend a server, with back-off; a trial request brings it back

Change: suspension by own outcomes, a trial request after a jittered back-off, cold after silence, at least a quarter of the servers stay in the draw.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,6 +33,12 @@
 	queueShare = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
+	sickAfter    = 2          // failures in a row that suspend a server: one may be chance, and a quiet balancer sees few
+	suspendFor   = 0.5e6      // µs of a first suspension, doubled each time a trial fails
+	suspendMost  = 8e6        // µs: a server that is back is found within this and its jitter
+	silentIsCold = 2 * second // a server silent this long may have started anew: it counts as cold
+	healthyLeast = 0.25       // of the servers in service stay in the draw: more ill ones share a cause
+
 	retryPerServed = 0.15 // retries earned by an answer: keeps a storm of retries under a sixth more work
 	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
 
@@ -70,14 +76,19 @@
 // server is what this balancer knows of one server.
 type server struct {
 	Server
-	log       float64 // EXP3's log-weight
-	weight    float64 // exp(log)
-	inFlight  int     // own attempts out
-	limit     float64 // own attempts it may hold
-	cutAt     int64   // when the limit was last cut
-	coldSince int64   // start of its latest warm-up; 0: warm
-	sends     []int64 // while cold: times of own sends within the rule's window
-	answered  int     // own answers this second, while warm
+	log        float64 // EXP3's log-weight
+	weight     float64 // exp(log)
+	inFlight   int     // own attempts out
+	limit      float64 // own attempts it may hold
+	cutAt      int64   // when the limit was last cut
+	coldSince  int64   // start of its latest warm-up; 0: warm
+	sends      []int64 // while cold: times of own sends within the rule's window
+	answered   int     // own answers this second, while warm
+	bad        int     // failures in a row
+	trips      int     // suspensions in a row
+	until      int64   // end of its suspension; past it one trial at a time decides
+	suspended  bool
+	lastServed int64
 }
 
 // classState is a class with the latencies seen of it.
@@ -438,6 +449,9 @@
 
 // eligible tells whether an attempt of r may go to s now.
 func (b *Balancer) eligible(now int64, r *request, s *server) bool {
+	if s.suspended && (now < s.until || s.inFlight > 0) {
+		return false
+	}
 	return s.Phase == InService && float64(s.inFlight) < s.limit && r.mayRepeat(now, s) && b.allowance(now, s)
 }
 
@@ -455,6 +469,7 @@
 	if o.Result == Cancelled || o.Result == Moot {
 		return
 	}
+	b.judge(now, a.server, o.Result)
 	b.adapt(now, r, a, o)
 	payoff := 0.0
 	if o.Result == Served {
@@ -470,6 +485,45 @@
 	s.setLog(s.log + gamma*payoff/(a.p*float64(max(1, len(b.servers)))))
 }
 
+// judge suspends a server after failures in a row and brings it back after a good trial.
+func (b *Balancer) judge(now int64, s *server, result Result) {
+	switch result {
+	case Served:
+		if s.suspended {
+			if now-s.lastServed >= silentIsCold {
+				s.coldSince, s.sends = max(s.coldSince, now), nil
+			}
+			s.suspended, s.trips = false, 0
+		}
+		s.bad, s.lastServed = 0, now
+		return
+	case Full:
+		return
+	}
+	s.bad++
+	if s.suspended && now < s.until || s.bad < sickAfter || !s.suspended && !b.maySuspend() {
+		return
+	}
+	pause := min(suspendFor*math.Exp2(float64(s.trips)), suspendMost)
+	s.until = now + int64(pause*(0.75+b.rng.Float64()/2))
+	s.suspended = true
+	s.trips++
+}
+
+// maySuspend keeps enough servers in the draw: when most look ill the cause is shared.
+func (b *Balancer) maySuspend() bool {
+	well, all := 0, 0
+	for _, s := range b.servers {
+		if s.Phase == InService {
+			all++
+			if !s.suspended {
+				well++
+			}
+		}
+	}
+	return float64(well-1) >= healthyLeast*float64(all)
+}
+
 // adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, r *request, a *attempt, o Outcome) {
 	s, early := a.server, false
