Sizes: a server of listed size z counts as z arms in draw, floor and redraw

Not yet a gain: limits start equal whatever the size, and a slow big server keeps its large share since payoffs move weights too little.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -89,6 +89,7 @@
 	until      int64   // end of its suspension; past it one trial at a time decides
 	suspended  bool
 	lastServed int64
+	listed     float64 // size as listed; Size is scaled to a mean of one
 }
 
 // classState is a class with the latencies seen of it.
@@ -414,37 +415,39 @@
 	if len(b.cand) == 0 {
 		return nil, 0
 	}
-	sum := 0.0
+	sum, size := 0.0, 0.0
 	for _, s := range b.cand {
-		sum += s.weight
+		sum, size = sum+s.Size*s.weight, size+s.Size
 	}
-	floor, crowd := gamma/float64(len(b.cand)), b.crowd()
+	crowd := b.crowd()
 	for n := 0; ; n++ {
-		s := b.pick(sum, floor)
-		if n == redraws || float64(s.inFlight) <= crowd {
-			return s, (1-gamma)*s.weight/sum + floor
+		s, p := b.pick(sum, size)
+		if n == redraws || float64(s.inFlight) <= 1+crowd*s.Size {
+			return s, p
 		}
 	}
 }
 
-// pick draws one of the candidates at random by p = (1-gamma)*w/sum + floor.
-func (b *Balancer) pick(sum, floor float64) *server {
-	x := b.rng.Float64()
+// pick draws one of the candidates at random. A server of listed size z counts as z equal arms, so the
+// design's p = (1-gamma)*w/sum + gamma/M becomes p = (1-gamma)*z*w/sum + gamma*z/size.
+func (b *Balancer) pick(sum, size float64) (*server, float64) {
+	x, p := b.rng.Float64(), 0.0
 	for _, s := range b.cand {
-		if x -= (1-gamma)*s.weight/sum + floor; x < 0 {
-			return s
+		p = s.Size * ((1-gamma)*s.weight/sum + gamma/size)
+		if x -= p; x < 0 {
+			return s, p
 		}
 	}
-	return b.cand[len(b.cand)-1]
+	return b.cand[len(b.cand)-1], p
 }
 
-// crowd is how many own attempts a server may hold before a draw of it is drawn again.
+// crowd is twice the mean number of own attempts per unit of size: past one more than that, a draw is redrawn.
 func (b *Balancer) crowd() float64 {
-	total := 0
+	size := 0.0
 	for _, s := range b.servers {
-		total += s.inFlight
+		size += s.Size
 	}
-	return 1 + 2*float64(total)/float64(len(b.servers))
+	return 2 * float64(b.out) / size
 }
 
 // eligible tells whether an attempt of r may go to s now.
@@ -682,12 +685,24 @@
 		if in.UpSince > s.UpSince || s.ID == "" {
 			s.coldSince, s.sends = in.UpSince, nil
 		}
-		s.Server = in
+		s.Server, s.listed = in, in.Size
 		if in.Phase != Removed && !slices.Contains(b.servers, s) {
 			b.servers = append(b.servers, s)
 		}
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.Phase == Removed })
+	b.scaleSizes()
+}
+
+// scaleSizes makes the mean size one, so that sizes read as shares of a mean server.
+func (b *Balancer) scaleSizes() {
+	sum := 0.0
+	for _, s := range b.servers {
+		sum += s.listed
+	}
+	for _, s := range b.servers {
+		s.Size = s.listed * float64(len(b.servers)) / sum
+	}
 }
 
 // ListFailed asks again, later each time, so that a struggling list is not asked by all at once.
