--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,9 +14,10 @@
 const (
 	second = int64(1_000_000)
 
-	gamma   = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
-	keepLog = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
-	redraws = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
+	gamma        = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
+	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
+	baselineRate = 0.02 // of the way to each payoff: a mean over some 50 attempts, slower than one server's trouble
+	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
 
 	quantileUp  = 0.20   // log step of a latency mark passed by a sample; down is this times the odds
 	markShare   = 0.95   // the latency mark that time-outs stand on: one honest answer in 20 is later
@@ -71,6 +72,7 @@
 	drain     float64    // answers this balancer gets, per µs
 	answers   int        // answers this second
 	out       int        // own attempts out now
+	baseline  float64    // mean payoff of late: what a payoff is worth against
 }
 
 // server is what this balancer knows of one server.
@@ -127,7 +129,7 @@
 // New makes a balancer that has seen nothing yet.
 func New(set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{
-		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
+		set: set, act: act, baseline: 1, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
 		known: map[string]*server{}, open: map[string]*request{},
 	}
 	for _, c := range set.Classes {
@@ -485,7 +487,8 @@
 		r.class.sample(float64(o.Latency))
 	}
 	s := a.server
-	s.setLog(s.log + gamma*payoff/(a.p*float64(max(1, len(b.servers)))))
+	b.baseline += (payoff - b.baseline) * baselineRate
+	s.setLog(s.log + gamma*(payoff-b.baseline)/(a.p*float64(max(1, len(b.servers)))))
 }
 
 // judge suspends a server after failures in a row and brings it back after a good trial.
@@ -671,15 +674,16 @@
 			s.Phase = Removed
 		}
 	}
-	mean := b.meanLog()
+	mean, started := b.meanLog(), []*server(nil)
 	for _, in := range list {
 		if !(in.Size > 0) || !b.set.SizesListed {
 			in.Size = 1
 		}
 		s := b.known[in.ID]
 		if s == nil {
-			s = &server{limit: limitStart}
+			s = &server{}
 			s.setLog(mean)
+			started = append(started, s)
 			b.known[in.ID] = s
 		}
 		if in.UpSince > s.UpSince || s.ID == "" {
@@ -692,6 +696,9 @@
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.Phase == Removed })
 	b.scaleSizes()
+	for _, s := range started {
+		s.limit = limitStart * s.Size
+	}
 }
 
 // scaleSizes makes the mean size one, so that sizes read as shares of a mean server.
