Tried: a time-out lowers a limit like a late answer

Time-outs do two jobs at once, finding silence and cutting tails; where work goes on after a time-out they feed the jam.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,7 +29,7 @@
 	limitMost  = 1e4  // attempts; keeps the figure finite on an idle fleet
 	limitUp    = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitDown  = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
-	failCut    = 0.6  // of the limit, kept after a full or silent answer: one is plain enough
+	failCut    = 0.6  // of the limit, kept when a server is full: one is plain enough
 	earlyShare = 0.75 // of the aim: later answers warn of a crowd while there is time to act
 	queueShare = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast = 4.0  // requests that may wait whatever the drain: a start knows none yet
@@ -536,7 +536,8 @@
 	switch {
 	case o.Result == Served:
 		early = float64(o.Latency) <= earlyShare*float64(r.class.Aim)
-	case o.Result == TimedOut || o.Result == Full:
+	case o.Result == TimedOut:
+	case o.Result == Full:
 		if a.sentAt > s.cutAt { // once for what was sent before the last cut
 			s.limit, s.cutAt = max(limitLeast, min(s.limit, float64(s.inFlight+1))*failCut), now
 		}
