--- a/decide/decide.go
+++ b/decide/decide.go
@@ -34,6 +34,8 @@
 	queueShare = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
+	silentMarks  = 2.0        // latency marks without any answer from a server that holds an attempt: it is silent
+	scanEvery    = 50_000     // µs between looks for silent servers: well under what a try may take
 	sickAfter    = 2          // failures in a row that suspend a server: one may be chance, and a quiet balancer sees few
 	suspendFor   = 0.5e6      // µs of a first suspension, doubled each time a trial fails
 	suspendMost  = 8e6        // µs: a server that is back is found within this and its jitter
@@ -52,6 +54,7 @@
 	tokenSecond = iota
 	tokenAsk
 	tokenQueue
+	tokenScan
 	firstRequest
 )
 
@@ -80,7 +83,6 @@
 	Server
 	log        float64 // EXP3's log-weight
 	weight     float64 // exp(log)
-	inFlight   int     // own attempts out
 	limit      float64 // own attempts it may hold
 	cutAt      int64   // when the limit was last cut
 	coldSince  int64   // start of its latest warm-up; 0: warm
@@ -92,6 +94,7 @@
 	suspended  bool
 	lastServed int64
 	listed     float64 // size as listed; Size is scaled to a mean of one
+	held       []held  // own attempts out, oldest first
 }
 
 // classState is a class with the latencies seen of it.
@@ -126,6 +129,12 @@
 	neverRan bool
 }
 
+// held names an attempt that is out.
+type held struct {
+	r *request
+	n int
+}
+
 // New makes a balancer that has seen nothing yet.
 func New(set Settings, seed uint64, act Actions) *Balancer {
 	b := &Balancer{
@@ -147,6 +156,7 @@
 // Begin asks for the list where it does not come by itself.
 func (b *Balancer) Begin(now int64) {
 	b.act.Wake(second, tokenSecond)
+	b.act.Wake(scanEvery, tokenScan)
 	if !b.set.ListPushed {
 		b.act.Watch(true)
 	}
@@ -234,7 +244,7 @@
 // roomMayCome tells whether r lacks only room: at a server it could use, or in all.
 func (b *Balancer) roomMayCome(now int64, r *request) bool {
 	for _, s := range b.servers {
-		if s.Phase == InService && r.mayRepeat(now, s) && (s.inFlight > 0 || b.full()) {
+		if s.Phase == InService && r.mayRepeat(now, s) && (len(s.held) > 0 || b.full()) {
 			return true
 		}
 	}
@@ -306,7 +316,7 @@
 func (b *Balancer) send(now int64, r *request, s *server, p float64) {
 	r.tries = append(r.tries, attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p})
 	r.out++
-	s.inFlight++
+	s.held = append(s.held, held{r, len(r.tries) - 1})
 	b.out++
 	if b.warmth(now, s) < 1 {
 		s.sends = append(s.sends, now)
@@ -314,13 +324,15 @@
 	b.act.Send(r.ID, s.ID, b.timeout(now, r))
 }
 
-// timeout is how long an attempt may take: a multiple of the latency mark while a next try could still
-// follow, else all the time that is left.
+// timeout is how long an attempt may take: a multiple of the latency mark while a next try could still be
+// answered within the aim, else all the time that is left. Guards against time-outs that feed a jam: late
+// work goes on at many servers, and its retry only adds to it.
 func (b *Balancer) timeout(now int64, r *request) int64 {
 	left := r.deadline - now
 	t := max(int64(timeoutMark*r.class.mark), minTimeout)
 	last := b.set.Limits.MaxAttempts > 0 && len(r.tries) >= b.set.Limits.MaxAttempts
-	if last || r.class.Stream || r.class.Semantics == AtMostOnce || t+int64(r.class.half) >= left {
+	inAim := now-r.taken+t+int64(r.class.half) <= r.class.Aim
+	if last || !inAim || t >= left || r.class.Stream || r.class.Semantics == AtMostOnce {
 		return left
 	}
 	return t
@@ -339,7 +351,7 @@
 	}
 	a := &r.tries[o.Attempt]
 	a.done, a.neverRan = true, o.Result.NeverRan()
-	a.server.inFlight--
+	a.server.release(r, o.Attempt)
 	b.out--
 	r.out--
 	b.observe(now, r, a, o)
@@ -424,7 +436,7 @@
 	crowd := b.crowd()
 	for n := 0; ; n++ {
 		s, p := b.pick(sum, size)
-		if n == redraws || float64(s.inFlight) <= 1+crowd*s.Size {
+		if n == redraws || float64(len(s.held)) <= 1+crowd*s.Size {
 			return s, p
 		}
 	}
@@ -454,10 +466,10 @@
 
 // eligible tells whether an attempt of r may go to s now.
 func (b *Balancer) eligible(now int64, r *request, s *server) bool {
-	if s.suspended && (now < s.until || s.inFlight > 0) {
+	if s.suspended && (now < s.until || len(s.held) > 0) {
 		return false
 	}
-	return s.Phase == InService && float64(s.inFlight) < s.limit && r.mayRepeat(now, s) && b.allowance(now, s)
+	return s.Phase == InService && float64(len(s.held)) < s.limit && r.mayRepeat(now, s) && b.allowance(now, s)
 }
 
 func (r *request) tried(s *server) bool {
@@ -491,6 +503,41 @@
 	s.setLog(s.log + gamma*(payoff-b.baseline)/(a.p*float64(max(1, len(b.servers)))))
 }
 
+func (s *server) release(r *request, n int) {
+	s.held = slices.DeleteFunc(s.held, func(h held) bool { return h.r == r && h.n == n })
+}
+
+// scan looks for servers that hold attempts and answer nothing, suspends them and calls back what they
+// hold, so that it is tried elsewhere before its client gives up.
+func (b *Balancer) scan(now int64) {
+	for _, s := range b.servers {
+		if len(s.held) == 0 || s.suspended && now < s.until {
+			continue
+		}
+		r := s.held[0].r
+		since := max(r.tries[s.held[0].n].sentAt, s.lastServed)
+		if float64(now-since) > silentMarks*r.class.mark && (s.suspended || b.maySuspend()) && !r.started {
+			s.bad = sickAfter
+			b.suspend(now, s)
+			b.callBack(now, s)
+		}
+	}
+}
+
+// callBack cancels what s holds, as far as the retry budget lets it be tried elsewhere.
+func (b *Balancer) callBack(now int64, s *server) {
+	left := b.retries
+	for _, h := range s.held {
+		if left < 1 || !b.set.Limits.Cancel {
+			return
+		}
+		if r := h.r; !r.ended && !r.started && r.class.Semantics != AtMostOnce && r.deadline-now > int64(r.class.half) {
+			b.act.Cancel(r.ID, h.n)
+			left--
+		}
+	}
+}
+
 // judge suspends a server after failures in a row and brings it back after a good trial.
 func (b *Balancer) judge(now int64, s *server, result Result) {
 	switch result {
@@ -503,13 +550,18 @@
 		}
 		s.bad, s.lastServed = 0, now
 		return
-	case Full:
+	case Full, Cancelled, Moot:
 		return
 	}
 	s.bad++
 	if s.suspended && now < s.until || s.bad < sickAfter || !s.suspended && !b.maySuspend() {
 		return
 	}
+	b.suspend(now, s)
+}
+
+// suspend takes s out of the draw for a while, longer each time a trial fails.
+func (b *Balancer) suspend(now int64, s *server) {
 	pause := min(suspendFor*math.Exp2(float64(s.trips)), suspendMost)
 	s.until = now + int64(pause*(0.75+b.rng.Float64()/2))
 	s.suspended = true
@@ -539,12 +591,12 @@
 	case o.Result == TimedOut:
 	case o.Result == Full:
 		if a.sentAt > s.cutAt { // once for what was sent before the last cut
-			s.limit, s.cutAt = max(limitLeast, min(s.limit, float64(s.inFlight+1))*failCut), now
+			s.limit, s.cutAt = max(limitLeast, min(s.limit, float64(len(s.held)+1))*failCut), now
 		}
 	default:
 		return
 	}
-	s.limit = moved(s.limit, s.inFlight+1, early)
+	s.limit = moved(s.limit, len(s.held)+1, early)
 }
 
 // full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
@@ -613,6 +665,9 @@
 		b.everySecond(now)
 	case tokenAsk:
 		b.act.Watch(true)
+	case tokenScan:
+		b.act.Wake(scanEvery, tokenScan)
+		b.scan(now)
 	case tokenQueue:
 		b.pump(now)
 	}
