--- a/decide/decide.go
+++ b/decide/decide.go
@@ -588,8 +588,8 @@
 	switch {
 	case o.Result == Served:
 		early = float64(o.Latency) <= earlyShare*float64(r.class.Aim)
-	case o.Result == TimedOut:
-	case o.Result == Full:
+	case o.Result == TimedOut && o.Latency < r.class.Aim:
+	case o.Result == Full || o.Result == TimedOut:
 		if a.sentAt > s.cutAt { // once for what was sent before the last cut
 			s.limit, s.cutAt = max(limitLeast, min(s.limit, float64(len(s.held)+1))*failCut), now
 		}
