--- a/decide/decide.go
+++ b/decide/decide.go
@@ -436,7 +436,7 @@
 	crowd := b.crowd()
 	for n := 0; ; n++ {
 		s, p := b.pick(sum, size)
-		if n == redraws || float64(len(s.held)) <= 1+crowd*s.Size {
+		if n == redraws || float64(len(s.held)) <= crowd*s.Size {
 			return s, p
 		}
 	}
@@ -455,13 +455,13 @@
 	return b.cand[len(b.cand)-1], p
 }
 
-// crowd is twice the mean number of own attempts per unit of size: past one more than that, a draw is redrawn.
+// crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
 func (b *Balancer) crowd() float64 {
 	size := 0.0
 	for _, s := range b.servers {
 		size += s.Size
 	}
-	return 2 * float64(b.out) / size
+	return float64(b.out) / size
 }
 
 // eligible tells whether an attempt of r may go to s now.
