--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,7 +14,7 @@
 const (
 	second = int64(1_000_000)
 
-	gamma        = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
+	gamma        = 0.2  // share of draws spread evenly, and the learning rate: the paper's value
 	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
 	baselineRate = 0.02 // of the way to each payoff: a mean over some 50 attempts, slower than one server's trouble
 	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
