--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,7 +14,7 @@
 const (
 	second = int64(1_000_000)
 
-	gamma        = 0.2  // share of draws spread evenly, and the learning rate: the paper's value
+	gamma        = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
 	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
 	baselineRate = 0.02 // of the way to each payoff: a mean over some 50 attempts, slower than one server's trouble
 	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
@@ -24,15 +24,17 @@
 	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 
-	limitStart = 4.0  // own attempts a server of mean size may hold at first: corrected within a few answers
-	limitLeast = 0.1  // limits of all servers add up to what may be out: below one, a server gets its part in turn
-	limitMost  = 1e4  // attempts; keeps the figure finite on an idle fleet
-	limitUp    = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
-	limitDown  = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
-	failCut    = 0.6  // of the limit, kept when a server is full: one is plain enough
-	earlyShare = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	queueShare = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
-	queueLeast = 4.0  // requests that may wait whatever the drain: a start knows none yet
+	limitStart  = 4.0    // own attempts a server of mean size may hold at first: corrected within a few answers
+	limitLeast  = 0.1    // limits of all servers add up to what may be out: below one, a server gets its part in turn
+	limitMost   = 1e4    // attempts; keeps the figure finite on an idle fleet
+	crowdedBase = 3.0    // uncrowded medians: servers that slow down when crowded lose work long before the aim
+	baseRise    = 1.0005 // per answer: doubled in some 1400, slower than any jam should last
+	limitUp     = 1.02   // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	limitDown   = 0.92   // ... where one answer in five is late: fewer waste room, more end in a jam
+	failCut     = 0.6    // of the limit, kept when a server is full: one is plain enough
+	earlyShare  = 0.75   // of the aim: later answers warn of a crowd while there is time to act
+	queueShare  = 0.5    // of the aim that a request may wait unsent: the rest is for its answer
+	queueLeast  = 4.0    // requests that may wait whatever the drain: a start knows none yet
 
 	silentMarks  = 2.0        // latency marks without any answer from a server that holds an attempt: it is silent
 	scanEvery    = 50_000     // µs between looks for silent servers: well under what a try may take
@@ -102,6 +104,7 @@
 	Class
 	mark float64 // µs: one answer in 20 takes longer
 	half float64 // µs: median
+	base float64 // µs: the median when servers are not crowded, forgotten slowly upwards
 }
 
 // request is one request taken, kept until it is answered and none of its attempts is out.
@@ -148,7 +151,7 @@
 		if c.Aim == 0 {
 			c.Aim = c.Deadline
 		}
-		b.classes = append(b.classes, classState{Class: c, mark: float64(c.Aim) / 2, half: float64(c.Aim) / 4})
+		b.classes = append(b.classes, classState{Class: c, mark: float64(c.Aim) / 2, half: float64(c.Aim) / 4, base: float64(c.Aim) / 4})
 	}
 	return b
 }
@@ -587,7 +590,7 @@
 	s, early := a.server, false
 	switch {
 	case o.Result == Served:
-		early = float64(o.Latency) <= earlyShare*float64(r.class.Aim)
+		early = float64(o.Latency) <= r.class.early()
 	case o.Result == TimedOut && o.Latency < r.class.Aim:
 	case o.Result == Full || o.Result == TimedOut:
 		if a.sentAt > s.cutAt { // once for what was sent before the last cut
@@ -622,6 +625,11 @@
 	return max(limitLeast, limit*limitDown)
 }
 
+// early is the latency past which an answer tells of a crowd.
+func (c *classState) early() float64 {
+	return min(earlyShare*float64(c.Aim), crowdedBase*c.base)
+}
+
 // payoff is 1 for an answer within the aim, and falls with the latency after it.
 func (c *classState) payoff(latency int64) float64 {
 	if latency <= c.Aim {
@@ -634,6 +642,7 @@
 func (c *classState) sample(latency float64) {
 	c.mark = step(c.mark, latency, markShare)
 	c.half = step(c.half, latency, 0.5)
+	c.base = min(c.base*baseRise, c.half)
 }
 
 // step moves an estimate of a quantile towards a sample: far up when passed, a little down when not.
