--- a/decide/decide.go
+++ b/decide/decide.go
@@ -19,7 +19,8 @@
 	baselineRate = 0.02 // of the way to each payoff: a mean over some 50 attempts, slower than one server's trouble
 	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
 
-	quantileUp  = 0.20   // log step of a latency mark passed by a sample; down is this times the odds
+	markStep    = 0.2    // log step of the latency mark for a sample past it: trouble shows in a few answers
+	halfStep    = 0.04   // of the median: calm, since its lowest value is kept as the uncrowded one
 	markShare   = 0.95   // the latency mark that time-outs stand on: one honest answer in 20 is later
 	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
@@ -27,7 +28,7 @@
 	limitStart  = 4.0    // own attempts a server of mean size may hold at first: corrected within a few answers
 	limitLeast  = 0.1    // limits of all servers add up to what may be out: below one, a server gets its part in turn
 	limitMost   = 1e4    // attempts; keeps the figure finite on an idle fleet
-	crowdedBase = 3.0    // uncrowded medians: servers that slow down when crowded lose work long before the aim
+	crowdedBase = 4.0    // uncrowded medians: servers that slow down when crowded lose work long before the aim
 	baseRise    = 1.0005 // per answer: doubled in some 1400, slower than any jam should last
 	limitUp     = 1.02   // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitDown   = 0.92   // ... where one answer in five is late: fewer waste room, more end in a jam
@@ -640,17 +641,17 @@
 
 // sample moves the latency marks; a time-out counts as an answer at least that late.
 func (c *classState) sample(latency float64) {
-	c.mark = step(c.mark, latency, markShare)
-	c.half = step(c.half, latency, 0.5)
+	c.mark = step(c.mark, latency, markShare, markStep)
+	c.half = step(c.half, latency, 0.5, halfStep)
 	c.base = min(c.base*baseRise, c.half)
 }
 
 // step moves an estimate of a quantile towards a sample: far up when passed, a little down when not.
-func step(mark, sample, share float64) float64 {
+func step(mark, sample, share, rate float64) float64 {
 	if sample > mark {
-		return mark * math.Exp(quantileUp*share)
+		return mark * math.Exp(rate*share)
 	}
-	return mark * math.Exp(-quantileUp*(1-share))
+	return mark * math.Exp(-rate*(1-share))
 }
 
 // setLog keeps weights within what a float can divide by.
