Warm keys: a key's home server gets a raised weight where the settings say keys stay warm

Every balancer finds the same home for a key by rendezvous hashing over listed sizes and draws it with 300 times its weight; the honest probability goes into the update, a crowded home is drawn again.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,10 +14,11 @@
 const (
 	second = int64(1_000_000)
 
-	gamma        = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
-	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
-	baselineRate = 0.02 // of the way to each payoff: a mean over some 50 attempts, slower than one server's trouble
-	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
+	gamma        = 0.07  // share of draws spread evenly, and the learning rate: the paper's value
+	keepLog      = 0.9   // of a log-weight's distance from the mean, kept each second: the design's start
+	baselineRate = 0.02  // of the way to each payoff: a mean over some 50 attempts, slower than one server's trouble
+	warmBoost    = 300.0 // times its weight, for the server where all balancers send a key: most land there, few pile up
+	redraws      = 8     // per draw: past that many crowded servers all are crowded, and the draw stands
 
 	markStep    = 0.2    // log step of the latency mark for a sample past it: trouble shows in a few answers
 	halfStep    = 0.04   // of the median: calm, since its lowest value is kept as the uncrowded one
@@ -98,6 +99,7 @@
 	lastServed int64
 	listed     float64 // size as listed; Size is scaled to a mean of one
 	held       []held  // own attempts out, oldest first
+	hash       uint64  // of its ID
 }
 
 // classState is a class with the latencies seen of it.
@@ -433,14 +435,19 @@
 	if len(b.cand) == 0 {
 		return nil, 0
 	}
+	home := b.home(now, r.Key)
 	sum, size := 0.0, 0.0
 	for _, s := range b.cand {
-		sum, size = sum+s.Size*s.weight, size+s.Size
+		sum, size = sum+s.drawWeight(home), size+s.Size
 	}
 	crowd := b.crowd()
 	for n := 0; ; n++ {
-		s, p := b.pick(sum, size)
-		if n == redraws || float64(len(s.held)) <= crowd*s.Size {
+		s, p := b.pick(sum, size, home)
+		bound := crowd * s.Size
+		if s == home {
+			bound = 1 + 2*bound // the design's bound: a warm server may hold more
+		}
+		if n == redraws || float64(len(s.held)) <= bound {
 			return s, p
 		}
 	}
@@ -448,10 +455,10 @@
 
 // pick draws one of the candidates at random. A server of listed size z counts as z equal arms, so the
 // design's p = (1-gamma)*w/sum + gamma/M becomes p = (1-gamma)*z*w/sum + gamma*z/size.
-func (b *Balancer) pick(sum, size float64) (*server, float64) {
+func (b *Balancer) pick(sum, size float64, home *server) (*server, float64) {
 	x, p := b.rng.Float64(), 0.0
 	for _, s := range b.cand {
-		p = s.Size * ((1-gamma)*s.weight/sum + gamma/size)
+		p = (1-gamma)*s.drawWeight(home)/sum + gamma*s.Size/size
 		if x -= p; x < 0 {
 			return s, p
 		}
@@ -459,6 +466,48 @@
 	return b.cand[len(b.cand)-1], p
 }
 
+// drawWeight is the server's weight over all its arms, raised where the request's key is at home.
+func (s *server) drawWeight(home *server) float64 {
+	if s == home {
+		return warmBoost * s.Size * s.weight
+	}
+	return s.Size * s.weight
+}
+
+// home is the server that every balancer with this list picks for a key, by rendezvous hashing over sizes:
+// where servers do known keys faster, a key met by all at one server is warm for all.
+func (b *Balancer) home(now int64, key string) (best *server) {
+	if !b.set.WarmKeys || key == "" {
+		return nil
+	}
+	h, least := hash(key), math.Inf(1)
+	for _, s := range b.servers {
+		if s.Phase != InService || s.suspended {
+			continue
+		}
+		u := float64(mix(h^s.hash)>>11+1) / (1 << 53)
+		if far := -math.Log(u) / s.Size; far < least {
+			best, least = s, far
+		}
+	}
+	return best
+}
+
+// hash is FNV-1a; mix spreads it over all bits.
+func hash(text string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * 1099511628211
+	}
+	return h
+}
+
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
 // crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
 func (b *Balancer) crowd() float64 {
 	size := 0.0
@@ -747,7 +796,7 @@
 		}
 		s := b.known[in.ID]
 		if s == nil {
-			s = &server{}
+			s = &server{hash: hash(in.ID)}
 			s.setLog(mean)
 			started = append(started, s)
 			b.known[in.ID] = s
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -30,6 +30,7 @@
 		MaxAttempts                               int
 		MaxRetryAfterUs                           int64
 	}
+	FamilyInfo struct{ WarmKeys bool }
 	Guarantees struct {
 		AnswerSlackUs, AskEveryUs, ColdUs, FallUs, StopSendingWithinUs int64
 		ColdFrom, OverloadFactor                                       float64
@@ -54,6 +55,7 @@
 		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
 		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
 		SizesListed: in.WeightSource == "nominal" || in.WeightSource == "rough",
+		WarmKeys:    in.FamilyInfo.WarmKeys,
 		Limits: decide.Limits{
 			Cancel: in.Limits.Cancel, ParallelTries: in.Limits.ParallelTries, Probes: in.Limits.Probes,
 			RetryAfter: in.Limits.RetryAfter, MaxAttempts: in.Limits.MaxAttempts,
