Module rewritten in reading order, with log lines; what it remembers sits in state.go

A new process of a server sheds its predecessor's suspension; a queued request whose client left is not answered again.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,11 +1,14 @@
-// The decisions of one balancer. Its interface (settings, events, actions) is in api.go.
+// The decisions of one balancer. Its interface (settings, events, actions) is in api.go, what it remembers
+// in state.go.
 //
 // Every attempt goes to a server drawn by EXP3: exponential weights grown by importance-weighted payoffs
-// of this balancer's own attempts, mixed with a uniform floor. The rest keeps the four rules around it.
+// of this balancer's own attempts, mixed with a uniform floor. All else keeps the four rules, finds
+// servers that answer nothing, and bounds what is out. docs/design.md tells what departs from the design.
 
 package decide
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -14,153 +17,79 @@
 const (
 	second = int64(1_000_000)
 
-	gamma        = 0.07  // share of draws spread evenly, and the learning rate: the paper's value
-	keepLog      = 0.9   // of a log-weight's distance from the mean, kept each second: the design's start
-	baselineRate = 0.02  // of the way to each payoff: a mean over some 50 attempts, slower than one server's trouble
-	warmBoost    = 300.0 // times its weight, for the server where all balancers send a key: most land there, few pile up
-	redraws      = 8     // per draw: past that many crowded servers all are crowded, and the draw stands
+	gamma        = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
+	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
+	baselineRate = 0.02 // of the way to each payoff: a mean over 50 attempts outlasts one server's trouble
+	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
+	warmBoost    = 300  // times its weight, for a key's home: most draws land there unless it is crowded
 
-	markStep    = 0.2    // log step of the latency mark for a sample past it: trouble shows in a few answers
+	markShare   = 0.95   // of the answers come before the latency mark: time-outs and silence stand on it
+	markStep    = 0.2    // log step of the mark for an answer past it: trouble shows in a few answers
 	halfStep    = 0.04   // of the median: calm, since its lowest value is kept as the uncrowded one
-	markShare   = 0.95   // the latency mark that time-outs stand on: one honest answer in 20 is later
+	baseRise    = 1.0005 // of the uncrowded median per answer: doubled in 1400, longer than a jam should last
 	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
-
-	limitStart  = 4.0    // own attempts a server of mean size may hold at first: corrected within a few answers
-	limitLeast  = 0.1    // limits of all servers add up to what may be out: below one, a server gets its part in turn
-	limitMost   = 1e4    // attempts; keeps the figure finite on an idle fleet
-	crowdedBase = 4.0    // uncrowded medians: servers that slow down when crowded lose work long before the aim
-	baseRise    = 1.0005 // per answer: doubled in some 1400, slower than any jam should last
-	limitUp     = 1.02   // a limit's factor for an early answer while it was used; with limitDown it holds ...
-	limitDown   = 0.92   // ... where one answer in five is late: fewer waste room, more end in a jam
-	failCut     = 0.6    // of the limit, kept when a server is full: one is plain enough
-	earlyShare  = 0.75   // of the aim: later answers warn of a crowd while there is time to act
-	queueShare  = 0.5    // of the aim that a request may wait unsent: the rest is for its answer
-	queueLeast  = 4.0    // requests that may wait whatever the drain: a start knows none yet
-
-	silentMarks  = 2.0        // latency marks without any answer from a server that holds an attempt: it is silent
+	triesMost   = 4      // attempts for a request where the settings name no limit
+
+	limitStart  = 4.0  // own attempts a server of mean size may hold at first: corrected in a few answers
+	limitLeast  = 0.1  // limits add up to what may be out: below one, a server gets its part in turn
+	limitMost   = 1e4  // keeps the figure finite on an idle fleet
+	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
+	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
+	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
+	crowdedBase = 4.0  // uncrowded medians: servers that slow down when crowded lose work before the aim
+	queueShare  = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
+	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
+
+	silentMarks  = 2.0        // latency marks without an answer from a server that holds an attempt: silent
 	scanEvery    = 50_000     // µs between looks for silent servers: well under what a try may take
-	sickAfter    = 2          // failures in a row that suspend a server: one may be chance, and a quiet balancer sees few
-	suspendFor   = 0.5e6      // µs of a first suspension, doubled each time a trial fails
+	sickAfter    = 2          // failures in a row that suspend: one may be chance, a quiet balancer sees few
+	suspendFirst = 0.5e6      // µs of a first suspension, doubled each time a trial fails
 	suspendMost  = 8e6        // µs: a server that is back is found within this and its jitter
 	silentIsCold = 2 * second // a server silent this long may have started anew: it counts as cold
 	healthyLeast = 0.25       // of the servers in service stay in the draw: more ill ones share a cause
 
-	retryPerServed = 0.15 // retries earned by an answer: keeps a storm of retries under a sixth more work
+	retryPerServed = 0.15 // retries earned by an answer: a storm of retries adds under a sixth more work
 	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
 
-	askBackoff    = 200_000 // µs before a broken list is asked again, doubled each time, jittered by half
-	askBackoffMax = 4e6     // keeps the list asked well inside the time after which it counts as told
+	askFirst = 200_000 // µs before a broken list is asked again, doubled each time, jittered by half
+	askMost  = 4e6     // µs; half of Rules.AskEvery bounds it too, past which the list counts as told
 )
 
-// Timer tokens below firstRequest name a purpose; the others name a request by its number.
+// Timer tokens.
 const (
 	tokenSecond = iota
-	tokenAsk
-	tokenQueue
 	tokenScan
-	firstRequest
+	tokenQueue
+	tokenAsk
 )
 
-// Balancer decides for one sidecar. It knows only what its events told it.
-type Balancer struct {
-	set       Settings
-	act       Actions
-	rng       *rand.Rand
-	servers   []*server // as listed, in a stable order
-	known     map[string]*server
-	open      map[string]*request
-	classes   []classState
-	retries   float64    // retry budget
-	asks      int        // failed asks for the list in a row
-	warmPerUs float64    // answers a warm server of size 1 gives this balancer, per µs
-	cand      []*server  // scratch of a draw
-	queue     []*request // waiting for room, worthiest first
-	drain     float64    // answers this balancer gets, per µs
-	answers   int        // answers this second
-	out       int        // own attempts out now
-	baseline  float64    // mean payoff of late: what a payoff is worth against
-}
-
-// server is what this balancer knows of one server.
-type server struct {
-	Server
-	log        float64 // EXP3's log-weight
-	weight     float64 // exp(log)
-	limit      float64 // own attempts it may hold
-	cutAt      int64   // when the limit was last cut
-	coldSince  int64   // start of its latest warm-up; 0: warm
-	sends      []int64 // while cold: times of own sends within the rule's window
-	answered   int     // own answers this second, while warm
-	bad        int     // failures in a row
-	trips      int     // suspensions in a row
-	until      int64   // end of its suspension; past it one trial at a time decides
-	suspended  bool
-	lastServed int64
-	listed     float64 // size as listed; Size is scaled to a mean of one
-	held       []held  // own attempts out, oldest first
-	hash       uint64  // of its ID
-}
-
-// classState is a class with the latencies seen of it.
-type classState struct {
-	Class
-	mark float64 // µs: one answer in 20 takes longer
-	half float64 // µs: median
-	base float64 // µs: the median when servers are not crowded, forgotten slowly upwards
-}
-
-// request is one request taken, kept until it is answered and none of its attempts is out.
-type request struct {
-	Request
-	class    *classState
-	taken    int64
-	deadline int64
-	tries    []attempt
-	out      int
-	ended    bool
-	value    float64 // worth for the time it takes: who waits first and who is refused last
-	until    int64   // when waiting unsent ends
-	started  bool    // its stream has begun
-}
-
-// attempt is one send. Its server's group is kept as it was when sent.
-type attempt struct {
-	server   *server
-	zone     string
-	cell     int64
-	sentAt   int64
-	p        float64 // probability of the draw that chose the server
-	done     bool
-	neverRan bool
-}
-
-// held names an attempt that is out.
-type held struct {
-	r *request
-	n int
-}
-
 // New makes a balancer that has seen nothing yet.
 func New(set Settings, seed uint64, act Actions) *Balancer {
+	if set.Limits.MaxAttempts == 0 {
+		set.Limits.MaxAttempts = triesMost
+	}
 	b := &Balancer{
-		set: set, act: act, baseline: 1, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
+		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, baseline: 1,
 		known: map[string]*server{}, open: map[string]*request{},
 	}
 	for _, c := range set.Classes {
 		if c.Deadline == 0 {
-			c.Deadline = 60 * second // a class without one: long enough for any call between services
+			c.Deadline = 60 * second // a class that sets none: longer than a call between services takes
 		}
 		if c.Aim == 0 {
 			c.Aim = c.Deadline
 		}
-		b.classes = append(b.classes, classState{Class: c, mark: float64(c.Aim) / 2, half: float64(c.Aim) / 4, base: float64(c.Aim) / 4})
+		aim := float64(c.Aim)
+		b.classes = append(b.classes, classState{Class: c, mark: aim / 2, half: aim / 4, base: aim / 4})
 	}
 	return b
 }
 
 // Begin asks for the list where it does not come by itself.
 func (b *Balancer) Begin(now int64) {
+	b.tally.since = now
 	b.act.Wake(second, tokenSecond)
 	b.act.Wake(scanEvery, tokenScan)
 	if !b.set.ListPushed {
@@ -168,83 +97,47 @@
 	}
 }
 
-// ---- Requests
+// ---- A request, from taking it to its one final answer
 
-// Request takes a request and sends its first attempt.
+// Request takes a request; it is sent, waits, or is refused at once.
 func (b *Balancer) Request(now int64, in Request) {
 	r := &request{Request: in, class: &b.classes[in.Class], taken: now}
 	if r.Left < 0 {
 		r.Left = r.class.Deadline
 	}
 	r.deadline = now + r.Left
-	r.value = r.class.Worth / r.class.half
 	r.until = min(now+int64(queueShare*float64(r.class.Aim)), r.deadline)
+	r.value = r.class.Worth / r.class.half
 	b.open[in.ID] = r
-	if len(b.queue) > 0 {
-		b.wait(now, r)
-	} else {
-		b.try(now, r)
-	}
+	b.try(now, r, len(b.queue) > 0)
 }
 
-// wait queues r while an answer is likely, and refuses the least worthy of those that would wait too long.
-func (b *Balancer) wait(now int64, r *request) {
-	if now >= r.until {
-		b.giveUp(now, r)
+// try sends an attempt for r, lets it wait for room behind others, or answers it.
+func (b *Balancer) try(now int64, r *request, behind bool) {
+	if !behind && b.trySend(now, r) {
 		return
 	}
-	at, _ := slices.BinarySearchFunc(b.queue, r, func(have, add *request) int {
-		if have.value >= add.value {
-			return -1
-		}
-		return 1
-	})
-	b.queue = slices.Insert(b.queue, at, r)
-	b.act.Wake(r.until-now, tokenQueue)
-	for float64(len(b.queue)) > max(queueLeast, b.drain*queueShare*float64(r.class.Aim)) {
-		last := b.queue[len(b.queue)-1]
-		b.queue = b.queue[:len(b.queue)-1]
-		b.giveUp(now, last)
-	}
-}
-
-// pump sends what waits, worthiest first, and answers what has waited too long.
-func (b *Balancer) pump(now int64) {
-	waiting := b.queue
-	b.queue = nil
-	for i, r := range waiting {
-		if r.ended {
-			continue
-		}
-		if now >= r.until {
-			b.giveUp(now, r)
-			continue
-		}
-		if s, p := b.draw(now, r); s != nil {
-			b.send(now, r, s, p)
-		} else {
-			b.queue = append(b.queue, waiting[i])
-		}
+	if now < r.until && b.mayTry(now, r) && b.roomMayCome(now, r) {
+		b.wait(now, r)
+	} else {
+		b.giveUp(now, r)
 	}
 }
 
-// try sends an attempt for r, or answers it at once when none may be sent.
-func (b *Balancer) try(now int64, r *request) {
+func (b *Balancer) trySend(now int64, r *request) bool {
 	if !b.mayTry(now, r) {
-		b.giveUp(now, r)
-	} else if s, p := b.draw(now, r); s != nil {
+		return false
+	}
+	s, p := b.draw(now, r)
+	if s != nil {
 		b.send(now, r, s, p)
-	} else if b.roomMayCome(now, r) {
-		b.wait(now, r)
-	} else {
-		b.giveUp(now, r)
 	}
+	return s != nil
 }
 
 // mayTry tells whether a further attempt is allowed at all, whatever the server.
 func (b *Balancer) mayTry(now int64, r *request) bool {
-	return !r.ended && !r.started && now < r.deadline && (r.out == 0 || b.set.Limits.ParallelTries) &&
-		(b.set.Limits.MaxAttempts == 0 || len(r.tries) < b.set.Limits.MaxAttempts)
+	return !r.ended && !r.started && now < r.deadline && r.out == 0 && len(r.tries) < b.set.Limits.MaxAttempts
 }
 
 // roomMayCome tells whether r lacks only room: at a server it could use, or in all.
@@ -257,63 +150,32 @@
 	return false
 }
 
-// effect returns the first attempt that may have run, or nil.
-func (r *request) effect() *attempt {
-	for i := range r.tries {
-		if !r.tries[i].neverRan {
-			return &r.tries[i]
-		}
-	}
-	return nil
-}
-
-// mayRepeat is rule 2 for a send: would s run the request a second time?
-func (r *request) mayRepeat(now int64, s *server) bool {
-	first := r.effect()
-	if first == nil || r.class.Semantics == Idempotent {
-		return true
-	}
-	if r.class.Semantics == AtMostOnce || now-first.sentAt >= r.class.Window {
-		return false
-	}
-	switch r.class.Group {
-	case ScopeZone:
-		return s.Zone == first.zone
-	case ScopeCell:
-		return s.Cell == first.cell
+// wait queues r by worth, and refuses the least worthy of those whose wait would not end in an answer.
+func (b *Balancer) wait(now int64, r *request) {
+	at := len(b.queue)
+	for at > 0 && b.queue[at-1].value < r.value {
+		at--
 	}
-	return true
-}
-
-// mayRefuse is rule 2 for a refusal: is a new try of the client harmless?
-func (r *request) mayRefuse(now int64) bool {
-	first := r.effect()
-	return first == nil || r.class.Semantics == Idempotent ||
-		r.class.Semantics == Deduplicated && r.class.Group == ScopeAll && now-first.sentAt < r.class.Window
-}
-
-// giveUp answers at once: refused where that is true, else failed.
-func (b *Balancer) giveUp(now int64, r *request) {
-	if r.mayRefuse(now) {
-		b.act.Refuse(r.ID, 0)
-	} else {
-		b.act.Fail(r.ID)
+	b.queue = slices.Insert(b.queue, at, r)
+	b.act.Wake(r.until-now, tokenQueue)
+	for float64(len(b.queue)) > max(queueLeast, b.drain*queueShare*float64(r.class.Aim)) {
+		last := b.queue[len(b.queue)-1]
+		b.queue = b.queue[:len(b.queue)-1]
+		b.giveUp(now, last)
 	}
-	b.end(r)
 }
 
-// end closes r and calls back what is still out for it.
-func (b *Balancer) end(r *request) {
-	r.ended = true
-	if r.out == 0 {
-		delete(b.open, r.ID)
-		return
-	}
-	if b.set.Limits.Cancel {
-		for i := range r.tries {
-			if !r.tries[i].done {
-				b.act.Cancel(r.ID, i)
-			}
+// pump sends what waits, worthiest first, and answers what has waited too long.
+func (b *Balancer) pump(now int64) {
+	waiting := b.queue
+	b.queue = b.queue[:0]
+	for _, r := range waiting {
+		switch {
+		case r.ended || now < r.until && b.trySend(now, r):
+		case now < r.until && b.roomMayCome(now, r):
+			b.queue = append(b.queue, r)
+		default:
+			b.giveUp(now, r)
 		}
 	}
 }
@@ -321,9 +183,10 @@
 // send starts one attempt.
 func (b *Balancer) send(now int64, r *request, s *server, p float64) {
 	r.tries = append(r.tries, attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p})
-	r.out++
 	s.held = append(s.held, held{r, len(r.tries) - 1})
+	r.out++
 	b.out++
+	b.tally.tries++
 	if b.warmth(now, s) < 1 {
 		s.sends = append(s.sends, now)
 	}
@@ -336,9 +199,8 @@
 func (b *Balancer) timeout(now int64, r *request) int64 {
 	left := r.deadline - now
 	t := max(int64(timeoutMark*r.class.mark), minTimeout)
-	last := b.set.Limits.MaxAttempts > 0 && len(r.tries) >= b.set.Limits.MaxAttempts
-	inAim := now-r.taken+t+int64(r.class.half) <= r.class.Aim
-	if last || !inAim || t >= left || r.class.Stream || r.class.Semantics == AtMostOnce {
+	last := len(r.tries) >= b.set.Limits.MaxAttempts || r.class.Stream || r.class.Semantics == AtMostOnce
+	if last || t >= left || now-r.taken+t+int64(r.class.half) > r.class.Aim {
 		return left
 	}
 	return t
@@ -346,35 +208,29 @@
 
 // Outcome settles an attempt: its server learns, and its request is answered or tried again.
 func (b *Balancer) Outcome(now int64, o Outcome) {
-	b.settle(now, o)
-	b.pump(now)
-}
-
-func (b *Balancer) settle(now int64, o Outcome) {
 	r := b.open[o.Request]
-	if r == nil || o.Attempt >= len(r.tries) || r.tries[o.Attempt].done {
+	if r == nil || o.Attempt < 0 || o.Attempt >= len(r.tries) || r.tries[o.Attempt].done {
 		return
 	}
 	a := &r.tries[o.Attempt]
 	a.done, a.neverRan = true, o.Result.NeverRan()
-	a.server.release(r, o.Attempt)
-	b.out--
+	a.server.held = slices.DeleteFunc(a.server.held, func(h held) bool { return h.r == r && h.n == o.Attempt })
 	r.out--
+	b.out--
 	b.observe(now, r, a, o)
-	if o.Closed && !r.ended {
+	switch {
+	case r.ended && r.out == 0:
+		delete(b.open, r.ID)
+	case r.ended:
+	case o.Closed:
 		b.end(r)
-	}
-	if r.ended {
-		if r.out == 0 {
-			delete(b.open, r.ID)
-		}
-		return
-	}
-	if now >= r.deadline || r.out == 0 && !b.affordRetry(a) {
+	case r.out > 0:
+	case now < r.deadline && b.affordRetry(a):
+		b.try(now, r, false)
+	default:
 		b.giveUp(now, r)
-	} else if r.out == 0 {
-		b.try(now, r)
 	}
+	b.pump(now)
 }
 
 // affordRetry pays for a further attempt; one that never ran cost the servers next to nothing.
@@ -391,15 +247,8 @@
 
 // Started hands an attempt to the client: its stream has no deadline and gets no further attempt.
 func (b *Balancer) Started(now int64, id string, n int) {
-	r := b.open[id]
-	if r == nil || r.ended || n >= len(r.tries) {
-		return
-	}
-	r.started = true
-	for i := range r.tries {
-		if i != n && !r.tries[i].done && b.set.Limits.Cancel {
-			b.act.Cancel(id, i)
-		}
+	if r := b.open[id]; r != nil && !r.ended && n < len(r.tries) {
+		r.started = true
 	}
 }
 
@@ -410,47 +259,131 @@
 	}
 }
 
-// ---- EXP3
+// giveUp answers at once: refused where that is true, else failed.
+func (b *Balancer) giveUp(now int64, r *request) {
+	if r.ended {
+		return
+	}
+	b.tally.shed++
+	if r.mayRefuse(now) {
+		b.act.Refuse(r.ID, 0)
+	} else {
+		b.act.Fail(r.ID)
+	}
+	b.end(r)
+}
 
-// draw picks a server for r by EXP3 and returns it with its probability, or nil when none may be used.
-func (b *Balancer) draw(now int64, r *request) (*server, float64) {
-	b.cand = b.cand[:0]
-	if b.full() {
-		return nil, 0
+// end closes r and calls back what is still out for it.
+func (b *Balancer) end(r *request) {
+	r.ended = true
+	if r.out == 0 {
+		delete(b.open, r.ID)
+		return
 	}
-	var tried []*server
-	for _, s := range b.servers {
-		if !b.eligible(now, r, s) {
-			continue
+	for i := range r.tries {
+		if !r.tries[i].done && b.set.Limits.Cancel {
+			b.act.Cancel(r.ID, i)
 		}
-		if r.tried(s) {
-			tried = append(tried, s)
-		} else {
-			b.cand = append(b.cand, s)
+	}
+}
+
+// ---- Rule 2: no effect twice
+
+// effect returns the first attempt that may have run, or nil.
+func (r *request) effect() *attempt {
+	for i := range r.tries {
+		if !r.tries[i].neverRan {
+			return &r.tries[i]
 		}
 	}
-	if len(b.cand) == 0 { // without replacement, while others remain
-		b.cand = append(b.cand, tried...)
+	return nil
+}
+
+// mayRepeat is rule 2 for a send: it tells whether s cannot cause the effect a second time.
+func (r *request) mayRepeat(now int64, s *server) bool {
+	first := r.effect()
+	if first == nil || r.class.Semantics == Idempotent {
+		return true
+	}
+	if r.class.Semantics == AtMostOnce || now-first.sentAt >= r.class.Window {
+		return false
+	}
+	switch r.class.Group {
+	case ScopeZone:
+		return s.Zone == first.zone
+	case ScopeCell:
+		return s.Cell == first.cell
 	}
-	if len(b.cand) == 0 {
+	return true
+}
+
+// mayRefuse is rule 2 for a refusal: it tells whether a new try of the client is harmless.
+func (r *request) mayRefuse(now int64) bool {
+	first := r.effect()
+	return first == nil || r.class.Semantics == Idempotent ||
+		r.class.Semantics == Deduplicated && r.class.Group == ScopeAll && now-first.sentAt < r.class.Window
+}
+
+// ---- EXP3
+
+// draw picks a server for r by EXP3 and returns it with its probability, or nil when none has room.
+func (b *Balancer) draw(now int64, r *request) (*server, float64) {
+	if b.full() || !b.candidates(now, r) {
 		return nil, 0
 	}
-	home := b.home(now, r.Key)
+	home := b.home(r.Key)
 	sum, size := 0.0, 0.0
 	for _, s := range b.cand {
-		sum, size = sum+s.drawWeight(home), size+s.Size
+		sum, size = sum+s.armWeight(home), size+s.Size
+	}
+	b.tally.draws++
+	if len(b.cand) == 1 {
+		b.tally.only++
 	}
-	crowd := b.crowd()
-	for n := 0; ; n++ {
+	for n, crowd := 0, b.crowd(); ; n++ {
 		s, p := b.pick(sum, size, home)
 		bound := crowd * s.Size
 		if s == home {
-			bound = 1 + 2*bound // the design's bound: a warm server may hold more
+			bound = 1 + 2*bound // the design's bound: a home may hold more
 		}
 		if n == redraws || float64(len(s.held)) <= bound {
 			return s, p
 		}
+		if n == 0 {
+			b.tally.redrawn++
+		}
+	}
+}
+
+// candidates gathers the servers that an attempt of r may go to: without replacement while others remain.
+func (b *Balancer) candidates(now int64, r *request) bool {
+	for _, again := range []bool{false, true} {
+		b.cand = b.cand[:0]
+		for _, s := range b.servers {
+			if b.eligible(now, s) && r.mayRepeat(now, s) && r.tried(s) == again {
+				b.cand = append(b.cand, s)
+			}
+		}
+		if len(b.cand) > 0 {
+			return true
+		}
 	}
+	return false
+}
+
+// eligible tells whether s may be sent anything now.
+func (b *Balancer) eligible(now int64, s *server) bool {
+	if s.Phase != InService || float64(len(s.held)) >= s.limit {
+		return false
+	}
+	if s.suspended && (now < s.until || len(s.held) > 0) {
+		return false
+	}
+	return b.allowance(now, s)
+}
+
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.tries, func(a attempt) bool { return a.server == s })
 }
 
 // pick draws one of the candidates at random. A server of listed size z counts as z equal arms, so the
@@ -458,7 +391,7 @@
 func (b *Balancer) pick(sum, size float64, home *server) (*server, float64) {
 	x, p := b.rng.Float64(), 0.0
 	for _, s := range b.cand {
-		p = (1-gamma)*s.drawWeight(home)/sum + gamma*s.Size/size
+		p = (1-gamma)*s.armWeight(home)/sum + gamma*s.Size/size
 		if x -= p; x < 0 {
 			return s, p
 		}
@@ -466,17 +399,27 @@
 	return b.cand[len(b.cand)-1], p
 }
 
-// drawWeight is the server's weight over all its arms, raised where the request's key is at home.
-func (s *server) drawWeight(home *server) float64 {
+// armWeight is the server's weight over all its arms, raised where the request's key is at home.
+func (s *server) armWeight(home *server) float64 {
 	if s == home {
 		return warmBoost * s.Size * s.weight
 	}
 	return s.Size * s.weight
 }
 
+// crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
+// Own attempts that pile up show a paused or slow server before its first answer does.
+func (b *Balancer) crowd() float64 {
+	size := 0.0
+	for _, s := range b.servers {
+		size += s.Size
+	}
+	return float64(b.out) / size
+}
+
 // home is the server that every balancer with this list picks for a key, by rendezvous hashing over sizes:
-// where servers do known keys faster, a key met by all at one server is warm for all.
-func (b *Balancer) home(now int64, key string) (best *server) {
+// where servers do known keys faster, a key that all send to one server is warm for all.
+func (b *Balancer) home(key string) (best *server) {
 	if !b.set.WarmKeys || key == "" {
 		return nil
 	}
@@ -493,132 +436,133 @@
 	return best
 }
 
-// hash is FNV-1a; mix spreads it over all bits.
-func hash(text string) uint64 {
-	h := uint64(14695981039346656037)
-	for i := range len(text) {
-		h = (h ^ uint64(text[i])) * 1099511628211
-	}
-	return h
-}
-
-func mix(h uint64) uint64 {
-	h = (h ^ h>>33) * 0xff51afd7ed558ccd
-	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
-	return h ^ h>>33
-}
-
-// crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
-func (b *Balancer) crowd() float64 {
-	size := 0.0
-	for _, s := range b.servers {
-		size += s.Size
-	}
-	return float64(b.out) / size
-}
-
-// eligible tells whether an attempt of r may go to s now.
-func (b *Balancer) eligible(now int64, r *request, s *server) bool {
-	if s.suspended && (now < s.until || len(s.held) > 0) {
-		return false
-	}
-	return s.Phase == InService && float64(len(s.held)) < s.limit && r.mayRepeat(now, s) && b.allowance(now, s)
-}
-
-func (r *request) tried(s *server) bool {
-	for i := range r.tries {
-		if r.tries[i].server == s {
-			return true
-		}
-	}
-	return false
-}
-
-// observe lets the drawn server learn from its attempt, and the class from its latency.
+// observe takes in all that an outcome tells, but for a cancelled or unsent attempt, which tells nothing.
 func (b *Balancer) observe(now int64, r *request, a *attempt, o Outcome) {
 	if o.Result == Cancelled || o.Result == Moot {
 		return
 	}
-	b.judge(now, a.server, o.Result)
-	b.adapt(now, r, a, o)
-	payoff := 0.0
 	if o.Result == Served {
-		a.server.answered++
 		b.answers++
-		payoff = r.class.payoff(o.Latency)
+		a.server.answered++
 		b.retries = min(b.retries+retryPerServed, retryBurst)
 	}
 	if o.Result == Served || o.Result == TimedOut {
 		r.class.sample(float64(o.Latency))
 	}
-	s := a.server
+	b.judge(now, a.server, o.Result)
+	b.adapt(now, r.class, a, o)
+	b.learn(a, r.class.payoff(o))
+}
+
+// learn is EXP3's update of the drawn server: w*exp(gamma*r/(p*M)). Payoffs count against their own mean:
+// over the draws this changes no expectation, but a failure now moves a weight even at a quiet balancer.
+func (b *Balancer) learn(a *attempt, payoff float64) {
 	b.baseline += (payoff - b.baseline) * baselineRate
-	s.setLog(s.log + gamma*(payoff-b.baseline)/(a.p*float64(max(1, len(b.servers)))))
+	arms := float64(max(1, len(b.servers)))
+	a.server.setLog(a.server.log + gamma*(payoff-b.baseline)/(a.p*arms))
 }
 
-func (s *server) release(r *request, n int) {
-	s.held = slices.DeleteFunc(s.held, func(h held) bool { return h.r == r && h.n == n })
+// payoff is 1 for an answer within the aim, falls with the latency after it, and is 0 for a failure.
+func (c *classState) payoff(o Outcome) float64 {
+	if o.Result != Served {
+		return 0
+	}
+	return min(1, float64(c.Aim)/float64(max(1, o.Latency)))
 }
 
-// scan looks for servers that hold attempts and answer nothing, suspends them and calls back what they
-// hold, so that it is tried elsewhere before its client gives up.
-func (b *Balancer) scan(now int64) {
+// meanLog is the mean log-weight, where a new server starts.
+func (b *Balancer) meanLog() (mean float64) {
 	for _, s := range b.servers {
-		if len(s.held) == 0 || s.suspended && now < s.until {
-			continue
-		}
-		r := s.held[0].r
-		since := max(r.tries[s.held[0].n].sentAt, s.lastServed)
-		if float64(now-since) > silentMarks*r.class.mark && (s.suspended || b.maySuspend()) && !r.started {
-			s.bad = sickAfter
-			b.suspend(now, s)
-			b.callBack(now, s)
-		}
+		mean += s.log / float64(len(b.servers))
 	}
+	return mean
 }
 
-// callBack cancels what s holds, as far as the retry budget lets it be tried elsewhere.
-func (b *Balancer) callBack(now int64, s *server) {
-	left := b.retries
-	for _, h := range s.held {
-		if left < 1 || !b.set.Limits.Cancel {
-			return
+// sample moves the latency marks; a time-out counts as an answer at least that late.
+func (c *classState) sample(latency float64) {
+	c.mark = step(c.mark, latency, markShare, markStep)
+	c.half = step(c.half, latency, 0.5, halfStep)
+	c.base = min(c.base*baseRise, c.half)
+}
+
+// ---- Limits of what is out
+
+// adapt moves the limit of the server that answered.
+func (b *Balancer) adapt(now int64, c *classState, a *attempt, o Outcome) {
+	s, early := a.server, o.Result == Served && float64(o.Latency) <= c.early()
+	if !early {
+		b.tally.late++
+	}
+	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
+	switch {
+	case o.Result != Served && o.Result != TimedOut && o.Result != Full:
+	case early && float64(len(s.held)+2) > s.limit:
+		s.limit = min(s.limit*limitUp, limitMost)
+	case early:
+	default:
+		if (gaveUp || o.Result == Full) && a.sentAt > s.cutAt { // once for what was sent before the last cut
+			s.limit, s.cutAt = min(s.limit, float64(len(s.held)+1))*failCut, now
 		}
-		if r := h.r; !r.ended && !r.started && r.class.Semantics != AtMostOnce && r.deadline-now > int64(r.class.half) {
-			b.act.Cancel(r.ID, h.n)
-			left--
+		s.limit = max(limitLeast, s.limit*limitDown)
+	}
+}
+
+// early is the latency past which an answer tells of a crowd.
+func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
+
+// full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
+// that each keep one attempt at every server and fill the fleet together.
+func (b *Balancer) full() bool {
+	sum := 0.0
+	for _, s := range b.servers {
+		if s.Phase == InService {
+			sum += s.limit
 		}
 	}
+	return float64(b.out) >= max(1, sum)
 }
 
-// judge suspends a server after failures in a row and brings it back after a good trial.
+// ---- Health, from own outcomes
+
+// judge suspends a server after failures in a row and brings it back after a good trial. Guards against
+// the black hole: a dead process turns attempts away at once, holds nothing, and always has room.
 func (b *Balancer) judge(now int64, s *server, result Result) {
-	switch result {
-	case Served:
+	if result == Served {
 		if s.suspended {
-			if now-s.lastServed >= silentIsCold {
-				s.coldSince, s.sends = max(s.coldSince, now), nil
-			}
-			s.suspended, s.trips = false, 0
+			b.bringBack(now, s)
 		}
 		s.bad, s.lastServed = 0, now
 		return
-	case Full, Cancelled, Moot:
+	}
+	if result == Full {
 		return
 	}
 	s.bad++
-	if s.suspended && now < s.until || s.bad < sickAfter || !s.suspended && !b.maySuspend() {
-		return
+	if s.bad >= sickAfter && !(s.suspended && now < s.until) {
+		b.suspend(now, s, "failures")
 	}
-	b.suspend(now, s)
 }
 
 // suspend takes s out of the draw for a while, longer each time a trial fails.
-func (b *Balancer) suspend(now int64, s *server) {
-	pause := min(suspendFor*math.Exp2(float64(s.trips)), suspendMost)
-	s.until = now + int64(pause*(0.75+b.rng.Float64()/2))
-	s.suspended = true
-	s.trips++
+func (b *Balancer) suspend(now int64, s *server, cause string) bool {
+	if !s.suspended && !b.maySuspend() {
+		return false
+	}
+	pause := min(suspendFirst*math.Exp2(float64(s.trips)), suspendMost) * (0.75 + b.rng.Float64()/2)
+	s.suspended, s.until = true, now+int64(pause)
+	if s.trips++; s.trips == 1 {
+		b.act.Log(fmt.Sprintf("suspend server=%s cause=%s held=%d", s.ID, cause, len(s.held)))
+	}
+	return true
+}
+
+func (b *Balancer) bringBack(now int64, s *server) {
+	quiet := now - s.lastServed
+	if quiet >= silentIsCold { // it may have started anew, which the list tells seconds late
+		s.coldSince, s.sends = max(s.coldSince, now), nil
+	}
+	b.act.Log(fmt.Sprintf("return server=%s quiet_ms=%d trials=%d", s.ID, quiet/1000, s.trips))
+	s.suspended, s.trips = false, 0
 }
 
 // maySuspend keeps enough servers in the draw: when most look ill the cause is shared.
@@ -635,110 +579,90 @@
 	return float64(well-1) >= healthyLeast*float64(all)
 }
 
-// adapt moves the limit of the server that answered.
-func (b *Balancer) adapt(now int64, r *request, a *attempt, o Outcome) {
-	s, early := a.server, false
-	switch {
-	case o.Result == Served:
-		early = float64(o.Latency) <= r.class.early()
-	case o.Result == TimedOut && o.Latency < r.class.Aim:
-	case o.Result == Full || o.Result == TimedOut:
-		if a.sentAt > s.cutAt { // once for what was sent before the last cut
-			s.limit, s.cutAt = max(limitLeast, min(s.limit, float64(len(s.held)+1))*failCut), now
+// scan looks for servers that hold attempts and answer nothing, suspends them and calls back what they
+// hold, so that it is tried elsewhere while its aim can still be met.
+func (b *Balancer) scan(now int64) {
+	b.act.Wake(scanEvery, tokenScan)
+	for _, s := range b.servers {
+		if len(s.held) == 0 || s.suspended && now < s.until {
+			continue
+		}
+		r := s.held[0].r
+		since := max(r.tries[s.held[0].n].sentAt, s.lastServed)
+		if !r.started && float64(now-since) > silentMarks*r.class.mark && b.suspend(now, s, "silent") {
+			s.bad = sickAfter
+			b.callBack(now, s)
 		}
-	default:
-		return
 	}
-	s.limit = moved(s.limit, len(s.held)+1, early)
 }
 
-// full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
-// that each keep one attempt at every server and fill the fleet together: limits may fall below one.
-func (b *Balancer) full() bool {
-	sum := 0.0
-	for _, s := range b.servers {
-		if s.Phase == InService {
-			sum += s.limit
+// callBack cancels what s holds, as far as the retry budget lets it be tried elsewhere.
+func (b *Balancer) callBack(now int64, s *server) {
+	left := b.retries
+	for _, h := range s.held {
+		r := h.r
+		if r.ended || r.started || r.class.Semantics == AtMostOnce || r.deadline-now <= int64(r.class.half) {
+			continue
+		}
+		if left--; left < 0 || !b.set.Limits.Cancel {
+			return
 		}
+		b.act.Cancel(r.ID, h.n)
 	}
-	return float64(b.out) >= max(1, sum)
 }
 
-// moved raises a limit that was used after an early answer, and lowers it after a late one.
-func moved(limit float64, used int, early bool) float64 {
-	if early && float64(used)+1 > limit {
-		return min(limit*limitUp, limitMost)
-	}
-	if early {
-		return limit
-	}
-	return max(limitLeast, limit*limitDown)
-}
+// Probed learns nothing: this balancer does not probe, its own attempts tell more.
+func (b *Balancer) Probed(now int64, p Probe) {}
 
-// early is the latency past which an answer tells of a crowd.
-func (c *classState) early() float64 {
-	return min(earlyShare*float64(c.Aim), crowdedBase*c.base)
-}
+// ---- Rule 4: cold servers
 
-// payoff is 1 for an answer within the aim, and falls with the latency after it.
-func (c *classState) payoff(latency int64) float64 {
-	if latency <= c.Aim {
+// warmth is the least share of its capacity that s has by now: even growth over the stated time.
+func (b *Balancer) warmth(now int64, s *server) float64 {
+	age := now - s.coldSince
+	if s.coldSince == 0 || age >= b.set.Rules.ColdFor {
 		return 1
 	}
-	return float64(c.Aim) / float64(latency)
-}
-
-// sample moves the latency marks; a time-out counts as an answer at least that late.
-func (c *classState) sample(latency float64) {
-	c.mark = step(c.mark, latency, markShare, markStep)
-	c.half = step(c.half, latency, 0.5, halfStep)
-	c.base = min(c.base*baseRise, c.half)
+	from := b.set.Rules.ColdFrom
+	return from + (1-from)*float64(max(age, 0))/float64(b.set.Rules.ColdFor)
 }
 
-// step moves an estimate of a quantile towards a sample: far up when passed, a little down when not.
-func step(mark, sample, share, rate float64) float64 {
-	if sample > mark {
-		return mark * math.Exp(rate*share)
+// allowance keeps rule 4 alone: within any window of the rule a cold server gets no more than its
+// warm-up's part of the answers that this balancer gets from a warm server of its size, or one send.
+// Answers, not sends: in a jam a warm server is sent far more than it can do, and a cold one that got
+// its part of that fell over.
+func (b *Balancer) allowance(now int64, s *server) bool {
+	w := b.warmth(now, s)
+	if w >= 1 {
+		return true
 	}
-	return mark * math.Exp(-rate*(1-share))
-}
-
-// setLog keeps weights within what a float can divide by.
-func (s *server) setLog(l float64) {
-	s.log = min(max(l, -300), 300)
-	s.weight = math.Exp(s.log)
-}
-
-func (b *Balancer) meanLog() float64 {
-	sum, n := 0.0, 0
-	for _, s := range b.servers {
-		sum, n = sum+s.log, n+1
+	for len(s.sends) > 0 && now-s.sends[0] >= b.set.Rules.FallFor {
+		s.sends = s.sends[1:]
 	}
-	return sum / float64(max(n, 1))
+	return float64(len(s.sends)) < max(1, w*b.perSize*s.Size*float64(b.set.Rules.FallFor))
 }
 
+// ---- Time and the list of servers
+
 // Timer serves the timers set by Wake.
 func (b *Balancer) Timer(now, token int64) {
 	switch token {
 	case tokenSecond:
 		b.everySecond(now)
-	case tokenAsk:
-		b.act.Watch(true)
 	case tokenScan:
-		b.act.Wake(scanEvery, tokenScan)
 		b.scan(now)
 	case tokenQueue:
 		b.pump(now)
+	case tokenAsk:
+		b.act.Watch(true)
 	}
 }
 
-// everySecond forgets: log-weights shrink towards their mean, which is then taken as zero.
+// everySecond forgets, log-weights shrinking towards their mean, and takes the second's rates.
 func (b *Balancer) everySecond(now int64) {
 	b.act.Wake(second, tokenSecond)
-	mean := b.meanLog()
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
 	b.answers = 0
-	answered, size := 0, 0.0
+	mean, answered, size := b.meanLog(), 0, 0.0
 	for _, s := range b.servers {
 		s.setLog((s.log - mean) * keepLog)
 		if s.Phase == InService && b.warmth(now, s) >= 1 {
@@ -747,40 +671,11 @@
 		s.answered = 0
 	}
 	if size > 0 {
-		b.warmPerUs += (float64(answered)/size/float64(second) - b.warmPerUs) / 4
-	}
-}
-
-// ---- Cold servers
-
-// warmth is the least share of its capacity that s has by now: even growth over the stated time.
-func (b *Balancer) warmth(now int64, s *server) float64 {
-	age := now - s.coldSince
-	if s.coldSince == 0 || age >= b.set.Rules.ColdFor {
-		return 1
-	}
-	from := b.set.Rules.ColdFrom
-	return from + (1-from)*float64(max(age, 0))/float64(b.set.Rules.ColdFor)
-}
-
-// allowance is rule 4: within any window of the rule a cold server gets no more than its warm-up's part
-// of the answers that this balancer gets from a warm server of its size, and one send in any case.
-// Answers, not sends: in a jam a warm server is sent far more than it can do, and a cold one that got
-// its part of that fell over.
-func (b *Balancer) allowance(now int64, s *server) bool {
-	w := b.warmth(now, s)
-	if w >= 1 {
-		return true
-	}
-	for len(s.sends) > 0 && now-s.sends[0] >= b.set.Rules.FallFor {
-		s.sends = s.sends[1:]
+		b.perSize += (float64(answered)/size/float64(second) - b.perSize) / 4
 	}
-	budget := w * b.warmPerUs * s.Size * float64(b.set.Rules.FallFor)
-	return float64(len(s.sends)) < max(1, budget)
+	b.summary(now)
 }
 
-// ---- The list of servers
-
 // Listed takes the list, whole or its changes.
 func (b *Balancer) Listed(now int64, list []Server, whole bool) {
 	b.asks = 0
@@ -789,7 +684,7 @@
 			s.Phase = Removed
 		}
 	}
-	mean, started := b.meanLog(), []*server(nil)
+	mean, fresh := b.meanLog(), []*server(nil)
 	for _, in := range list {
 		if !(in.Size > 0) || !b.set.SizesListed {
 			in.Size = 1
@@ -798,11 +693,11 @@
 		if s == nil {
 			s = &server{hash: hash(in.ID)}
 			s.setLog(mean)
-			started = append(started, s)
 			b.known[in.ID] = s
+			fresh = append(fresh, s)
 		}
-		if in.UpSince > s.UpSince || s.ID == "" {
-			s.coldSince, s.sends = in.UpSince, nil
+		if in.UpSince > s.UpSince { // a new process: cold, and none of the old one's failures are its own
+			s.coldSince, s.sends, s.suspended, s.trips, s.bad = in.UpSince, nil, false, 0, 0
 		}
 		s.Server, s.listed = in, in.Size
 		if in.Phase != Removed && !slices.Contains(b.servers, s) {
@@ -811,9 +706,10 @@
 	}
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.Phase == Removed })
 	b.scaleSizes()
-	for _, s := range started {
+	for _, s := range fresh {
 		s.limit = limitStart * s.Size
 	}
+	b.pump(now)
 }
 
 // scaleSizes makes the mean size one, so that sizes read as shares of a mean server.
@@ -829,13 +725,12 @@
 
 // ListFailed asks again, later each time, so that a struggling list is not asked by all at once.
 func (b *Balancer) ListFailed(now int64) {
-	wait := min(float64(askBackoff)*math.Exp2(float64(b.asks)), askBackoffMax)
+	wait := min(askFirst*math.Exp2(float64(b.asks)), askMost)
 	if b.set.Rules.AskEvery > 0 {
 		wait = min(wait, float64(b.set.Rules.AskEvery)/2)
 	}
-	b.asks++
+	if b.asks++; b.asks == 1 {
+		b.act.Log("list failed, asking again")
+	}
 	b.act.Wake(int64(wait*(0.5+b.rng.Float64()/2)), tokenAsk)
 }
-
-// Probed learns nothing: this balancer does not probe.
-func (b *Balancer) Probed(now int64, p Probe) {}
--- /dev/null
+++ b/decide/state.go
@@ -0,0 +1,150 @@
+// What a balancer remembers, and the helpers that decide nothing: estimates, hashing, the summary line.
+
+package decide
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+)
+
+const (
+	logMost  = 30.0       // log-weights stay within this of zero: beyond it a sum of floats loses the small ones
+	logEvery = 5 * second // between two summary lines
+)
+
+// Balancer decides for one sidecar. It knows only what its events told it.
+type Balancer struct {
+	set      Settings
+	act      Actions
+	rng      *rand.Rand
+	servers  []*server // as listed, in a stable order
+	known    map[string]*server
+	classes  []classState
+	open     map[string]*request
+	queue    []*request // waiting for room, worthiest first
+	out      int        // own attempts out now
+	baseline float64    // mean payoff of late: what a payoff counts against
+	retries  float64    // retry budget
+	asks     int        // failed asks for the list in a row
+	answers  int        // this second
+	drain    float64    // answers per µs
+	perSize  float64    // answers that a warm server of size one gives this balancer, per µs
+	cand     []*server  // scratch of a draw
+	tally    tally
+}
+
+// tally counts what the next summary line tells.
+type tally struct {
+	since                                   int64
+	draws, redrawn, only, tries, shed, late int
+}
+
+// server is what this balancer knows of one server.
+type server struct {
+	Server             // Size is scaled to a mean of one
+	listed     float64 // size as listed
+	hash       uint64  // of its ID
+	log        float64 // EXP3's log-weight
+	weight     float64 // exp(log)
+	held       []held  // own attempts out, oldest first
+	limit      float64 // own attempts it may hold
+	cutAt      int64   // when the limit was last cut
+	bad        int     // failures in a row
+	trips      int     // suspensions in a row
+	suspended  bool    // out of the draw until the time below, then on trial: one attempt at a time
+	until      int64
+	lastServed int64
+	coldSince  int64   // start of its latest warm-up; 0: warm
+	sends      []int64 // while cold: times of own sends within the rule's window
+	answered   int     // own answers this second
+}
+
+// held names an attempt that is out.
+type held struct {
+	r *request
+	n int
+}
+
+// classState is a class with the latencies seen of it, in µs.
+type classState struct {
+	Class
+	mark float64 // one answer in 20 takes longer
+	half float64 // median
+	base float64 // median when servers are not crowded
+}
+
+// request is one request taken, kept until it is answered and none of its attempts is out.
+type request struct {
+	Request
+	class    *classState
+	taken    int64
+	deadline int64
+	until    int64   // when waiting unsent ends
+	value    float64 // worth for the time it takes: who waits first and who is refused last
+	tries    []attempt
+	out      int
+	ended    bool
+	started  bool // its stream has begun
+}
+
+// attempt is one send. Its server's group is kept as it was when sent.
+type attempt struct {
+	server   *server
+	zone     string
+	cell     int64
+	sentAt   int64
+	p        float64 // probability of the draw that chose the server
+	done     bool
+	neverRan bool
+}
+
+// setLog keeps the weight beside its logarithm.
+func (s *server) setLog(l float64) {
+	s.log = min(max(l, -logMost), logMost)
+	s.weight = math.Exp(s.log)
+}
+
+// step moves an estimate of a quantile towards a sample: far up when passed, a little down when not.
+func step(mark, sample, share, size float64) float64 {
+	if sample > mark {
+		return mark * math.Exp(size*share)
+	}
+	return max(1, mark*math.Exp(-size*(1-share)))
+}
+
+// hash is FNV-1a; mix spreads it over all bits.
+func hash(text string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := range len(text) {
+		h = (h ^ uint64(text[i])) * 1099511628211
+	}
+	return h
+}
+
+func mix(h uint64) uint64 {
+	h = (h ^ h>>33) * 0xff51afd7ed558ccd
+	h = (h ^ h>>33) * 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// summary logs the last seconds in figures when something was refused in them.
+func (b *Balancer) summary(now int64) {
+	t := &b.tally
+	if now-t.since < logEvery {
+		return
+	}
+	ill, limit := 0, 0.0
+	for _, s := range b.servers {
+		limit += s.limit
+		if s.suspended {
+			ill++
+		}
+	}
+	if t.shed > 0 || ill > 0 {
+		b.act.Log(fmt.Sprintf("summary tries=%d shed=%d late=%d out=%d limit=%.1f waiting=%d suspended=%d/%d "+
+			"draws=%d redrawn=%d only=%d", t.tries, t.shed, t.late, b.out, limit, len(b.queue), ill,
+			len(b.servers), t.draws, t.redrawn, t.only))
+	}
+	*t = tally{since: now}
+}
