--- a/decide/decide.go
+++ b/decide/decide.go
@@ -137,7 +137,8 @@
 
 // mayTry tells whether a further attempt is allowed at all, whatever the server.
 func (b *Balancer) mayTry(now int64, r *request) bool {
-	return !r.ended && !r.started && now < r.deadline && r.out == 0 && len(r.tries) < b.set.Limits.MaxAttempts
+	return !r.ended && !r.started && now < r.deadline && r.out == 0 &&
+		len(r.tries) < b.set.Limits.MaxAttempts
 }
 
 // roomMayCome tells whether r lacks only room: at a server it could use, or in all.
@@ -214,7 +215,7 @@
 	}
 	a := &r.tries[o.Attempt]
 	a.done, a.neverRan = true, o.Result.NeverRan()
-	a.server.held = slices.DeleteFunc(a.server.held, func(h held) bool { return h.r == r && h.n == o.Attempt })
+	a.server.release(held{r, o.Attempt})
 	r.out--
 	b.out--
 	b.observe(now, r, a, o)
@@ -559,7 +560,7 @@
 func (b *Balancer) bringBack(now int64, s *server) {
 	quiet := now - s.lastServed
 	if quiet >= silentIsCold { // it may have started anew, which the list tells seconds late
-		s.coldSince, s.sends = max(s.coldSince, now), nil
+		s.coldSince = max(s.coldSince, now)
 	}
 	b.act.Log(fmt.Sprintf("return server=%s quiet_ms=%d trials=%d", s.ID, quiet/1000, s.trips))
 	s.suspended, s.trips = false, 0
@@ -635,6 +636,7 @@
 	if w >= 1 {
 		return true
 	}
+	// Sends are never forgotten early: a list that tells of one start twice would grant the budget twice.
 	for len(s.sends) > 0 && now-s.sends[0] >= b.set.Rules.FallFor {
 		s.sends = s.sends[1:]
 	}
@@ -697,7 +699,7 @@
 			fresh = append(fresh, s)
 		}
 		if in.UpSince > s.UpSince { // a new process: cold, and none of the old one's failures are its own
-			s.coldSince, s.sends, s.suspended, s.trips, s.bad = in.UpSince, nil, false, 0, 0
+			s.coldSince, s.suspended, s.trips, s.bad = in.UpSince, false, 0, 0
 		}
 		s.Server, s.listed = in, in.Size
 		if in.Phase != Removed && !slices.Contains(b.servers, s) {
--- /dev/null
+++ b/decide/decide_test.go
@@ -0,0 +1,496 @@
+package decide
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+)
+
+func near(t *testing.T, what string, got, want, within float64) {
+	t.Helper()
+	if math.Abs(got-want) > within {
+		t.Errorf("%s: got %.6f, want %.6f within %g", what, got, want, within)
+	}
+}
+
+// The design's formula by hand: weights 1, 2, 1 give (1-0.07)*2/4 + 0.07/3 = 0.488333.
+func TestProbabilityOfADraw(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(3)...)
+	w.b.servers[1].setLog(math.Log(2))
+	want := []float64{0.255833, 0.488333, 0.255833}
+	seen := map[string]float64{}
+	for range 200 {
+		w.b.candidates(w.now, &request{class: &w.b.classes[0]})
+		s, p := w.b.pick(4, 3, nil)
+		seen[s.ID] = p
+	}
+	for i, p := range want {
+		near(t, fmt.Sprint("p of s", i), seen[fmt.Sprint("s", i)], p, 1e-6)
+	}
+}
+
+// A server of listed size 4 beside two of size 1 counts as four arms of six: means scale to 2, 0.5, 0.5.
+func TestListedSizesCountAsArms(t *testing.T) {
+	set := testSettings()
+	set.SizesListed = true
+	list := fleet(3)
+	list[0].Size = 4
+	w := newWorld(t, set, list...)
+	w.b.candidates(w.now, &request{class: &w.b.classes[0]})
+	for range 200 {
+		if s, p := w.b.pick(3, 3, nil); s.ID == "s0" {
+			near(t, "p of the big server", p, 4.0/6, 1e-9)
+			return
+		}
+	}
+	t.Error("the big server was never drawn")
+}
+
+// By hand: baseline 1 moves to 0.98 by a payoff of 0; the log-weight by 0.07*(0-0.98)/(0.5*3) = -0.045733.
+func TestUpdateOfTheDrawnServer(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(3)...)
+	s := w.b.servers[0]
+	w.b.learn(&attempt{server: s, p: 0.5}, 0)
+	near(t, "log-weight after a failure", s.log, -0.0457333, 1e-6)
+	w.b.learn(&attempt{server: s, p: 0.5}, 1) // baseline 0.9804: + 0.07*0.0196/1.5
+	near(t, "log-weight after an answer", s.log, -0.0448187, 1e-6)
+	for _, other := range w.b.servers[1:] {
+		near(t, "log-weight of a server not drawn", other.log, 0, 0)
+	}
+}
+
+func TestPayoff(t *testing.T) {
+	c := &classState{Class: Class{Aim: 400_000}}
+	for _, v := range []struct {
+		result  Result
+		latency int64
+		want    float64
+	}{{Served, 1000, 1}, {Served, 400_000, 1}, {Served, 800_000, 0.5}, {Served, 0, 1}, {Errored, 10, 0},
+		{Full, 10, 0}, {TimedOut, 10, 0}, {Reset, 10, 0}, {ConnectFailed, 10, 0}} {
+		near(t, fmt.Sprint("payoff of ", v.result, v.latency), c.payoff(Outcome{Result: v.result, Latency: v.latency}),
+			v.want, 1e-12)
+	}
+}
+
+func TestCancelledAndUnsentAttemptsTeachNothing(t *testing.T) {
+	for _, result := range []Result{Cancelled, Moot} {
+		w := newWorld(t, testSettings(), fleet(1)...)
+		w.request("a", 0, second)
+		w.settle(w.pending[0], result)
+		if s := w.b.servers[0]; s.log != 0 || s.bad != 0 || w.b.baseline != 1 {
+			t.Errorf("result %d moved log %v, failures %d, baseline %v", result, s.log, s.bad, w.b.baseline)
+		}
+	}
+}
+
+// At a fixed seed 20,000 draws lie within 0.015 (over four standard deviations) of the formula.
+func TestDrawFrequencies(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(4)...)
+	for i, s := range w.b.servers {
+		s.setLog(float64(i) / 2)
+	}
+	sum, n, hits := 0.0, 20_000, map[string]int{}
+	for _, s := range w.b.servers {
+		sum += s.weight
+	}
+	r := &request{class: &w.b.classes[0]}
+	for range n {
+		s, _ := w.b.draw(w.now, r)
+		hits[s.ID]++
+	}
+	for _, s := range w.b.servers {
+		near(t, "share of "+s.ID, float64(hits[s.ID])/float64(n), 0.93*s.weight/sum+0.07/4, 0.015)
+	}
+}
+
+// The design: log-weights keep 0.9 of their distance from the mean each second.
+func TestForgetting(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(2)...)
+	w.b.servers[0].setLog(1)
+	w.b.everySecond(w.now)
+	near(t, "distance kept", w.b.servers[0].log-w.b.servers[1].log, 0.9, 1e-9)
+}
+
+func TestRetriesDrawWithoutReplacement(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(3)...)
+	r := w.request("a", 0, 2*second)
+	for len(r.tries) < 3 {
+		w.settle(r.tries[len(r.tries)-1], Full)
+	}
+	seen := map[string]bool{}
+	for _, f := range r.tries {
+		seen[f.server.ID] = true
+	}
+	if len(seen) != 3 {
+		t.Errorf("three attempts met %d servers", len(seen))
+	}
+}
+
+func TestACrowdedServerIsDrawnAgain(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(2)...)
+	for range 3 {
+		w.b.servers[0].held = append(w.b.servers[0].held, held{})
+		w.b.out++
+	}
+	away := 0
+	for range 100 {
+		if s, _ := w.b.draw(w.now, &request{class: &w.b.classes[0]}); s.ID == "s1" {
+			away++
+		}
+	}
+	if away < 95 {
+		t.Errorf("%d of 100 draws went to the server with room, want 95 or more", away)
+	}
+}
+
+// Rule 2, every class with every outcome of its first attempt: what may follow. The world checks each
+// action against its own books; here the wanted kind of action is named too.
+func TestEffectsAfterEachOutcome(t *testing.T) {
+	never := []Result{Full, ConnectFailed, Moot}
+	maybe := []Result{Errored, TimedOut, Reset, Cancelled}
+	for class, c := range testSettings().Classes {
+		for _, result := range append(never, maybe...) {
+			t.Run(fmt.Sprint(c.Name, "/", result), func(t *testing.T) {
+				w := newWorld(t, testSettings(), fleet(6)...)
+				r := w.request("a", class, 2*second)
+				w.advance(10_000)
+				w.settle(r.tries[0], result)
+				switch {
+				case c.Semantics == AtMostOnce && !result.NeverRan():
+					if r.answered != "fail" || len(r.tries) != 1 {
+						t.Errorf("unsafe after %d: %q with %d attempts, want fail after one", result, r.answered, len(r.tries))
+					}
+				case len(r.tries) != 2:
+					t.Errorf("%d attempts after %d, want a second one; answer %q", len(r.tries), result, r.answered)
+				}
+			})
+		}
+	}
+}
+
+// Rule 2: past its window a keyed request that may have run is neither sent again nor refused.
+func TestKeyedPastItsWindow(t *testing.T) {
+	for class := 1; class <= 3; class++ {
+		w := newWorld(t, testSettings(), fleet(6)...)
+		r := w.request("a", class, 2*second)
+		w.pending[0].expires = w.now + 10*second // an outcome that comes late
+		w.advance(1_200_000)
+		w.settle(r.tries[0], Errored)
+		if r.answered != "fail" || len(r.tries) != 1 {
+			t.Errorf("class %d: %q with %d attempts, want fail with one", class, r.answered, len(r.tries))
+		}
+	}
+}
+
+// Rule 2: with its group drained away, a keyed request that may have run fails at once.
+func TestKeyedWithoutItsGroup(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(2)...)
+	r := w.request("a", 2, 2*second)
+	mine := r.tries[0].server
+	mine.Phase = Draining
+	w.list(false, mine)
+	w.settle(r.tries[0], Errored)
+	if r.answered != "fail" {
+		t.Errorf("answer %q, want fail", r.answered)
+	}
+}
+
+// Rule 3: draining, removed and unlisted servers get nothing, however they are told.
+func TestDrainedServersGetNothing(t *testing.T) {
+	for name, tell := range map[string]func(*world, []Server){
+		"draining": func(w *world, l []Server) { l[0].Phase = Draining; w.list(false, l[0]) },
+		"removed":  func(w *world, l []Server) { l[0].Phase = Removed; w.list(false, l[0]) },
+		"unlisted": func(w *world, l []Server) { w.list(true, l[1]) },
+	} {
+		w := newWorld(t, testSettings(), fleet(2)...)
+		tell(w, fleet(2))
+		for i := range 50 {
+			r := w.request(fmt.Sprint("r", i), 0, second)
+			w.settle(r.tries[0], Served)
+			if r.tries[0].server.ID != "s1" {
+				t.Errorf("%s: sent to %s", name, r.tries[0].server.ID)
+			}
+		}
+	}
+}
+
+func TestNoServersMeansAPromptRefusal(t *testing.T) {
+	w := newWorld(t, testSettings())
+	if r := w.request("a", 0, second); r.answered != "refuse" {
+		t.Errorf("answer %q, want refuse", r.answered)
+	}
+}
+
+// The failure: the cold budget followed the sends to warm servers, which in a jam are far more than they
+// can do, and a cold server that got its part of that fell over.
+func TestColdBudgetFollowsAnswersNotSends(t *testing.T) {
+	list := fleet(3)
+	w := newWorld(t, testSettings(), list...)
+	w.advance(second)
+	cold := Server{ID: "new", Size: 1, Zone: "z0", UpSince: w.now}
+	w.list(false, cold)
+	for i := range 400 { // a jam: everything turned away, many sends, no answers
+		r := w.request(fmt.Sprint("r", i), 0, second)
+		for range 4 {
+			if n := len(r.tries); n > 0 {
+				w.settle(r.tries[n-1], Full)
+			}
+		}
+		w.advance(5000)
+	}
+	if n := w.count("send"); n < 100 {
+		t.Fatalf("only %d sends: the jam did not form", n)
+	}
+}
+
+func TestAColdServerWarmsUpOverItsTime(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(1)...)
+	s := &server{coldSince: w.now}
+	near(t, "at its start", w.b.warmth(w.now, s), 0.3, 1e-9)
+	near(t, "half way", w.b.warmth(w.now+4*second, s), 0.65, 1e-9)
+	near(t, "warm", w.b.warmth(w.now+8*second, s), 1, 1e-9)
+	near(t, "a clock before its start", w.b.warmth(w.now-second, s), 0.3, 1e-9)
+}
+
+// The failure: many small balancers each kept one attempt at every server and together filled the fleet;
+// every answer was late for good. Limits fall below one, and what is out with them.
+func TestLateAnswersLowerWhatIsOut(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(20)...)
+	most := 0
+	for i := range 2000 {
+		w.request(fmt.Sprint("r", i), 0, 2*second)
+		w.advance(20_000)
+		for _, f := range slices.Clone(w.pending) {
+			if w.now-f.sent >= 900_000 {
+				w.settle(f, Served)
+			}
+		}
+		if i > 1500 {
+			most = max(most, len(w.pending))
+		}
+	}
+	if most >= 10 {
+		t.Errorf("%d attempts out at 20 servers that all answer late, want under 10", most)
+	}
+}
+
+// The failure: a dead process turned attempts away at once, so it always had room and took them all.
+func TestADeadServerIsNoBlackHole(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(4)...)
+	dead := 0
+	for i := range 500 {
+		w.request(fmt.Sprint("r", i), 0, 2*second)
+		w.advance(10_000)
+		for _, f := range slices.Clone(w.pending) {
+			if f.server.ID == "s0" {
+				dead++
+				w.settle(f, ConnectFailed)
+			} else if w.now-f.sent >= 100_000 {
+				w.settle(f, Served)
+			}
+		}
+	}
+	if dead > 20 {
+		t.Errorf("%d of 500 requests met the dead server, want 20 or fewer", dead)
+	}
+}
+
+// The failure: a hung server kept what it held until the clients gave up. Now it is found silent, what it
+// holds is called back, and a trial brings it back once it answers.
+func TestASilentServerIsFoundAndComesBack(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(4)...)
+	hung := true
+	step := func(i int) {
+		w.request(fmt.Sprint("r", i), 0, 2*second)
+		w.advance(10_000)
+		for _, f := range slices.Clone(w.pending) {
+			if w.now-f.sent >= 200_000 && (f.server.ID != "s0" || !hung) {
+				w.settle(f, Served)
+			}
+		}
+	}
+	for i := range 300 {
+		step(i)
+	}
+	if w.count("cancel") == 0 || w.count("log suspend") == 0 {
+		t.Errorf("%d call-backs, %d suspensions, want some of both", w.count("cancel"), w.count("log suspend"))
+	}
+	hung = false
+	for _, f := range slices.Clone(w.pending) {
+		w.settle(f, Reset)
+	}
+	for i := 300; i < 2000; i++ {
+		step(i)
+	}
+	if w.count("log return") == 0 || w.b.known["s0"].suspended {
+		t.Error("the server answers again but was not brought back")
+	}
+	if w.b.known["s0"].coldSince == 0 {
+		t.Error("a server back from a long silence counts as cold")
+	}
+}
+
+// When nearly all look ill the cause is shared: a quarter of the servers stays in the draw.
+func TestASharedCauseSuspendsNotAll(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(8)...)
+	for i := range 200 {
+		w.request(fmt.Sprint("r", i), 0, second)
+		w.advance(10_000)
+		for _, f := range slices.Clone(w.pending) {
+			w.settle(f, Errored)
+		}
+	}
+	well := 0
+	for _, s := range w.b.servers {
+		if !s.suspended {
+			well++
+		}
+	}
+	if well < 2 {
+		t.Errorf("%d of 8 servers left in the draw, want 2", well)
+	}
+}
+
+// The failure: time-outs at a multiple of the latency mark fed a jam, as late work goes on at the servers.
+func TestNoEarlyTimeoutOnceARetryWouldMissTheAim(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(2)...)
+	c := &w.b.classes[0]
+	r := &request{class: c, taken: w.now, deadline: w.now + 2*second}
+	c.mark, c.half = 100_000, 50_000
+	if got := w.b.timeout(w.now, r); got != 150_000 {
+		t.Errorf("time-out %d, want 150000: a retry still fits", got)
+	}
+	c.mark = 300_000
+	if got := w.b.timeout(w.now, r); got != 2*second {
+		t.Errorf("time-out %d, want all that is left", got)
+	}
+}
+
+// Requests wait for room worthiest first; those that would wait too long are refused at once.
+func TestTheLeastWorthyAreRefusedFirst(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(1)...)
+	for i := range 4 {
+		w.request(fmt.Sprint("out", i), 0, 2*second)
+	}
+	var low []*booked
+	for i := range 4 {
+		low = append(low, w.request(fmt.Sprint("low", i), 0, 2*second))
+	}
+	high := w.request("high", 1, 2*second)
+	if low[3].answered != "refuse" || high.answered != "" {
+		t.Errorf("the last of the low is %q and the high %q, want refuse and waiting", low[3].answered, high.answered)
+	}
+	w.settle(w.pending[0], Served)
+	if len(high.tries) != 1 || len(low[1].tries) != 0 { // the limit grew a little: one more may go
+		t.Error("room came, and the worthiest was not the one sent")
+	}
+	w.advance(300_000)
+	for _, r := range low[:3] {
+		if len(r.tries) == 0 && r.answered != "refuse" {
+			t.Errorf("%s waited past half its aim and is %q", r.ID, r.answered)
+		}
+	}
+}
+
+// Every balancer with the same list sends a key to the same home, each with its own seed.
+func TestHomesAgree(t *testing.T) {
+	set := testSettings()
+	set.WarmKeys = true
+	w, other := newWorld(t, set, fleet(9)...), newWorld(t, set, fleet(9)...)
+	seen := map[string]bool{}
+	for i := range 200 {
+		key := fmt.Sprint("key", i)
+		a, b := w.b.home(key), other.b.home(key)
+		if a.ID != b.ID {
+			t.Fatalf("%s is at home at %s and at %s", key, a.ID, b.ID)
+		}
+		seen[a.ID] = true
+	}
+	if len(seen) != 9 {
+		t.Errorf("200 keys have homes on %d of 9 servers", len(seen))
+	}
+}
+
+func TestABrokenListIsAskedAgainInTime(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(1)...)
+	asked := w.count("watch")
+	for range 12 {
+		w.timers = nil
+		w.b.ListFailed(w.now)
+		if in := w.timers[0].at - w.now; in <= 0 || in > w.set.Rules.AskEvery/2 {
+			t.Errorf("asks again in %d us", in)
+		}
+		w.advance(5 * second)
+	}
+	if got := w.count("watch") - asked; got != 12 {
+		t.Errorf("asked %d times after 12 failures", got)
+	}
+}
+
+func TestAStreamIsLeftToItsClient(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(3)...)
+	r := w.request("a", 5, 2*second)
+	w.b.Started(w.now, "a", 0)
+	r.tries[0].expires, r.deadline = w.now+100*second, w.now+100*second
+	w.advance(5 * second)
+	r.answered = "stream"
+	w.settle(r.tries[0], Reset)
+	if len(r.tries) != 1 || len(w.b.open) != 0 {
+		t.Errorf("%d attempts, %d requests open, want one and none", len(r.tries), len(w.b.open))
+	}
+}
+
+func TestExtremeSettingsAndReports(t *testing.T) {
+	set := Settings{Classes: []Class{{Name: "bare"}}}
+	if err := set.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	w := newWorld(t, set, Server{ID: "s0"}, Server{ID: "s1", Size: math.Inf(1)})
+	for i := range 100 {
+		r := w.request(fmt.Sprint("r", i), 0, second)
+		for len(r.tries) > 0 && r.answered == "" && len(w.pending) > 0 {
+			w.settle(r.tries[len(r.tries)-1], Full)
+		}
+		if r.answered == "" {
+			w.advance(2 * second)
+		}
+		w.b.Probed(w.now, Probe{Server: "nobody", Load: &Load{InFlight: math.NaN()}})
+	}
+	w.list(true)
+	if r := w.request("last", 0, second); r.answered != "refuse" {
+		t.Errorf("with nobody listed: %q, want refuse", r.answered)
+	}
+}
+
+func TestValidate(t *testing.T) {
+	for name, spoil := range map[string]func(*Settings){
+		"no classes":       func(s *Settings) { s.Classes = nil },
+		"negative window":  func(s *Settings) { s.Classes[0].Window = -1 },
+		"negative aim":     func(s *Settings) { s.Classes[0].Aim = -1 },
+		"worth not number": func(s *Settings) { s.Classes[0].Worth = math.NaN() },
+		"cold share":       func(s *Settings) { s.Rules.ColdFrom = 2 },
+		"negative rule":    func(s *Settings) { s.Rules.FallFor = -1 },
+		"negative limit":   func(s *Settings) { s.Limits.MaxAttempts = -1 },
+		"nameless class":   func(s *Settings) { s.Classes[0].Name = "" },
+		"tenant":           func(s *Settings) { s.Tenants = []Tenant{{Name: "x", Allowance: -1}} },
+	} {
+		set := testSettings()
+		spoil(&set)
+		if set.Validate() == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
+
+// The failure: a request whose client had left stood in the queue and was answered when it overflowed.
+func TestAClientThatLeftTheQueueIsNotAnswered(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(1)...)
+	var low []*booked
+	for i := range 8 {
+		low = append(low, w.request(fmt.Sprint("r", i), 0, 2*second))
+	}
+	w.gone(low[7])
+	w.request("high", 1, 2*second) // the world objects to an answer for low[7]
+	w.advance(2 * second)
+}
--- /dev/null
+++ b/decide/fuzz_test.go
@@ -0,0 +1,105 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// drive turns bytes into a legal order of events and returns the actions taken.
+func drive(t testing.TB, data []byte) []string {
+	set := testSettings()
+	if len(data) > 0 {
+		set.Limits.Cancel = data[0]&1 == 0
+		set.ListPushed = data[0]&2 == 0
+		set.WarmKeys = data[0]&4 == 0
+		set.Limits.MaxAttempts = int(data[0] >> 5)
+	}
+	size := 1
+	if len(data) > 1 {
+		size = int(data[1] % 9)
+	}
+	w := newWorld(t, set, fleet(size)...)
+	begun := w.now // two minutes of clock are enough for one order, or the search stalls on jumps
+	for i := 2; i+1 < len(data) && !w.failed && w.now-begun < 120*second; i += 2 {
+		w.step(i, data[i], int(data[i+1]))
+	}
+	w.advance(3 * second) // everything taken is answered by then
+	return w.acts
+}
+
+func (w *world) step(i int, op byte, arg int) {
+	switch op % 16 {
+	case 0, 1, 2, 3, 4:
+		w.request(fmt.Sprint("r", i), arg%len(w.set.Classes), []int64{2 * second, 300_000, 1, 900_000}[arg/8%4])
+	case 5, 6, 7, 8:
+		if n := len(w.pending); n > 0 {
+			w.settle(w.pending[arg%n], []Result{Served, Served, Errored, Full, ConnectFailed, Reset, Cancelled, Moot}[arg/32])
+		}
+	case 9, 10:
+		w.advance(int64(arg) * 1000)
+	case 11:
+		w.advance(int64(arg) * 20_000) // a jump of the clock
+	case 12:
+		ids := make([]string, 0, len(w.reqs))
+		for id := range w.reqs {
+			ids = append(ids, id)
+		}
+		if slices.Sort(ids); len(ids) > 0 {
+			w.gone(w.reqs[ids[arg%len(ids)]])
+		}
+	case 13:
+		s := Server{ID: fmt.Sprint("s", arg%10), Size: 1, Zone: fmt.Sprint("z", arg%2), Cell: int64(arg % 3)}
+		s.UpSince = w.phase[s.ID].UpSince
+		s.Phase = Phase(arg / 10 % 3)
+		if arg > 127 && s.Phase == InService {
+			s.UpSince = w.now
+		}
+		w.list(false, s)
+	case 14:
+		if arg < 128 {
+			w.b.ListFailed(w.now)
+		} else {
+			w.list(true, fleet(arg%7)...)
+		}
+	case 15:
+		if arg%8 == 0 {
+			w.restart()
+			w.list(true, fleet(arg/8%9)...)
+		}
+	}
+}
+
+func FuzzOrders(f *testing.F) {
+	for seed := range uint64(24) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		data := make([]byte, 100+rng.IntN(1500))
+		for i := range data {
+			data[i] = byte(rng.Uint32())
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if len(data) > 6000 {
+			return
+		}
+		drive(t, data)
+	})
+}
+
+// Identical events give identical actions.
+func TestIdenticalEventsGiveIdenticalActions(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 5))
+	data := make([]byte, 3000)
+	for i := range data {
+		data[i] = byte(rng.Uint32())
+	}
+	a, b := drive(t, data), drive(t, data)
+	if !slices.Equal(a, b) {
+		t.Error("the same events gave other actions")
+	}
+	if len(a) < 300 {
+		t.Errorf("only %d actions: the order exercised too little", len(a))
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 const (
@@ -99,6 +100,12 @@
 	neverRan bool
 }
 
+func (s *server) release(h held) {
+	if i := slices.Index(s.held, h); i >= 0 {
+		s.held = slices.Delete(s.held, i, i+1)
+	}
+}
+
 // setLog keeps the weight beside its logarithm.
 func (s *server) setLog(l float64) {
 	s.log = min(max(l, -logMost), logMost)
--- /dev/null
+++ b/internal/drill/drill_test.go
@@ -0,0 +1,156 @@
+package drill
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+)
+
+const someSettings = `{"Services":[{"Name":"get","Semantics":"idempotent","Group":"all","AimUs":400000,"DeadlineUs":1000000,"Worth":3,"WindowUs":0}],` +
+	`"Realms":[{"Name":"acme","AllowancePerS":10}],"RegistryMode":"on_request","WeightSource":"nominal","TickUs":5000,"Unknown":{"x":[1]},` +
+	`"Limits":{"Cancel":true,"MaxAttempts":4},"Guarantees":{"ColdFrom":0.3,"ColdUs":8000000,"FallUs":2000000,"OverloadFactor":3,"AskEveryUs":10000000,"AnswerSlackUs":20000}}`
+
+// start makes two servers known to instance 3.
+const start = "ROUND\t1000000\nABOUT\t3\nCREATE\t42\t" + someSettings + "\n" +
+	"SNAPSHOT_ROWS\t0\t2\nROW\t-\t1\tbig\t0\tin_service\t10.0.0.1:7001\ta\nROW\t-\t2\tbig\t0\tterminating\t10.0.0.2:7002\tb\n" +
+	"REGISTRY\tstale_copy\t1\t0\nYOUR_TURN\n"
+
+const work = "WORK_ITEM\trq_1\t0\t900000\tacme\t0\tget\tk\t-\n"
+
+func run(t *testing.T, in string) (string, error) {
+	t.Helper()
+	var out bytes.Buffer
+	err := Run(strings.NewReader(in), &out)
+	return out.String(), err
+}
+
+// replies cuts the output into the replies of each batch.
+func replies(t *testing.T, in string) []string {
+	t.Helper()
+	out, err := run(t, in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.SplitAfter(out, "ACK\n")
+}
+
+func TestARequestIsSentToTheServerInService(t *testing.T) {
+	got := replies(t, "ROUND\t5\nYOUR_TURN\n\n"+start+"ROUND\t1005000\nABOUT\t3\n"+work+"YOUR_TURN\n")
+	if got[0] != "ACK\n" {
+		t.Errorf("an empty batch got %q", got[0])
+	}
+	if !strings.Contains(got[1], "ON_BEHALF\t3\n") || !strings.Contains(got[1], "OBSERVE\t1\n") {
+		t.Errorf("a new instance does not ask for the list: %q", got[1])
+	}
+	if want := "ON_BEHALF\t3\nSEND\trq_1\t10.0.0.1:7001\t"; !strings.HasPrefix(got[2], want) {
+		t.Errorf("got %q, want a reply that begins %q", got[2], want)
+	}
+}
+
+func TestOutcomesAndEventsForRequestsThatAreOver(t *testing.T) {
+	got := replies(t, start+"ROUND\t1005000\nABOUT\t3\n"+work+"YOUR_TURN\n"+
+		"ROUND\t1010000\nABOUT\t3\nSETTLED\trq_1\t0\t10.0.0.1:7001\tF\t900\t0\trif:3,busy:0.5,novel:1\nYOUR_TURN\n"+
+		"ROUND\t1020000\nABOUT\t3\nSETTLED\trq_1\t1\t10.0.0.1:7001\tS\t900\t1\t-\nVANISHED\trq_1\nACCEPTED\trq_1\t0\t10.0.0.1:7001\t5\n"+
+		"VANISHED\trq_9\nPROBE_DONE\t10.0.0.1:7001\tS\t1400\t-\nPEER\t2\t68692037\nDEADLINE_HIT\t77\nYOUR_TURN\n")
+	if !strings.Contains(got[2], "SEND\trq_1\t10.0.0.1:7001\t") {
+		t.Errorf("a full server's request is not tried again: %q", got[2])
+	}
+	if got[3] != "ACK\n" {
+		t.Errorf("events for what is over caused %q", got[3])
+	}
+}
+
+func TestASlotUsedTwiceInABatch(t *testing.T) {
+	got := replies(t, start+"ROUND\t1005000\nSNAPSHOT_ROWS\t0\t1\nROW\t0\t1\tbig\t0\tterminated\t10.0.0.1:7001\ta\nABOUT\t3\nREGISTRY\tpatch\t2\t0\n"+
+		"SNAPSHOT_ROWS\t0\t1\nROW\t0\t1\tbig\t0\tin_service\t10.0.0.9:7009\ta\nREGISTRY\tpatch\t3\t0\n"+work+"YOUR_TURN\n")
+	if !strings.Contains(got[1], "SEND\trq_1\t10.0.0.9:7009\t") {
+		t.Errorf("got %q, want a send to the server of the slot's second list", got[1])
+	}
+}
+
+func TestARestartInOneBatchForgetsAll(t *testing.T) {
+	got := replies(t, start+"ROUND\t1005000\nABOUT\t3\n"+work+"EXIT\nCREATE\t43\t"+someSettings+"\nYOUR_TURN\n"+
+		"ROUND\t1010000\nABOUT\t3\nWORK_ITEM\trq_2\t0\t900000\t-\t0\tget\t-\t-\nYOUR_TURN\n")
+	if !strings.Contains(got[2], "NOT_NOW\trq_2\t") {
+		t.Errorf("a new instance with no list answered %q, want a refusal at once", got[2])
+	}
+}
+
+func TestInstancesShareNothing(t *testing.T) {
+	second := strings.ReplaceAll(strings.ReplaceAll(start, "ABOUT\t3", "ABOUT\t4"), "ROUND\t1000000", "ROUND\t1000001")
+	ask := "ROUND\t1005000\nABOUT\t4\n" + work + "YOUR_TURN\n"
+	both, alone := replies(t, start+second+ask), replies(t, second+ask)
+	if both[2] != alone[1] {
+		t.Errorf("with another instance %q, alone %q", both[2], alone[1])
+	}
+}
+
+func TestALongBatch(t *testing.T) {
+	var in strings.Builder
+	in.WriteString(start + "ROUND\t1005000\nABOUT\t3\n")
+	long := strings.Repeat("k", 400_000) // longer than the reader's buffer
+	fmt.Fprintf(&in, "WORK_ITEM\trq_long\t0\t900000\t-\t0\tget\t%s\t-\n", long)
+	for i := range 20_000 {
+		fmt.Fprintf(&in, "WORK_ITEM\trq_%d\t0\t900000\t-\t0\tget\t-\t-\n", i)
+	}
+	in.WriteString("YOUR_TURN\n")
+	got := replies(t, in.String())
+	answered := strings.Count(got[1], "NOT_NOW") + strings.Count(got[1], "SEND")
+	if answered < 19_000 {
+		t.Errorf("%d of 20001 requests sent or refused at once", answered)
+	}
+}
+
+func TestMalformedInput(t *testing.T) {
+	for name, v := range map[string]struct{ in, want string }{
+		"not a batch":         {"HELLO\n", "line 1: expected ROUND"},
+		"clock not a number":  {"ROUND\tnow\n", "line 1: ROUND: expected a whole number"},
+		"clock goes back":     {"ROUND\t9\nYOUR_TURN\nROUND\t8\nYOUR_TURN\n", "line 3: ROUND: clock went back"},
+		"unknown event":       {"ROUND\t1\nFOO\t1\nYOUR_TURN\n", `line 2: expected an event or YOUR_TURN, got "FOO"`},
+		"truncated batch":     {"ROUND\t1\n", "input ended inside a batch"},
+		"truncated line":      {"ROUND\t1\nABOU", "line 2: input ended inside a line"},
+		"truncated list":      {"ROUND\t1\nSNAPSHOT_ROWS\t0\t2\n", "input ended inside a batch"},
+		"no such instance":    {"ROUND\t1\nABOUT\t1\nEXIT\n", "line 3: EXIT: no live instance"},
+		"settings not JSON":   {"ROUND\t1\nABOUT\t1\nCREATE\t1\t{oops\n", "line 3: CREATE: settings are not the JSON expected"},
+		"settings no classes": {"ROUND\t1\nABOUT\t1\nCREATE\t1\t{}\n", "line 3: CREATE: settings: no classes"},
+		"negative window": {"ROUND\t1\nABOUT\t1\nCREATE\t1\t" + strings.Replace(someSettings, `"WindowUs":0`, `"WindowUs":-1`, 1) + "\n",
+			"line 3: CREATE: settings: class get: negative window"},
+		"unknown semantics": {"ROUND\t1\nABOUT\t1\nCREATE\t1\t" + strings.Replace(someSettings, "idempotent", "maybe", 1) + "\n",
+			`unknown semantics "maybe"`},
+		"create for nobody": {"ROUND\t1\nCREATE\t1\t" + someSettings + "\n", "line 2: CREATE: no instance named"},
+		"bad slot":          {"ROUND\t1\nSNAPSHOT_ROWS\t16\t0\n", "line 2: SNAPSHOT_ROWS: expected a slot from 0 to 15"},
+		"empty slot":        {start + "ROUND\t1005000\nABOUT\t3\nREGISTRY\tpatch\t1\t5\n", "line 11: REGISTRY: expected the slot of a list already given"},
+		"bad phase":         {"ROUND\t1\nSNAPSHOT_ROWS\t0\t1\nROW\t-\t1\tb\t0\tasleep\tx:1\ta\n", "line 3: SNAPSHOT_ROWS: ROW: expected in_service"},
+		"short row":         {"ROUND\t1\nSNAPSHOT_ROWS\t0\t1\nROW\t-\t1\n", "line 3: SNAPSHOT_ROWS: ROW: expected ROW with 7 fields"},
+		"short event":       {start + "ROUND\t1005000\nABOUT\t3\nWORK_ITEM\trq_1\n", "line 11: WORK_ITEM: expected 8 fields, got 1"},
+		"unknown class":     {start + "ROUND\t1005000\nABOUT\t3\nWORK_ITEM\trq_1\t0\t1\t-\t0\tput\t-\t-\n", `line 11: WORK_ITEM: class "put" is not in the settings`},
+		"bad outcome":       {start + "ROUND\t1005000\nABOUT\t3\nSETTLED\trq_1\t0\tx:1\tQ\t1\t0\t-\n", "line 11: SETTLED: expected an outcome letter"},
+		"no outcome":        {start + "ROUND\t1005000\nABOUT\t3\nSETTLED\trq_1\t0\tx:1\t\t1\t0\t-\n", "line 11: SETTLED: expected an outcome letter"},
+		"bad load":          {start + "ROUND\t1005000\nABOUT\t3\nPROBE_DONE\tx:1\tS\t1\trif\n", "line 11: PROBE_DONE: load report: expected name:value"},
+	} {
+		if _, err := run(t, v.in); err == nil || !strings.Contains(err.Error(), v.want) {
+			t.Errorf("%s: got %v, want %q", name, err, v.want)
+		} else if strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: more than one line: %q", name, err)
+		}
+	}
+}
+
+func TestEndOfInputIsNoError(t *testing.T) {
+	if _, err := run(t, start); err != nil {
+		t.Error(err)
+	}
+}
+
+type deaf struct{}
+
+func (deaf) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+func TestAReaderThatLeft(t *testing.T) {
+	if err := Run(strings.NewReader(start), deaf{}); !errors.Is(err, io.ErrClosedPipe) {
+		t.Errorf("got %v, want the write's error", err)
+	}
+}
