--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,10 +31,11 @@
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
 
-	limitStart  = 4.0  // own attempts a server of mean size may hold at first: corrected in a few answers
+	limitStart  = 8.0  // attempts that all balancers together may hold at a server of mean size at first
 	limitLeast  = 0.1  // limits add up to what may be out: below one, a server gets its part in turn
 	limitMost   = 1e4  // keeps the figure finite on an idle fleet
 	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	limitFirst  = 1.10 // the same before a server's first late answer: the start is a guess
 	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
@@ -498,13 +499,18 @@
 	switch {
 	case o.Result != Served && o.Result != TimedOut && o.Result != Full:
 	case early && float64(len(s.held)+2) > s.limit:
-		s.limit = min(s.limit*limitUp, limitMost)
+		up := limitUp
+		if s.cutAt == 0 {
+			up = limitFirst
+		}
+		s.limit = min(s.limit*up, limitMost)
 	case early:
 	default:
 		if (gaveUp || o.Result == Full) && a.sentAt > s.cutAt { // once for what was sent before the last cut
 			s.limit, s.cutAt = min(s.limit, float64(len(s.held)+1))*failCut, now
 		}
 		s.limit = max(limitLeast, s.limit*limitDown)
+		s.cutAt = max(s.cutAt, 1)
 	}
 }
 
@@ -709,7 +715,7 @@
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.Phase == Removed })
 	b.scaleSizes()
 	for _, s := range fresh {
-		s.limit = limitStart * s.Size
+		s.limit = max(limitLeast, limitStart*s.Size/float64(max(1, b.set.Balancers)))
 	}
 	b.pump(now)
 }
