--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,8 +36,8 @@
 	limitMost   = 1e4  // keeps the figure finite on an idle fleet
 	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitFirst  = 1.10 // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
-	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
+	limitDown   = 0.90 // ... where one answer in five is late: fewer waste room, more end in a jam
+	failCut     = 0.4  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
 	crowdedBase = 4.0  // uncrowded medians: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
