--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,8 +25,10 @@
 
 	markShare   = 0.95   // of the answers come before the latency mark: time-outs and silence stand on it
 	markStep    = 0.2    // log step of the mark for an answer past it: trouble shows in a few answers
-	halfStep    = 0.04   // of the median: calm, since its lowest value is kept as the uncrowded one
-	baseRise    = 1.0005 // of the uncrowded median per answer: doubled in 1400, longer than a jam should last
+	halfStep    = 0.04   // of the median
+	calmShare   = 0.9    // of the answers come before the calm mark, whose lowest value is kept as uncrowded
+	calmStep    = 0.05   // of the calm mark: one burst of late answers must not move it far
+	baseRise    = 1.0005 // of the uncrowded mark per answer: doubled in 1400, longer than a jam should last
 	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
@@ -36,10 +38,10 @@
 	limitMost   = 1e4  // keeps the figure finite on an idle fleet
 	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitFirst  = 1.10 // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.90 // ... where one answer in five is late: fewer waste room, more end in a jam
-	failCut     = 0.4  // of the limit, kept when a server is full or its client gave up: one is plain enough
+	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
+	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	crowdedBase = 4.0  // uncrowded medians: servers that slow down when crowded lose work before the aim
+	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
@@ -83,7 +85,7 @@
 			c.Aim = c.Deadline
 		}
 		aim := float64(c.Aim)
-		b.classes = append(b.classes, classState{Class: c, mark: aim / 2, half: aim / 4, base: aim / 4})
+		b.classes = append(b.classes, classState{Class: c, mark: aim / 2, half: aim / 4, calm: aim / 2, base: aim / 2})
 	}
 	return b
 }
@@ -484,7 +486,8 @@
 func (c *classState) sample(latency float64) {
 	c.mark = step(c.mark, latency, markShare, markStep)
 	c.half = step(c.half, latency, 0.5, halfStep)
-	c.base = min(c.base*baseRise, c.half)
+	c.calm = step(c.calm, latency, calmShare, calmStep)
+	c.base = min(c.base*baseRise, c.calm)
 }
 
 // ---- Limits of what is out
--- a/decide/state.go
+++ b/decide/state.go
@@ -72,7 +72,8 @@
 	Class
 	mark float64 // one answer in 20 takes longer
 	half float64 // median
-	base float64 // median when servers are not crowded
+	calm float64 // one answer in 10 takes longer
+	base float64 // the same when servers are not crowded
 }
 
 // request is one request taken, kept until it is answered and none of its attempts is out.
