--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,14 +36,12 @@
 	limitStart  = 8.0  // attempts that all balancers together may hold at a server of mean size at first
 	limitLeast  = 0.1  // limits add up to what may be out: below one, a server gets its part in turn
 	limitMost   = 1e4  // keeps the figure finite on an idle fleet
-	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	limitUp     = 1.05 // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitFirst  = 1.10 // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
+	limitDown   = 0.86 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
 	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
-	breathAfter = 4    // seconds in a row with refusals before limits take a breath: a burst is often over
-	breathCut   = 0.4  // of each limit, kept in a breath: enough to empty a server's waiting room
 	queueShare  = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
@@ -271,7 +269,6 @@
 		return
 	}
 	b.tally.shed++
-	b.shed++
 	if r.mayRefuse(now) {
 		b.act.Refuse(r.ID, 0)
 	} else {
@@ -520,21 +517,6 @@
 	}
 }
 
-// breathe lowers all limits for a moment when refusals go on. Guards against a jam that feeds itself: servers
-// that lose capacity while crowded can answer a fifth of what they could and look steady.
-func (b *Balancer) breathe() {
-	if b.shed == 0 {
-		b.jammed = 0
-		return
-	}
-	b.shed = 0
-	if b.jammed++; b.jammed%breathAfter == 0 {
-		for _, s := range b.servers {
-			s.limit = max(limitLeast, s.limit*breathCut)
-		}
-	}
-}
-
 // early is the latency past which an answer tells of a crowd.
 func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
 
@@ -702,7 +684,6 @@
 	if size > 0 {
 		b.perSize += (float64(answered)/size/float64(second) - b.perSize) / 4
 	}
-	b.breathe()
 	b.summary(now)
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -29,8 +29,6 @@
 	retries  float64    // retry budget
 	asks     int        // failed asks for the list in a row
 	answers  int        // this second
-	shed     int        // refused or failed this second
-	jammed   int        // seconds with refusals in a row
 	drain    float64    // answers per µs
 	perSize  float64    // answers that a warm server of size one gives this balancer, per µs
 	cand     []*server  // scratch of a draw
