--- a/decide/api.go
+++ b/decide/api.go
@@ -63,11 +63,15 @@
 	Tick                                      int64 // events come no closer together than this
 }
 
+// Goal tells how the service is judged: weights of its parts.
+type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant float64 }
+
 // Settings is what a balancer knows at its start.
 type Settings struct {
 	Classes        []Class
 	Tenants        []Tenant
 	Rules          Rules
+	Goal           Goal
 	Limits         Limits
 	Zone           string
 	Me, Balancers  int
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -36,15 +36,17 @@
 	limitStart  = 8.0  // attempts that all balancers together may hold at a server of mean size at first
 	limitLeast  = 0.1  // limits add up to what may be out: below one, a server gets its part in turn
 	limitMost   = 1e4  // keeps the figure finite on an idle fleet
-	limitUp     = 1.05 // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitFirst  = 1.10 // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.86 // ... where one answer in five is late: fewer waste room, more end in a jam
+	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
 	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.5  // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
+	keepService = 0.98 // of the counts of taken and served, kept each second: a judgement over most of a minute
+
 	silentMarks  = 2.0        // latency marks without an answer from a server that holds an attempt: silent
 	scanEvery    = 50_000     // µs between looks for silent servers: well under what a try may take
 	sickAfter    = 2          // failures in a row that suspend: one may be chance, a quiet balancer sees few
@@ -110,11 +112,30 @@
 	}
 	r.deadline = now + r.Left
 	r.until = min(now+int64(queueShare*float64(r.class.Aim)), r.deadline)
-	r.value = r.class.Worth / r.class.half
+	r.value = b.value(r.class)
 	b.open[in.ID] = r
 	b.try(now, r, len(b.queue) > 0)
 }
 
+// value is what an answer of a class adds to the goal, for the time it takes. Where the goal weighs the worst
+// served class, that class earns its part besides its worth; else the least worthy would get nothing at all.
+func (b *Balancer) value(c *classState) float64 {
+	worth, taken, worst := 0.0, 0.0, c
+	for i := range b.classes {
+		k := &b.classes[i]
+		worth, taken = worth+k.Worth*k.taken, taken+k.taken
+		if k.served*worst.taken < worst.served*k.taken {
+			worst = k
+		}
+	}
+	c.taken++
+	v := (b.set.Goal.Whole + b.set.Goal.WorstWindow) * c.Worth / max(worth, 1e-9)
+	if worst == c && taken > 0 {
+		v += b.set.Goal.WorstClass / max(c.taken, 1e-9)
+	}
+	return v * taken / c.half
+}
+
 // try sends an attempt for r, lets it wait for room behind others, or answers it.
 func (b *Balancer) try(now int64, r *request, behind bool) {
 	if !behind && b.trySend(now, r) {
@@ -447,6 +468,9 @@
 	}
 	if o.Result == Served {
 		b.answers++
+		if now-r.taken <= r.class.Aim {
+			r.class.served++
+		}
 		a.server.answered++
 		b.retries = min(b.retries+retryPerServed, retryBurst)
 	}
@@ -673,6 +697,10 @@
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
 	b.answers = 0
+	for i := range b.classes {
+		b.classes[i].taken *= keepService
+		b.classes[i].served *= keepService
+	}
 	mean, answered, size := b.meanLog(), 0, 0.0
 	for _, s := range b.servers {
 		s.setLog((s.log - mean) * keepLog)
--- a/decide/state.go
+++ b/decide/state.go
@@ -70,10 +70,11 @@
 // classState is a class with the latencies seen of it, in µs.
 type classState struct {
 	Class
-	mark float64 // one answer in 20 takes longer
-	half float64 // median
-	calm float64 // one answer in 10 takes longer
-	base float64 // the same when servers are not crowded
+	mark          float64 // one answer in 20 takes longer
+	half          float64 // median
+	taken, served float64 // of late: requests, and those answered within the aim
+	calm          float64 // one answer in 10 takes longer
+	base          float64 // the same when servers are not crowded
 }
 
 // request is one request taken, kept until it is answered and none of its attempts is out.
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -30,6 +30,7 @@
 		MaxAttempts                               int
 		MaxRetryAfterUs                           int64
 	}
+	ScoringMix decide.Goal
 	FamilyInfo struct{ WarmKeys bool }
 	Guarantees struct {
 		AnswerSlackUs, AskEveryUs, ColdUs, FallUs, StopSendingWithinUs int64
