--- a/decide/decide.go
+++ b/decide/decide.go
@@ -87,7 +87,7 @@
 			c.Aim = c.Deadline
 		}
 		aim := float64(c.Aim)
-		b.classes = append(b.classes, classState{Class: c, mark: aim / 2, half: aim / 4, calm: aim / 2, base: aim / 2})
+		b.classes = append(b.classes, classState{Class: c, mark: aim / 2, half: aim / 4, value: c.Worth, calm: aim / 2, base: aim / 2})
 	}
 	return b
 }
@@ -112,30 +112,12 @@
 	}
 	r.deadline = now + r.Left
 	r.until = min(now+int64(queueShare*float64(r.class.Aim)), r.deadline)
-	r.value = b.value(r.class)
+	r.value = r.class.value
+	r.class.taken++
 	b.open[in.ID] = r
 	b.try(now, r, len(b.queue) > 0)
 }
 
-// value is what an answer of a class adds to the goal, for the time it takes. Where the goal weighs the worst
-// served class, that class earns its part besides its worth; else the least worthy would get nothing at all.
-func (b *Balancer) value(c *classState) float64 {
-	worth, taken, worst := 0.0, 0.0, c
-	for i := range b.classes {
-		k := &b.classes[i]
-		worth, taken = worth+k.Worth*k.taken, taken+k.taken
-		if k.served*worst.taken < worst.served*k.taken {
-			worst = k
-		}
-	}
-	c.taken++
-	v := (b.set.Goal.Whole + b.set.Goal.WorstWindow) * c.Worth / max(worth, 1e-9)
-	if worst == c && taken > 0 {
-		v += b.set.Goal.WorstClass / max(c.taken, 1e-9)
-	}
-	return v * taken / c.half
-}
-
 // try sends an attempt for r, lets it wait for room behind others, or answers it.
 func (b *Balancer) try(now int64, r *request, behind bool) {
 	if !behind && b.trySend(now, r) {
@@ -541,6 +523,28 @@
 	}
 }
 
+// valueClasses sets what an answer of each class adds to the goal, for the time it takes. Where the goal
+// weighs the worst served class, that class earns its part besides its worth; else it would get nothing.
+func (b *Balancer) valueClasses() {
+	worth, taken, worst := 1e-9, 1e-9, &b.classes[0]
+	for i := range b.classes {
+		c := &b.classes[i]
+		c.taken, c.served = c.taken*keepService, c.served*keepService
+		worth, taken = worth+c.Worth*c.taken, taken+c.taken
+		if c.served*worst.taken < worst.served*c.taken {
+			worst = c
+		}
+	}
+	for i := range b.classes {
+		c := &b.classes[i]
+		c.value = (b.set.Goal.Whole + b.set.Goal.WorstWindow) * c.Worth * taken / worth
+		if c == worst {
+			c.value += b.set.Goal.WorstClass * taken / max(c.taken, 1)
+		}
+		c.value /= c.half
+	}
+}
+
 // early is the latency past which an answer tells of a crowd.
 func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
 
@@ -697,10 +701,7 @@
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
 	b.answers = 0
-	for i := range b.classes {
-		b.classes[i].taken *= keepService
-		b.classes[i].served *= keepService
-	}
+	b.valueClasses()
 	mean, answered, size := b.meanLog(), 0, 0.0
 	for _, s := range b.servers {
 		s.setLog((s.log - mean) * keepLog)
--- a/decide/state.go
+++ b/decide/state.go
@@ -72,6 +72,7 @@
 	Class
 	mark          float64 // one answer in 20 takes longer
 	half          float64 // median
+	value         float64 // what an answer adds to the goal, for the time it takes
 	taken, served float64 // of late: requests, and those answered within the aim
 	calm          float64 // one answer in 10 takes longer
 	base          float64 // the same when servers are not crowded
