--- a/decide/decide.go
+++ b/decide/decide.go
@@ -160,7 +160,7 @@
 // wait queues r by worth, and refuses the least worthy of those whose wait would not end in an answer.
 func (b *Balancer) wait(now int64, r *request) {
 	at := len(b.queue)
-	for at > 0 && b.queue[at-1].value < r.value {
+	for at > 0 && b.queue[at-1].value <= r.value {
 		at--
 	}
 	b.queue = slices.Insert(b.queue, at, r)
