--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,11 +38,11 @@
 	limitMost   = 1e4  // keeps the figure finite on an idle fleet
 	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitFirst  = 1.10 // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
+	limitDown   = 0.90 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
 	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
-	queueShare  = 0.12 // of the aim that a request may wait unsent: the rest is for its answer
+	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
 	keepService = 0.98 // of the counts of taken and served, kept each second: a judgement over most of a minute
