--- a/decide/decide.go
+++ b/decide/decide.go
@@ -38,10 +38,10 @@
 	limitMost   = 1e4  // keeps the figure finite on an idle fleet
 	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	limitFirst  = 1.10 // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.90 // ... where one answer in five is late: fewer waste room, more end in a jam
+	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
+	crowdedBase = 1.0  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
@@ -500,7 +500,12 @@
 
 // adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, c *classState, a *attempt, o Outcome) {
-	s, early := a.server, o.Result == Served && float64(o.Latency) <= c.early()
+	s := a.server
+	if o.Result == Served || o.Result == TimedOut {
+		s.pace = step(s.pace, float64(o.Latency)/c.base, calmShare, calmStep)
+		s.basePace = min(s.basePace*baseRise, s.pace)
+	}
+	early := o.Result == Served && float64(o.Latency) <= c.early(s)
 	if !early {
 		b.tally.late++
 	}
@@ -546,7 +551,9 @@
 }
 
 // early is the latency past which an answer tells of a crowd.
-func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
+func (c *classState) early(s *server) float64 {
+	return min(earlyShare*float64(c.Aim), crowdedBase*c.base*min(max(s.basePace, 0.5), 2))
+}
 
 // full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
 // that each keep one attempt at every server and fill the fleet together.
@@ -731,7 +738,7 @@
 		}
 		s := b.known[in.ID]
 		if s == nil {
-			s = &server{hash: hash(in.ID)}
+			s = &server{hash: hash(in.ID), pace: 1, basePace: 1}
 			s.setLog(mean)
 			b.known[in.ID] = s
 			fresh = append(fresh, s)
