--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -56,7 +56,7 @@
 		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
 		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
 		SizesListed: in.WeightSource == "nominal" || in.WeightSource == "rough",
-		WarmKeys:    in.FamilyInfo.WarmKeys,
+		WarmKeys:    in.FamilyInfo.WarmKeys, Goal: in.ScoringMix,
 		Limits: decide.Limits{
 			Cancel: in.Limits.Cancel, ParallelTries: in.Limits.ParallelTries, Probes: in.Limits.Probes,
 			RetryAfter: in.Limits.RetryAfter, MaxAttempts: in.Limits.MaxAttempts,
