--- a/decide/decide.go
+++ b/decide/decide.go
@@ -43,6 +43,7 @@
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
 	crowdedBase = 1.0  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
+	worthNewer  = 0.5  // of the longest wait that a request counts as newer for each doubling of its value
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
 	keepService = 0.98 // of the counts of taken and served, kept each second: a judgement over most of a minute
@@ -112,7 +113,7 @@
 	}
 	r.deadline = now + r.Left
 	r.until = min(now+int64(queueShare*float64(r.class.Aim)), r.deadline)
-	r.value = r.class.value
+	r.rank = float64(now) + worthNewer*queueShare*float64(r.class.Aim)*math.Log2(max(r.class.value, 1e-9))
 	r.class.taken++
 	b.open[in.ID] = r
 	b.try(now, r, len(b.queue) > 0)
@@ -160,7 +161,7 @@
 // wait queues r by worth, and refuses the least worthy of those whose wait would not end in an answer.
 func (b *Balancer) wait(now int64, r *request) {
 	at := len(b.queue)
-	for at > 0 && b.queue[at-1].value <= r.value {
+	for at > 0 && b.queue[at-1].rank <= r.rank {
 		at--
 	}
 	b.queue = slices.Insert(b.queue, at, r)
--- a/decide/state.go
+++ b/decide/state.go
@@ -87,7 +87,7 @@
 	taken    int64
 	deadline int64
 	until    int64   // when waiting unsent ends
-	value    float64 // worth for the time it takes: who waits first and who is refused last
+	rank     float64 // place in the queue: newer and worthier go first, and are refused last
 	tries    []attempt
 	out      int
 	ended    bool
