--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,9 +41,8 @@
 	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	crowdedBase = 1.0  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
+	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
-	worthNewer  = 0.5  // of the longest wait that a request counts as newer for each doubling of its value
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
 	keepService = 0.98 // of the counts of taken and served, kept each second: a judgement over most of a minute
@@ -113,7 +112,7 @@
 	}
 	r.deadline = now + r.Left
 	r.until = min(now+int64(queueShare*float64(r.class.Aim)), r.deadline)
-	r.rank = float64(now) + worthNewer*queueShare*float64(r.class.Aim)*math.Log2(max(r.class.value, 1e-9))
+	r.value = r.class.value
 	r.class.taken++
 	b.open[in.ID] = r
 	b.try(now, r, len(b.queue) > 0)
@@ -161,7 +160,7 @@
 // wait queues r by worth, and refuses the least worthy of those whose wait would not end in an answer.
 func (b *Balancer) wait(now int64, r *request) {
 	at := len(b.queue)
-	for at > 0 && b.queue[at-1].rank <= r.rank {
+	for at > 0 && b.queue[at-1].value <= r.value {
 		at--
 	}
 	b.queue = slices.Insert(b.queue, at, r)
@@ -501,12 +500,7 @@
 
 // adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, c *classState, a *attempt, o Outcome) {
-	s := a.server
-	if o.Result == Served || o.Result == TimedOut {
-		s.pace = step(s.pace, float64(o.Latency)/c.base, calmShare, calmStep)
-		s.basePace = min(s.basePace*baseRise, s.pace)
-	}
-	early := o.Result == Served && float64(o.Latency) <= c.early(s)
+	s, early := a.server, o.Result == Served && float64(o.Latency) <= c.early()
 	if !early {
 		b.tally.late++
 	}
@@ -552,9 +546,7 @@
 }
 
 // early is the latency past which an answer tells of a crowd.
-func (c *classState) early(s *server) float64 {
-	return min(earlyShare*float64(c.Aim), crowdedBase*c.base*min(max(s.basePace, 0.5), 2))
-}
+func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
 
 // full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
 // that each keep one attempt at every server and fill the fleet together.
@@ -739,7 +731,7 @@
 		}
 		s := b.known[in.ID]
 		if s == nil {
-			s = &server{hash: hash(in.ID), pace: 1, basePace: 1}
+			s = &server{hash: hash(in.ID)}
 			s.setLog(mean)
 			b.known[in.ID] = s
 			fresh = append(fresh, s)
--- a/decide/state.go
+++ b/decide/state.go
@@ -58,8 +58,6 @@
 	lastServed int64
 	coldSince  int64   // start of its latest warm-up; 0: warm
 	sends      []int64 // while cold: times of own sends within the rule's window
-	pace       float64 // one answer in 10 takes longer than this many uncrowded marks of its class
-	basePace   float64 // the same when it is not crowded
 	answered   int     // own answers this second
 }
 
@@ -87,7 +85,7 @@
 	taken    int64
 	deadline int64
 	until    int64   // when waiting unsent ends
-	rank     float64 // place in the queue: newer and worthier go first, and are refused last
+	value    float64 // worth for the time it takes: who waits first and who is refused last
 	tries    []attempt
 	out      int
 	ended    bool
@@ -122,7 +120,7 @@
 	if sample > mark {
 		return mark * math.Exp(size*share)
 	}
-	return max(1e-3, mark*math.Exp(-size*(1-share)))
+	return max(1, mark*math.Exp(-size*(1-share)))
 }
 
 // hash is FNV-1a; mix spreads it over all bits.
