--- a/decide/api.go
+++ b/decide/api.go
@@ -77,7 +77,6 @@
 	Me, Balancers  int
 	ListPushed     bool    // the list of servers comes by itself
 	SizesListed    bool    // Server.Size means something
-	CrossPrice     float64 // price of an attempt that goes to another zone
 	WarmKeys       bool    // a server that served a key lately needs less work for it
 	OverShareWorth float64 // worth of what a tenant sends over its share
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,6 @@
 	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
 	baselineRate = 0.02 // of the way to each payoff: a mean over 50 attempts outlasts one server's trouble
 	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
-	farShare     = 0.5  // of its size that a server in another zone counts for, where crossing has a price
 	warmBoost    = 300  // times its weight, for a key's home: most draws land there unless it is crowded
 
 	markShare   = 0.95   // of the answers come before the latency mark: time-outs and silence stand on it
@@ -342,7 +341,7 @@
 	home := b.home(r.Key)
 	sum, size := 0.0, 0.0
 	for _, s := range b.cand {
-		sum, size = sum+s.armWeight(home), size+s.arms
+		sum, size = sum+s.armWeight(home), size+s.Size
 	}
 	b.tally.draws++
 	if len(b.cand) == 1 {
@@ -399,7 +398,7 @@
 func (b *Balancer) pick(sum, size float64, home *server) (*server, float64) {
 	x, p := b.rng.Float64(), 0.0
 	for _, s := range b.cand {
-		p = (1-gamma)*s.armWeight(home)/sum + gamma*s.arms/size
+		p = (1-gamma)*s.armWeight(home)/sum + gamma*s.Size/size
 		if x -= p; x < 0 {
 			return s, p
 		}
@@ -410,9 +409,9 @@
 // armWeight is the server's weight over all its arms, raised where the request's key is at home.
 func (s *server) armWeight(home *server) float64 {
 	if s == home {
-		return warmBoost * s.arms * s.weight
+		return warmBoost * s.Size * s.weight
 	}
-	return s.arms * s.weight
+	return s.Size * s.weight
 }
 
 // crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
@@ -761,9 +760,6 @@
 	}
 	for _, s := range b.servers {
 		s.Size = s.listed * float64(len(b.servers)) / sum
-		if s.arms = s.Size; b.set.CrossPrice > 0 && s.Zone != b.set.Zone {
-			s.arms *= farShare
-		}
 	}
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -45,7 +45,6 @@
 type server struct {
 	Server             // Size is scaled to a mean of one
 	listed     float64 // size as listed
-	arms       float64 // what it counts for in a draw: its size, less in another zone
 	hash       uint64  // of its ID
 	log        float64 // EXP3's log-weight
 	weight     float64 // exp(log)
--- a/internal/drill/settings.go
+++ b/internal/drill/settings.go
@@ -31,7 +31,6 @@
 		MaxRetryAfterUs                           int64
 	}
 	ScoringMix decide.Goal
-	Prices     struct{ CrossZone float64 }
 	FamilyInfo struct{ WarmKeys bool }
 	Guarantees struct {
 		AnswerSlackUs, AskEveryUs, ColdUs, FallUs, StopSendingWithinUs int64
@@ -57,7 +56,7 @@
 		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
 		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
 		SizesListed: in.WeightSource == "nominal" || in.WeightSource == "rough",
-		WarmKeys:    in.FamilyInfo.WarmKeys, Goal: in.ScoringMix, CrossPrice: in.Prices.CrossZone,
+		WarmKeys:    in.FamilyInfo.WarmKeys, Goal: in.ScoringMix,
 		Limits: decide.Limits{
 			Cancel: in.Limits.Cancel, ParallelTries: in.Limits.ParallelTries, Probes: in.Limits.Probes,
 			RetryAfter: in.Limits.RetryAfter, MaxAttempts: in.Limits.MaxAttempts,
