--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,6 @@
 	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	easyShare   = 0.4  // of the aim: earlier answers are never late, however fast the quiet hours were
 	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
@@ -547,9 +546,7 @@
 }
 
 // early is the latency past which an answer tells of a crowd.
-func (c *classState) early() float64 {
-	return min(max(crowdedBase*c.base, easyShare*float64(c.Aim)), earlyShare*float64(c.Aim))
-}
+func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
 
 // full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
 // that each keep one attempt at every server and fill the fleet together.
