--- a/decide/decide.go
+++ b/decide/decide.go
@@ -731,7 +731,7 @@
 		}
 		s := b.known[in.ID]
 		if s == nil {
-			s = &server{hash: hash(in.ID)}
+			s = &server{hash: hash(in.ID), lastServed: now} // not yet silent: it was not asked
 			s.setLog(mean)
 			b.known[in.ID] = s
 			fresh = append(fresh, s)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -494,3 +494,16 @@
 	w.request("high", 1, 2*second) // the world objects to an answer for low[7]
 	w.advance(2 * second)
 }
+
+// The failure: a server never asked counted as silent since the clock began, so that one failure and a
+// good trial made it cold, with one attempt a window, at every small balancer.
+func TestAServerNeverAskedIsNotSilent(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(3)...)
+	s := w.b.servers[0]
+	w.b.judge(w.now, s, ConnectFailed)
+	w.b.suspend(w.now, s, "failures")
+	w.b.judge(w.now+second, s, Served)
+	if s.suspended || s.coldSince != 0 {
+		t.Errorf("suspended %v, cold since %d, want neither", s.suspended, s.coldSince)
+	}
+}
