--- a/decide/decide.go
+++ b/decide/decide.go
@@ -28,7 +28,7 @@
 	halfStep    = 0.04   // of the median
 	calmShare   = 0.9    // of the answers come before the calm mark, whose lowest value is kept as uncrowded
 	calmStep    = 0.05   // of the calm mark: one burst of late answers must not move it far
-	baseRise    = 1.0005 // of the uncrowded mark per answer: doubled in 1400, longer than a jam should last
+	baseRise    = 1.01   // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
@@ -493,7 +493,7 @@
 	c.mark = step(c.mark, latency, markShare, markStep)
 	c.half = step(c.half, latency, 0.5, halfStep)
 	c.calm = step(c.calm, latency, calmShare, calmStep)
-	c.base = min(c.base*baseRise, c.calm)
+	c.base = min(c.base, c.calm)
 }
 
 // ---- Limits of what is out
@@ -530,6 +530,7 @@
 	for i := range b.classes {
 		c := &b.classes[i]
 		c.taken, c.served = c.taken*keepService, c.served*keepService
+		c.base *= baseRise
 		worth, taken = worth+c.Worth*c.taken, taken+c.taken
 		if c.served*worst.taken < worst.served*c.taken {
 			worst = c
