--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
+	crowdedBase = 1.4  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
