--- a/decide/decide.go
+++ b/decide/decide.go
@@ -41,7 +41,7 @@
 	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	crowdedBase = 1.4  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
+	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
@@ -584,7 +584,7 @@
 
 // suspend takes s out of the draw for a while, longer each time a trial fails.
 func (b *Balancer) suspend(now int64, s *server, cause string) bool {
-	if !s.suspended && !b.maySuspend() {
+	if !s.suspended && !b.maySuspend(now, s) {
 		return false
 	}
 	pause := min(suspendFirst*math.Exp2(float64(s.trips)), suspendMost) * (0.75 + b.rng.Float64()/2)
@@ -604,18 +604,23 @@
 	s.suspended, s.trips = false, 0
 }
 
-// maySuspend keeps enough servers in the draw: when most look ill the cause is shared.
-func (b *Balancer) maySuspend() bool {
+// maySuspend keeps enough servers in the draw: when most look ill the cause is shared. It is not where another
+// answers well: most of a fleet can be lost with a zone, and dead servers in the draw take every retry.
+func (b *Balancer) maySuspend(now int64, s *server) bool {
 	well, all := 0, 0
-	for _, s := range b.servers {
-		if s.Phase == InService {
-			all++
-			if !s.suspended {
-				well++
+	for _, o := range b.servers {
+		if o.Phase != InService {
+			continue
+		}
+		all++
+		if o != s && !o.suspended {
+			well++
+			if o.answered > 0 && o.bad == 0 && now-o.lastServed < second/2 {
+				return true
 			}
 		}
 	}
-	return float64(well-1) >= healthyLeast*float64(all)
+	return float64(well) >= healthyLeast*float64(all)
 }
 
 // scan looks for servers that hold attempts and answer nothing, suspends them and calls back what they
