--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -507,3 +507,25 @@
 		t.Errorf("suspended %v, cold since %d, want neither", s.suspended, s.coldSince)
 	}
 }
+
+// The failure: with a zone lost, the floor of servers that stay in the draw kept a dead one in it, and that
+// one took every retry.
+func TestALostZoneIsSuspendedWhole(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(10)...)
+	refused := 0
+	for i := range 600 {
+		w.request(fmt.Sprint("r", i), 0, 2*second)
+		w.advance(10_000)
+		for _, f := range slices.Clone(w.pending) {
+			if f.server.ID != "s0" {
+				refused++
+				w.settle(f, ConnectFailed)
+			} else if w.now-f.sent >= 20_000 {
+				w.settle(f, Served)
+			}
+		}
+	}
+	if refused > 120 {
+		t.Errorf("%d refused connections at nine dead servers in 6 s, want 120 or fewer", refused)
+	}
+}
