--- a/decide/decide.go
+++ b/decide/decide.go
@@ -45,7 +45,7 @@
 	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
-	keepService = 0.98 // of the counts of taken and served, kept each second: a judgement over most of a minute
+	keepService = 0.98 // of taken and served, kept each second: a judgement over most of a minute
 
 	silentMarks  = 2.0        // latency marks without an answer from a server that holds an attempt: silent
 	scanEvery    = 50_000     // µs between looks for silent servers: well under what a try may take
@@ -87,7 +87,9 @@
 			c.Aim = c.Deadline
 		}
 		aim := float64(c.Aim)
-		b.classes = append(b.classes, classState{Class: c, mark: aim / 2, half: aim / 4, value: c.Worth, calm: aim / 2, base: aim / 2})
+		b.classes = append(b.classes, classState{
+			Class: c, mark: aim / 2, calm: aim / 2, base: aim / 2, half: aim / 4, value: c.Worth,
+		})
 	}
 	return b
 }
@@ -604,8 +606,8 @@
 	s.suspended, s.trips = false, 0
 }
 
-// maySuspend keeps enough servers in the draw: when most look ill the cause is shared. It is not where another
-// answers well: most of a fleet can be lost with a zone, and dead servers in the draw take every retry.
+// maySuspend keeps enough servers in the draw: when most look ill the cause is shared. It is not while
+// another answers well: a lost zone can be most of a fleet, and a dead server in the draw takes all retries.
 func (b *Balancer) maySuspend(now int64, s *server) bool {
 	well, all := 0, 0
 	for _, o := range b.servers {
