--- a/decide/decide.go
+++ b/decide/decide.go
@@ -408,12 +408,15 @@
 	return b.cand[len(b.cand)-1], p
 }
 
-// armWeight is the server's weight over all its arms, raised where the request's key is at home.
+// armWeight is the server's weight over all its arms, raised where the request's key is at home. A limit
+// under one counts as that part of it. Guards against many balancers that take turns at a jammed server and
+// keep it so: work they gave up on still goes on there.
 func (s *server) armWeight(home *server) float64 {
+	w := s.Size * s.weight * min(1, s.limit)
 	if s == home {
-		return warmBoost * s.Size * s.weight
+		return warmBoost * w
 	}
-	return s.Size * s.weight
+	return w
 }
 
 // crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
