--- a/decide/api.go
+++ b/decide/api.go
@@ -163,6 +163,15 @@
 	Moot                 // never sent
 )
 
+// String names the result as log lines do.
+func (r Result) String() string {
+	names := [...]string{"served", "error", "full", "timeout", "connect", "reset", "cancelled", "moot"}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
+
 // NeverRan tells whether the result proves that the attempt had no effect.
 func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == Moot }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -17,11 +17,10 @@
 const (
 	second = int64(1_000_000)
 
-	gamma        = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
-	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
-	baselineRate = 0.02 // of the way to each payoff: a mean over 50 attempts outlasts one server's trouble
-	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
-	warmBoost    = 300  // times its weight, for a key's home: most draws land there unless it is crowded
+	gamma     = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
+	keepLog   = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
+	redraws   = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
+	warmBoost = 300  // times its weight, for a key's home: most draws land there unless it is crowded
 
 	markShare   = 0.95   // of the answers come before the latency mark: time-outs and silence stand on it
 	markStep    = 0.2    // log step of the mark for an answer past it: trouble shows in a few answers
@@ -47,8 +46,6 @@
 
 	keepService = 0.98 // of taken and served, kept each second: a judgement over most of a minute
 
-	silentMarks  = 2.0        // latency marks without an answer from a server that holds an attempt: silent
-	scanEvery    = 50_000     // µs between looks for silent servers: well under what a try may take
 	sickAfter    = 2          // failures in a row that suspend: one may be chance, a quiet balancer sees few
 	suspendFirst = 0.5e6      // µs of a first suspension, doubled each time a trial fails
 	suspendMost  = 8e6        // µs: a server that is back is found within this and its jitter
@@ -65,7 +62,6 @@
 // Timer tokens.
 const (
 	tokenSecond = iota
-	tokenScan
 	tokenQueue
 	tokenAsk
 )
@@ -76,7 +72,7 @@
 		set.Limits.MaxAttempts = triesMost
 	}
 	b := &Balancer{
-		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, baseline: 1,
+		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
 		known: map[string]*server{}, open: map[string]*request{},
 	}
 	for _, c := range set.Classes {
@@ -98,7 +94,6 @@
 func (b *Balancer) Begin(now int64) {
 	b.tally.since = now
 	b.act.Wake(second, tokenSecond)
-	b.act.Wake(scanEvery, tokenScan)
 	if !b.set.ListPushed {
 		b.act.Watch(true)
 	}
@@ -469,12 +464,9 @@
 	b.learn(a, r.class.payoff(o))
 }
 
-// learn is EXP3's update of the drawn server: w*exp(gamma*r/(p*M)). Payoffs count against their own mean:
-// over the draws this changes no expectation, but a failure now moves a weight even at a quiet balancer.
+// learn is EXP3's update of the drawn server: w*exp(gamma*r/(p*M)).
 func (b *Balancer) learn(a *attempt, payoff float64) {
-	b.baseline += (payoff - b.baseline) * baselineRate
-	arms := float64(max(1, len(b.servers)))
-	a.server.setLog(a.server.log + gamma*(payoff-b.baseline)/(a.p*arms))
+	a.server.setLog(a.server.log + gamma*payoff/(a.p*float64(max(1, len(b.servers)))))
 }
 
 // payoff is 1 for an answer within the aim, falls with the latency after it, and is 0 for a failure.
@@ -583,21 +575,20 @@
 	}
 	s.bad++
 	if s.bad >= sickAfter && !(s.suspended && now < s.until) {
-		b.suspend(now, s, "failures")
+		b.suspend(now, s, result)
 	}
 }
 
 // suspend takes s out of the draw for a while, longer each time a trial fails.
-func (b *Balancer) suspend(now int64, s *server, cause string) bool {
+func (b *Balancer) suspend(now int64, s *server, last Result) {
 	if !s.suspended && !b.maySuspend(now, s) {
-		return false
+		return
 	}
 	pause := min(suspendFirst*math.Exp2(float64(s.trips)), suspendMost) * (0.75 + b.rng.Float64()/2)
 	s.suspended, s.until = true, now+int64(pause)
 	if s.trips++; s.trips == 1 {
-		b.act.Log(fmt.Sprintf("suspend server=%s cause=%s held=%d", s.ID, cause, len(s.held)))
+		b.act.Log(fmt.Sprintf("suspend server=%s cause=%s held=%d", s.ID, last, len(s.held)))
 	}
-	return true
 }
 
 func (b *Balancer) bringBack(now int64, s *server) {
@@ -628,38 +619,6 @@
 	return float64(well) >= healthyLeast*float64(all)
 }
 
-// scan looks for servers that hold attempts and answer nothing, suspends them and calls back what they
-// hold, so that it is tried elsewhere while its aim can still be met.
-func (b *Balancer) scan(now int64) {
-	b.act.Wake(scanEvery, tokenScan)
-	for _, s := range b.servers {
-		if len(s.held) == 0 || s.suspended && now < s.until {
-			continue
-		}
-		r := s.held[0].r
-		since := max(r.tries[s.held[0].n].sentAt, s.lastServed)
-		if !r.started && float64(now-since) > silentMarks*r.class.mark && b.suspend(now, s, "silent") {
-			s.bad = sickAfter
-			b.callBack(now, s)
-		}
-	}
-}
-
-// callBack cancels what s holds, as far as the retry budget lets it be tried elsewhere.
-func (b *Balancer) callBack(now int64, s *server) {
-	left := b.retries
-	for _, h := range s.held {
-		r := h.r
-		if r.ended || r.started || r.class.Semantics == AtMostOnce || r.deadline-now <= int64(r.class.half) {
-			continue
-		}
-		if left--; left < 0 || !b.set.Limits.Cancel {
-			return
-		}
-		b.act.Cancel(r.ID, h.n)
-	}
-}
-
 // Probed learns nothing: this balancer does not probe, its own attempts tell more.
 func (b *Balancer) Probed(now int64, p Probe) {}
 
@@ -698,8 +657,6 @@
 	switch token {
 	case tokenSecond:
 		b.everySecond(now)
-	case tokenScan:
-		b.scan(now)
 	case tokenQueue:
 		b.pump(now)
 	case tokenAsk:
--- a/decide/state.go
+++ b/decide/state.go
@@ -16,23 +16,22 @@
 
 // Balancer decides for one sidecar. It knows only what its events told it.
 type Balancer struct {
-	set      Settings
-	act      Actions
-	rng      *rand.Rand
-	servers  []*server // as listed, in a stable order
-	known    map[string]*server
-	classes  []classState
-	open     map[string]*request
-	queue    []*request // waiting for room, worthiest first
-	out      int        // own attempts out now
-	baseline float64    // mean payoff of late: what a payoff counts against
-	retries  float64    // retry budget
-	asks     int        // failed asks for the list in a row
-	answers  int        // this second
-	drain    float64    // answers per µs
-	perSize  float64    // answers that a warm server of size one gives this balancer, per µs
-	cand     []*server  // scratch of a draw
-	tally    tally
+	set     Settings
+	act     Actions
+	rng     *rand.Rand
+	servers []*server // as listed, in a stable order
+	known   map[string]*server
+	classes []classState
+	open    map[string]*request
+	queue   []*request // waiting for room, worthiest first
+	out     int        // own attempts out now
+	retries float64    // retry budget
+	asks    int        // failed asks for the list in a row
+	answers int        // this second
+	drain   float64    // answers per µs
+	perSize float64    // answers that a warm server of size one gives this balancer, per µs
+	cand    []*server  // scratch of a draw
+	tally   tally
 }
 
 // tally counts what the next summary line tells.
