--- a/decide/decide.go
+++ b/decide/decide.go
@@ -17,10 +17,11 @@
 const (
 	second = int64(1_000_000)
 
-	gamma     = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
-	keepLog   = 0.9  // of a log-weight's distance from the mean, kept each second: the design's start
-	redraws   = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
-	warmBoost = 300  // times its weight, for a key's home: most draws land there unless it is crowded
+	gamma      = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
+	keepLog    = 0.9  // of a log-weight's distance from the mean, kept each second at least: the design's start
+	keepAnswer = 0.98 // the same for each answer a server gives on average: quiet balancers forget more slowly
+	redraws    = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
+	warmBoost  = 300  // times its weight, for a key's home: most draws land there unless it is crowded
 
 	markShare   = 0.95   // of the answers come before the latency mark: time-outs and silence stand on it
 	markStep    = 0.2    // log step of the mark for an answer past it: trouble shows in a few answers
@@ -668,16 +669,17 @@
 func (b *Balancer) everySecond(now int64) {
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
-	b.answers = 0
 	b.valueClasses()
 	mean, answered, size := b.meanLog(), 0, 0.0
+	keep := max(keepLog, math.Pow(keepAnswer, float64(b.answers)/float64(max(1, len(b.servers)))))
 	for _, s := range b.servers {
-		s.setLog((s.log - mean) * keepLog)
+		s.setLog((s.log - mean) * keep)
 		if s.Phase == InService && b.warmth(now, s) >= 1 {
 			answered, size = answered+s.answered, size+s.Size
 		}
 		s.answered = 0
 	}
+	b.answers = 0
 	if size > 0 {
 		b.perSize += (float64(answered)/size/float64(second) - b.perSize) / 4
 	}
