--- a/decide/decide.go
+++ b/decide/decide.go
@@ -18,8 +18,8 @@
 	second = int64(1_000_000)
 
 	gamma      = 0.07 // share of draws spread evenly, and the learning rate: the paper's value
-	keepLog    = 0.9  // of a log-weight's distance from the mean, kept each second at least: the design's start
-	keepAnswer = 0.98 // the same for each answer a server gives on average: quiet balancers forget more slowly
+	keepLog    = 0.9  // of a log-weight's distance from the mean, kept each second at least (the design's)
+	keepAnswer = 0.98 // the same for each answer a server gives: quiet balancers forget more slowly
 	redraws    = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
 	warmBoost  = 300  // times its weight, for a key's home: most draws land there unless it is crowded
 
