What a tenant asks over its share goes last in the queue

Tenants' shares come with the settings, the worth over them too; a balancer judges by its own traffic.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,7 +73,7 @@
 		set.Limits.MaxAttempts = triesMost
 	}
 	b := &Balancer{
-		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
+		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, tenants: make([]float64, len(set.Tenants)),
 		known: map[string]*server{}, open: map[string]*request{},
 	}
 	for _, c := range set.Classes {
@@ -111,11 +111,29 @@
 	r.deadline = now + r.Left
 	r.until = min(now+int64(queueShare*float64(r.class.Aim)), r.deadline)
 	r.value = r.class.value
+	if b.overShare(in.Tenant) {
+		r.value *= b.set.OverShareWorth
+	}
 	r.class.taken++
 	b.open[in.ID] = r
 	b.try(now, r, len(b.queue) > 0)
 }
 
+// overShare tells whether a request counts as over its tenant's share: that part of them, drawn at random, by
+// which the tenant's part of the traffic seen here is more than its part of the allowances.
+func (b *Balancer) overShare(tenant int) bool {
+	if tenant < 0 || tenant >= len(b.tenants) {
+		return false
+	}
+	b.tenants[tenant]++
+	taken, allowed := 0.0, 0.0
+	for i, t := range b.set.Tenants {
+		taken, allowed = taken+b.tenants[i], allowed+t.Allowance
+	}
+	fair := b.set.Tenants[tenant].Allowance / max(allowed, 1e-9) * taken / b.tenants[tenant]
+	return b.rng.Float64() > fair
+}
+
 // try sends an attempt for r, lets it wait for room behind others, or answers it.
 func (b *Balancer) try(now int64, r *request, behind bool) {
 	if !behind && b.trySend(now, r) {
@@ -670,6 +688,9 @@
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
 	b.valueClasses()
+	for i := range b.tenants {
+		b.tenants[i] *= keepService
+	}
 	mean, answered, size := b.meanLog(), 0, 0.0
 	keep := max(keepLog, math.Pow(keepAnswer, float64(b.answers)/float64(max(1, len(b.servers)))))
 	for _, s := range b.servers {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -532,3 +532,25 @@
 		t.Errorf("%d refused connections at nine dead servers in 6 s, want 120 or fewer", refused)
 	}
 }
+
+// By hand: with equal allowances a tenant with three quarters of the traffic is over its share by a third of
+// its requests; the other never is.
+func TestOverShareByTraffic(t *testing.T) {
+	set := testSettings()
+	set.Tenants = []Tenant{{Name: "a", Allowance: 50}, {Name: "b", Allowance: 50}}
+	w := newWorld(t, set, fleet(1)...)
+	over := [2]int{}
+	for i := range 8000 {
+		tenant := min(i%4, 1) // b three times of four
+		if w.b.overShare(tenant) && i >= 2000 {
+			over[tenant]++
+		}
+	}
+	near(t, "requests of b over its share", float64(over[1])/4500, 1.0/3, 0.03)
+	if over[0] != 0 {
+		t.Errorf("%d requests of a over its share, want none", over[0])
+	}
+	if w.b.overShare(-1) || w.b.overShare(2) {
+		t.Error("a request without a known tenant is over no share")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -27,6 +27,7 @@
 	out     int        // own attempts out now
 	retries float64    // retry budget
 	asks    int        // failed asks for the list in a row
+	tenants []float64  // requests of each tenant of late
 	answers int        // this second
 	drain   float64    // answers per µs
 	perSize float64    // answers that a warm server of size one gives this balancer, per µs
