--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,8 +73,8 @@
 		set.Limits.MaxAttempts = triesMost
 	}
 	b := &Balancer{
-		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, tenants: make([]float64, len(set.Tenants)),
-		known: map[string]*server{}, open: map[string]*request{},
+		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
+		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
 	}
 	for _, c := range set.Classes {
 		if c.Deadline == 0 {
@@ -289,13 +289,21 @@
 	}
 	b.tally.shed++
 	if r.mayRefuse(now) {
-		b.act.Refuse(r.ID, 0)
+		b.act.Refuse(r.ID, b.retryAfter(r))
 	} else {
 		b.act.Fail(r.ID)
 	}
 	b.end(r)
 }
 
+// retryAfter is when a refused client may find room: after about one answer's time, where clients are told.
+func (b *Balancer) retryAfter(r *request) int64 {
+	if !b.set.Limits.RetryAfter {
+		return 0
+	}
+	return min(int64(r.class.half), b.set.Limits.MaxRetryAfter)
+}
+
 // end closes r and calls back what is still out for it.
 func (b *Balancer) end(r *request) {
 	r.ended = true
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -554,3 +554,21 @@
 		t.Error("a request without a known tenant is over no share")
 	}
 }
+
+// A refusal tells the client when to come back, where the settings allow that, and never after the longest
+// wait that a client follows.
+func TestARefusalNamesARetryTime(t *testing.T) {
+	for _, told := range []bool{true, false} {
+		set := testSettings()
+		set.Limits.RetryAfter, set.Limits.MaxRetryAfter = told, 50_000
+		w := newWorld(t, set)
+		w.b.classes[0].half = 80_000
+		got, want := w.b.retryAfter(&request{class: &w.b.classes[0]}), int64(0)
+		if told {
+			want = 50_000
+		}
+		if got != want {
+			t.Errorf("told %v: come back after %d us, want %d", told, got, want)
+		}
+	}
+}
