--- a/decide/decide.go
+++ b/decide/decide.go
@@ -737,6 +737,7 @@
 		}
 		if in.UpSince > s.UpSince { // a new process: cold, and none of the old one's failures are its own
 			s.coldSince, s.suspended, s.trips, s.bad = in.UpSince, false, 0, 0
+			fresh = append(fresh, s)
 		}
 		s.Server, s.listed = in, in.Size
 		if in.Phase != Removed && !slices.Contains(b.servers, s) {
@@ -746,7 +747,7 @@
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.Phase == Removed })
 	b.scaleSizes()
 	for _, s := range fresh {
-		s.limit = max(limitLeast, limitStart*s.Size/float64(max(1, b.set.Balancers)))
+		s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/float64(max(1, b.set.Balancers))), 0
 	}
 	b.pump(now)
 }
