A server back from silence, or a new process, starts with a start limit

Its limit had been cut by the failures and regrew 2% an answer. Kept: what came before the silence tells nothing.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -570,6 +570,11 @@
 	}
 }
 
+// startLimit allows what is this balancer's part of a guess for all: what came before tells nothing.
+func (b *Balancer) startLimit(s *server) {
+	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/float64(max(1, b.set.Balancers))), 0
+}
+
 // early is the latency past which an answer tells of a crowd.
 func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
 
@@ -622,6 +627,7 @@
 	quiet := now - s.lastServed
 	if quiet >= silentIsCold { // it may have started anew, which the list tells seconds late
 		s.coldSince = max(s.coldSince, now)
+		b.startLimit(s)
 	}
 	b.act.Log(fmt.Sprintf("return server=%s quiet_ms=%d trials=%d", s.ID, quiet/1000, s.trips))
 	s.suspended, s.trips = false, 0
@@ -747,7 +753,7 @@
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.Phase == Removed })
 	b.scaleSizes()
 	for _, s := range fresh {
-		s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/float64(max(1, b.set.Balancers))), 0
+		b.startLimit(s)
 	}
 	b.pump(now)
 }
