--- a/decide/decide.go
+++ b/decide/decide.go
@@ -73,7 +73,7 @@
 		set.Limits.MaxAttempts = triesMost
 	}
 	b := &Balancer{
-		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, tolerance: crowdedBase, turn: 1.1,
+		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
 	}
 	for _, c := range set.Classes {
@@ -288,7 +288,6 @@
 		return
 	}
 	b.tally.shed++
-	b.refused++
 	if r.mayRefuse(now) {
 		b.act.Refuse(r.ID, b.retryAfter(r))
 	} else {
@@ -479,7 +478,6 @@
 	if o.Result == Served {
 		b.answers++
 		if now-r.taken <= r.class.Aim {
-			b.inTime++
 			r.class.served++
 		}
 		a.server.answered++
@@ -526,7 +524,7 @@
 
 // adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, c *classState, a *attempt, o Outcome) {
-	s, early := a.server, o.Result == Served && float64(o.Latency) <= b.early(c)
+	s, early := a.server, o.Result == Served && float64(o.Latency) <= c.early()
 	if !early {
 		b.tally.late++
 	}
@@ -572,29 +570,13 @@
 	}
 }
 
-// seek moves the tolerance of lateness while requests are refused: on in the same direction while more get
-// answered in time, else back. Whether a hot fleet gains or loses by holding more, only its answers tell.
-func (b *Balancer) seek() {
-	if b.refused == 0 {
-		b.tolerance += (crowdedBase - b.tolerance) / 4
-	} else {
-		if b.inTime < b.before {
-			b.turn = 1 / b.turn
-		}
-		b.tolerance = min(max(b.tolerance*b.turn, 0.75*crowdedBase), 2*crowdedBase)
-	}
-	b.before, b.inTime, b.refused = b.inTime, 0, 0
-}
-
 // startLimit allows what is this balancer's part of a guess for all: what came before tells nothing.
 func (b *Balancer) startLimit(s *server) {
 	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/float64(max(1, b.set.Balancers))), 0
 }
 
 // early is the latency past which an answer tells of a crowd.
-func (b *Balancer) early(c *classState) float64 {
-	return min(earlyShare*float64(c.Aim), b.tolerance*c.base)
-}
+func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
 
 // full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
 // that each keep one attempt at every server and fill the fleet together.
@@ -736,7 +718,6 @@
 	if size > 0 {
 		b.perSize += (float64(answered)/size/float64(second) - b.perSize) / 4
 	}
-	b.seek()
 	b.summary(now)
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -16,25 +16,23 @@
 
 // Balancer decides for one sidecar. It knows only what its events told it.
 type Balancer struct {
-	set                     Settings
-	act                     Actions
-	rng                     *rand.Rand
-	servers                 []*server // as listed, in a stable order
-	known                   map[string]*server
-	classes                 []classState
-	open                    map[string]*request
-	queue                   []*request // waiting for room, worthiest first
-	out                     int        // own attempts out now
-	retries                 float64    // retry budget
-	asks                    int        // failed asks for the list in a row
-	tenants                 []float64  // requests of each tenant of late
-	answers                 int        // this second
-	drain                   float64    // answers per µs
-	perSize                 float64    // answers that a warm server of size one gives this balancer, per µs
-	tolerance, turn         float64    // uncrowded marks that an answer may take, and the factor it moves by
-	inTime, before, refused int        // answered in time this second and the last; refused this second
-	cand                    []*server  // scratch of a draw
-	tally                   tally
+	set     Settings
+	act     Actions
+	rng     *rand.Rand
+	servers []*server // as listed, in a stable order
+	known   map[string]*server
+	classes []classState
+	open    map[string]*request
+	queue   []*request // waiting for room, worthiest first
+	out     int        // own attempts out now
+	retries float64    // retry budget
+	asks    int        // failed asks for the list in a row
+	tenants []float64  // requests of each tenant of late
+	answers int        // this second
+	drain   float64    // answers per µs
+	perSize float64    // answers that a warm server of size one gives this balancer, per µs
+	cand    []*server  // scratch of a draw
+	tally   tally
 }
 
 // tally counts what the next summary line tells.
