--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -572,3 +572,55 @@
 		}
 	}
 }
+
+// The failure: nine new balancers allowed themselves four attempts at each server and flooded the fleet in the
+// first seconds. By hand: 8 for all, a ninth of it each.
+func TestStartLimitsShareAmongBalancers(t *testing.T) {
+	set := testSettings()
+	set.Balancers = 9
+	w := newWorld(t, set, fleet(2)...)
+	near(t, "start limit", w.b.servers[0].limit, 8.0/9, 1e-9)
+}
+
+// The failure: many balancers took turns at a jammed server, one attempt each, and kept it jammed. By hand: a
+// limit of 0.1 counts as a tenth of an arm, so p = 0.93*0.1/1.1 + 0.07/2 = 0.119545.
+func TestALowLimitLowersTheDraw(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(2)...)
+	jammed := w.b.servers[0]
+	jammed.limit = 0.1
+	for range 400 {
+		if s, p := w.b.draw(w.now, &request{class: &w.b.classes[0]}); s == jammed {
+			near(t, "p of the jammed server", p, 0.93*0.1/1.1+0.07/2, 1e-9)
+			return
+		}
+	}
+	t.Error("the jammed server was never drawn: its floor is gone")
+}
+
+// The failure: a busy balancer's jam doubled its idea of uncrowded within seconds, by its many answers, and
+// then took the jam for normal. Only time forgets it now, 1% a second.
+func TestAJamDoesNotTeachItself(t *testing.T) {
+	c := &classState{Class: Class{Aim: 400_000}, mark: 100_000, half: 50_000, calm: 100_000, base: 100_000}
+	for range 5000 {
+		c.sample(300_000)
+	}
+	near(t, "uncrowded mark after 5000 late answers", c.base, 100_000, 0)
+	w := newWorld(t, testSettings(), fleet(1)...)
+	before := w.b.classes[0].base
+	w.b.everySecond(w.now)
+	near(t, "uncrowded mark after a second", w.b.classes[0].base/before, 1.01, 1e-9)
+}
+
+// The failure: a server back from silence kept the limit that its failures had cut, and regrew 2% an answer.
+func TestAServerBackFromSilenceStartsAnew(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(3)...)
+	s := w.b.servers[0]
+	s.limit = 0.1
+	w.b.suspend(w.now, s, TimedOut)
+	w.b.judge(w.now+3*second, s, Served)
+	near(t, "limit after silence", s.limit, 4, 1e-9)
+	again := Server{ID: "s1", Size: 1, Zone: "z1", UpSince: w.now}
+	w.b.servers[1].limit = 0.1
+	w.list(false, again)
+	near(t, "limit of a new process", w.b.known["s1"].limit, 4, 1e-9)
+}
