--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,17 +33,18 @@
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
 
-	limitStart  = 8.0  // attempts that all balancers together may hold at a server of mean size at first
-	limitLeast  = 0.1  // limits add up to what may be out: below one, a server gets its part in turn
-	limitMost   = 1e4  // keeps the figure finite on an idle fleet
-	limitUp     = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
-	limitFirst  = 1.10 // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
-	failCut     = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
-	earlyShare  = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	crowdedBase = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
-	queueShare  = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
-	queueLeast  = 4.0  // requests that may wait whatever the drain: a start knows none yet
+	limitStart   = 8.0  // attempts that all balancers together may hold at a server of mean size at first
+	limitLeast   = 0.1  // limits add up to what may be out: below one, a server gets its part in turn
+	limitMost    = 1e4  // keeps the figure finite on an idle fleet
+	limitUp      = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	limitFirst   = 1.10 // the same before a server's first late answer: the start is a guess
+	limitDown    = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
+	worthlessCut = 0.95 // the same besides, where a late answer earns nothing
+	failCut      = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
+	earlyShare   = 0.75 // of the aim: later answers warn of a crowd while there is time to act
+	crowdedBase  = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
+	queueShare   = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
+	queueLeast   = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
 	keepService = 0.98 // of taken and served, kept each second: a judgement over most of a minute
 
@@ -542,7 +543,11 @@
 		if (gaveUp || o.Result == Full) && a.sentAt > s.cutAt { // once for what was sent before the last cut
 			s.limit, s.cutAt = min(s.limit, float64(len(s.held)+1))*failCut, now
 		}
-		s.limit = max(limitLeast, s.limit*limitDown)
+		down := limitDown
+		if c.LateShare == 0 {
+			down *= worthlessCut
+		}
+		s.limit = max(limitLeast, s.limit*down)
 		s.cutAt = max(s.cutAt, 1)
 	}
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -624,3 +624,17 @@
 	w.list(false, again)
 	near(t, "limit of a new process", w.b.known["s1"].limit, 4, 1e-9)
 }
+
+// Where a late answer earns nothing, a late one lowers a limit further: by hand 0.92*0.95 of 4, else 0.92 of 4.
+func TestWorthlessLateAnswersCutDeeper(t *testing.T) {
+	for share, want := range map[float64]float64{0: 4 * 0.92 * 0.95, 0.3: 4 * 0.92} {
+		set := testSettings()
+		set.Classes[0].LateShare = share
+		w := newWorld(t, set, fleet(1)...)
+		r := w.request("a", 0, 2*second)
+		w.pending[0].expires = r.deadline
+		w.advance(350_000)
+		w.settle(r.tries[0], Served)
+		near(t, fmt.Sprint("limit with late share ", share), w.b.servers[0].limit, want, 1e-9)
+	}
+}
