--- a/decide/decide.go
+++ b/decide/decide.go
@@ -214,17 +214,17 @@
 	if b.warmth(now, s) < 1 {
 		s.sends = append(s.sends, now)
 	}
-	b.act.Send(r.ID, s.ID, b.timeout(now, r, s))
+	b.act.Send(r.ID, s.ID, b.timeout(now, r))
 }
 
 // timeout is how long an attempt may take: a multiple of the latency mark while a next try could still be
 // answered within the aim, else all the time that is left. Guards against time-outs that feed a jam: late
-// work goes on at many servers, and its retry only adds to it. A trial at a suspended server is cut short.
-func (b *Balancer) timeout(now int64, r *request, s *server) int64 {
+// work goes on at many servers, and its retry only adds to it.
+func (b *Balancer) timeout(now int64, r *request) int64 {
 	left := r.deadline - now
 	t := max(int64(timeoutMark*r.class.mark), minTimeout)
 	last := len(r.tries) >= b.set.Limits.MaxAttempts || r.class.Stream || r.class.Semantics == AtMostOnce
-	if last || t >= left || !s.suspended && now-r.taken+t+int64(r.class.half) > r.class.Aim {
+	if last || t >= left || now-r.taken+t+int64(r.class.half) > r.class.Aim {
 		return left
 	}
 	return t
