Clean-up: attempts out are a count again, sums leave loops, one traffic loop in the tests

The list of held attempts was dead weight since the silence scan went: only its length was used. The bound in all is summed once for a waiting request, not once a server. The fading of counts and the rise of the uncrowded mark sit together, no longer inside the values of classes. A new server takes the same path as a new process and is no longer listed twice for its start limit. One thing is stricter: a CREATE needs an ABOUT in its own batch, like every other event; before, any earlier batch would do.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	redraws    = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
 	warmBoost  = 300  // times its weight, for a key's home: most draws land there unless it is crowded
 
-	markShare   = 0.95   // of the answers come before the latency mark: time-outs and silence stand on it
+	markShare   = 0.95   // of the answers come before the latency mark: time-outs stand on it
 	markStep    = 0.2    // log step of the mark for an answer past it: trouble shows in a few answers
 	halfStep    = 0.04   // of the median
 	calmShare   = 0.9    // of the answers come before the calm mark, whose lowest value is kept as uncrowded
@@ -120,6 +120,27 @@
 	b.try(now, r, len(b.queue) > 0)
 }
 
+// valueClasses sets what an answer of each class adds to the goal, for the time it takes. Where the goal
+// weighs the worst served class, that class earns its part besides its worth; else it would get nothing.
+func (b *Balancer) valueClasses() {
+	worth, taken, worst := 1e-9, 1e-9, &b.classes[0]
+	for i := range b.classes {
+		c := &b.classes[i]
+		worth, taken = worth+c.Worth*c.taken, taken+c.taken
+		if c.served*worst.taken < worst.served*c.taken {
+			worst = c
+		}
+	}
+	for i := range b.classes {
+		c := &b.classes[i]
+		c.value = (b.set.Goal.Whole + b.set.Goal.WorstWindow) * c.Worth * taken / worth
+		if c == worst {
+			c.value += b.set.Goal.WorstClass * taken / max(c.taken, 1)
+		}
+		c.value /= c.half
+	}
+}
+
 // overShare tells whether a request counts as over its tenant's share: that part of them, drawn at random, by
 // which the tenant's part of the traffic seen here is more than its part of the allowances.
 func (b *Balancer) overShare(tenant int) bool {
@@ -166,8 +187,9 @@
 
 // roomMayCome tells whether r lacks only room: at a server it could use, or in all.
 func (b *Balancer) roomMayCome(now int64, r *request) bool {
+	full := b.full()
 	for _, s := range b.servers {
-		if s.Phase == InService && r.mayRepeat(now, s) && (len(s.held) > 0 || b.full()) {
+		if s.Phase == InService && r.mayRepeat(now, s) && (full || s.inFlight > 0) {
 			return true
 		}
 	}
@@ -207,7 +229,7 @@
 // send starts one attempt.
 func (b *Balancer) send(now int64, r *request, s *server, p float64) {
 	r.tries = append(r.tries, attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p})
-	s.held = append(s.held, held{r, len(r.tries) - 1})
+	s.inFlight++
 	r.out++
 	b.out++
 	b.tally.tries++
@@ -238,7 +260,7 @@
 	}
 	a := &r.tries[o.Attempt]
 	a.done, a.neverRan = true, o.Result.NeverRan()
-	a.server.release(held{r, o.Attempt})
+	a.server.inFlight--
 	r.out--
 	b.out--
 	b.observe(now, r, a, o)
@@ -378,7 +400,7 @@
 		if s == home {
 			bound = 1 + 2*bound // the design's bound: a home may hold more
 		}
-		if n == redraws || float64(len(s.held)) <= bound {
+		if n == redraws || float64(s.inFlight) <= bound {
 			return s, p
 		}
 		if n == 0 {
@@ -405,10 +427,10 @@
 
 // eligible tells whether s may be sent anything now.
 func (b *Balancer) eligible(now int64, s *server) bool {
-	if s.Phase != InService || float64(len(s.held)) >= s.limit {
+	if s.Phase != InService || float64(s.inFlight) >= s.limit {
 		return false
 	}
-	if s.suspended && (now < s.until || len(s.held) > 0) {
+	if s.suspended && (now < s.until || s.inFlight > 0) {
 		return false
 	}
 	return b.allowance(now, s)
@@ -532,7 +554,7 @@
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case o.Result != Served && o.Result != TimedOut && o.Result != Full:
-	case early && float64(len(s.held)+2) > s.limit:
+	case early && float64(s.inFlight+2) > s.limit:
 		up := limitUp
 		if s.cutAt == 0 {
 			up = limitFirst
@@ -541,7 +563,7 @@
 	case early:
 	default:
 		if (gaveUp || o.Result == Full) && a.sentAt > s.cutAt { // once for what was sent before the last cut
-			s.limit, s.cutAt = min(s.limit, float64(len(s.held)+1))*failCut, now
+			s.limit, s.cutAt = min(s.limit, float64(s.inFlight+1))*failCut, now
 		}
 		down := limitDown
 		if c.LateShare == 0 {
@@ -552,37 +574,14 @@
 	}
 }
 
-// valueClasses sets what an answer of each class adds to the goal, for the time it takes. Where the goal
-// weighs the worst served class, that class earns its part besides its worth; else it would get nothing.
-func (b *Balancer) valueClasses() {
-	worth, taken, worst := 1e-9, 1e-9, &b.classes[0]
-	for i := range b.classes {
-		c := &b.classes[i]
-		c.taken, c.served = c.taken*keepService, c.served*keepService
-		c.base *= baseRise
-		worth, taken = worth+c.Worth*c.taken, taken+c.taken
-		if c.served*worst.taken < worst.served*c.taken {
-			worst = c
-		}
-	}
-	for i := range b.classes {
-		c := &b.classes[i]
-		c.value = (b.set.Goal.Whole + b.set.Goal.WorstWindow) * c.Worth * taken / worth
-		if c == worst {
-			c.value += b.set.Goal.WorstClass * taken / max(c.taken, 1)
-		}
-		c.value /= c.half
-	}
-}
+// early is the latency past which an answer tells of a crowd.
+func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
 
 // startLimit allows what is this balancer's part of a guess for all: what came before tells nothing.
 func (b *Balancer) startLimit(s *server) {
 	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/float64(max(1, b.set.Balancers))), 0
 }
 
-// early is the latency past which an answer tells of a crowd.
-func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
-
 // full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
 // that each keep one attempt at every server and fill the fleet together.
 func (b *Balancer) full() bool {
@@ -624,7 +623,7 @@
 	pause := min(suspendFirst*math.Exp2(float64(s.trips)), suspendMost) * (0.75 + b.rng.Float64()/2)
 	s.suspended, s.until = true, now+int64(pause)
 	if s.trips++; s.trips == 1 {
-		b.act.Log(fmt.Sprintf("suspend server=%s cause=%s held=%d", s.ID, last, len(s.held)))
+		b.act.Log(fmt.Sprintf("suspend server=%s cause=%s held=%d", s.ID, last, s.inFlight))
 	}
 }
 
@@ -706,10 +705,8 @@
 func (b *Balancer) everySecond(now int64) {
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
+	b.forgetService()
 	b.valueClasses()
-	for i := range b.tenants {
-		b.tenants[i] *= keepService
-	}
 	mean, answered, size := b.meanLog(), 0, 0.0
 	keep := max(keepLog, math.Pow(keepAnswer, float64(b.answers)/float64(max(1, len(b.servers)))))
 	for _, s := range b.servers {
@@ -739,15 +736,14 @@
 		if !(in.Size > 0) || !b.set.SizesListed {
 			in.Size = 1
 		}
-		s := b.known[in.ID]
-		if s == nil {
+		s, met := b.known[in.ID]
+		if !met {
 			s = &server{hash: hash(in.ID), lastServed: now} // not yet silent: it was not asked
 			s.setLog(mean)
 			b.known[in.ID] = s
-			fresh = append(fresh, s)
 		}
-		if in.UpSince > s.UpSince { // a new process: cold, and none of the old one's failures are its own
-			s.coldSince, s.suspended, s.trips, s.bad = in.UpSince, false, 0, 0
+		if !met || in.UpSince > s.UpSince { // a new process: cold, and no failure of the old one counts
+			s.coldSince, s.suspended, s.trips, s.bad = max(in.UpSince, 0), false, 0, 0
 			fresh = append(fresh, s)
 		}
 		s.Server, s.listed = in, in.Size
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -134,7 +134,7 @@
 func TestACrowdedServerIsDrawnAgain(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(2)...)
 	for range 3 {
-		w.b.servers[0].held = append(w.b.servers[0].held, held{})
+		w.b.servers[0].inFlight++
 		w.b.out++
 	}
 	away := 0
@@ -283,18 +283,13 @@
 func TestADeadServerIsNoBlackHole(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(4)...)
 	dead := 0
-	for i := range 500 {
-		w.request(fmt.Sprint("r", i), 0, 2*second)
-		w.advance(10_000)
-		for _, f := range slices.Clone(w.pending) {
-			if f.server.ID == "s0" {
-				dead++
-				w.settle(f, ConnectFailed)
-			} else if w.now-f.sent >= 100_000 {
-				w.settle(f, Served)
-			}
+	w.traffic(500, func(f *flight) (Result, bool) {
+		if f.server.ID == "s0" {
+			dead++
+			return ConnectFailed, true
 		}
-	}
+		return Served, w.now-f.sent >= 100_000
+	})
 	if dead > 20 {
 		t.Errorf("%d of 500 requests met the dead server, want 20 or fewer", dead)
 	}
@@ -304,18 +299,10 @@
 func TestAHungServerIsSuspendedAndComesBack(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(4)...)
 	hung := true
-	step := func(i int) {
-		w.request(fmt.Sprint("r", i), 0, 2*second)
-		w.advance(10_000)
-		for _, f := range slices.Clone(w.pending) {
-			if w.now-f.sent >= 200_000 && (f.server.ID != "s0" || !hung) {
-				w.settle(f, Served)
-			}
-		}
-	}
-	for i := range 300 {
-		step(i)
+	answer := func(f *flight) (Result, bool) {
+		return Served, w.now-f.sent >= 200_000 && (f.server.ID != "s0" || !hung)
 	}
+	w.traffic(300, answer)
 	if w.count("log suspend") == 0 {
 		t.Error("the server answers nothing and was not suspended")
 	}
@@ -323,9 +310,7 @@
 	for _, f := range slices.Clone(w.pending) {
 		w.settle(f, Reset)
 	}
-	for i := 300; i < 2000; i++ {
-		step(i)
-	}
+	w.traffic(1700, answer)
 	if w.count("log return") == 0 || w.b.known["s0"].suspended {
 		t.Error("the server answers again but was not brought back")
 	}
@@ -337,13 +322,7 @@
 // When nearly all look ill the cause is shared: a quarter of the servers stays in the draw.
 func TestASharedCauseSuspendsNotAll(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(8)...)
-	for i := range 200 {
-		w.request(fmt.Sprint("r", i), 0, second)
-		w.advance(10_000)
-		for _, f := range slices.Clone(w.pending) {
-			w.settle(f, Errored)
-		}
-	}
+	w.traffic(200, func(*flight) (Result, bool) { return Errored, true })
 	well := 0
 	for _, s := range w.b.servers {
 		if !s.suspended {
@@ -516,18 +495,13 @@
 func TestALostZoneIsSuspendedWhole(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(10)...)
 	refused := 0
-	for i := range 600 {
-		w.request(fmt.Sprint("r", i), 0, 2*second)
-		w.advance(10_000)
-		for _, f := range slices.Clone(w.pending) {
-			if f.server.ID != "s0" {
-				refused++
-				w.settle(f, ConnectFailed)
-			} else if w.now-f.sent >= 20_000 {
-				w.settle(f, Served)
-			}
+	w.traffic(600, func(f *flight) (Result, bool) {
+		if f.server.ID != "s0" {
+			refused++
+			return ConnectFailed, true
 		}
-	}
+		return Served, w.now-f.sent >= 20_000
+	})
 	if refused > 120 {
 		t.Errorf("%d refused connections at nine dead servers in 6 s, want 120 or fewer", refused)
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 )
 
 const (
@@ -48,9 +47,9 @@
 	hash       uint64  // of its ID
 	log        float64 // EXP3's log-weight
 	weight     float64 // exp(log)
-	held       []held  // own attempts out, oldest first
+	inFlight   int     // own attempts out
 	limit      float64 // own attempts it may hold
-	cutAt      int64   // when the limit was last cut
+	cutAt      int64   // when the limit was last cut; 0 before its first late answer
 	bad        int     // failures in a row
 	trips      int     // suspensions in a row
 	suspended  bool    // out of the draw until the time below, then on trial: one attempt at a time
@@ -61,12 +60,6 @@
 	answered   int     // own answers this second
 }
 
-// held names an attempt that is out.
-type held struct {
-	r *request
-	n int
-}
-
 // classState is a class with the latencies seen of it, in µs.
 type classState struct {
 	Class
@@ -103,12 +96,6 @@
 	neverRan bool
 }
 
-func (s *server) release(h held) {
-	if i := slices.Index(s.held, h); i >= 0 {
-		s.held = slices.Delete(s.held, i, i+1)
-	}
-}
-
 // setLog keeps the weight beside its logarithm.
 func (s *server) setLog(l float64) {
 	s.log = min(max(l, -logMost), logMost)
@@ -123,6 +110,17 @@
 	return max(1, mark*math.Exp(-size*(1-share)))
 }
 
+// forgetService lets old counts of requests fade, and the uncrowded mark rise.
+func (b *Balancer) forgetService() {
+	for i := range b.classes {
+		c := &b.classes[i]
+		c.taken, c.served, c.base = c.taken*keepService, c.served*keepService, c.base*baseRise
+	}
+	for i := range b.tenants {
+		b.tenants[i] *= keepService
+	}
+}
+
 // hash is FNV-1a; mix spreads it over all bits.
 func hash(text string) uint64 {
 	h := uint64(14695981039346656037)
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -24,6 +24,7 @@
 	best    int     // answers in the best second
 	acts    []string
 	failed  bool
+	sent    int // requests of traffic
 }
 
 type booked struct {
@@ -94,6 +95,20 @@
 	return r
 }
 
+// traffic sends n requests of the first class 10 ms apart and ends the flights that answer gives a result.
+func (w *world) traffic(n int, answer func(f *flight) (Result, bool)) {
+	for range n {
+		w.sent++
+		w.request(fmt.Sprint("r", w.sent), 0, 2*second)
+		w.advance(10_000)
+		for _, f := range slices.Clone(w.pending) {
+			if result, ok := answer(f); ok {
+				w.settle(f, result)
+			}
+		}
+	}
+}
+
 // settle ends a flight; a served one closes its request.
 func (w *world) settle(f *flight, result Result) {
 	if f.over {
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -21,7 +21,7 @@
 	out       writer
 	instances map[int64]*instance
 	about     *instance
-	aboutID   int64
+	aboutID   int64 // -1 until ABOUT names an instance in the batch
 	slots     [16][]decide.Server
 	filled    [16]bool
 	servers   map[string]string // addresses met, so that each is allocated once
@@ -75,7 +75,7 @@
 	if now < h.now {
 		return fmt.Errorf("ROUND: clock went back from %d to %d", h.now, now)
 	}
-	h.now, h.about, h.out.on = now, nil, -1
+	h.now, h.about, h.aboutID, h.out.on = now, nil, -1, -1
 	for {
 		line, err := h.next()
 		if err == io.EOF {
@@ -146,8 +146,6 @@
 	w   *bufio.Writer
 	buf []byte
 	on  int64
-
-	named bool // an ABOUT has named an instance
 }
 
 func (w *writer) done() error {
--- a/internal/drill/parse.go
+++ b/internal/drill/parse.go
@@ -59,7 +59,6 @@
 			return fmt.Errorf("ABOUT: expected an instance's number, got %q", clip(rest))
 		}
 		h.aboutID, h.about = id, h.instances[id]
-		h.out.named = true
 		return nil
 	case "SNAPSHOT_ROWS":
 		return wrap("SNAPSHOT_ROWS", h.rows(rest))
@@ -158,7 +157,7 @@
 
 // create starts an instance; one of that number that still runs is replaced.
 func (h *host) create(rest []byte) error {
-	if !h.out.named {
+	if h.aboutID < 0 {
 		return errors.New("no instance named by ABOUT")
 	}
 	f := h.split(rest, 2)
