Rule 4 by credit: a quiet balancer's part of a cold server is a part of one send

Change: credit builds up with the warm-up's part of own answers, from a random part of one send. Test: 1, 10 and 1,000 balancers, even and skewed, fails without the mend.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -233,9 +233,7 @@
 	r.out++
 	b.out++
 	b.tally.tries++
-	if b.warmth(now, s) < 1 {
-		s.sends = append(s.sends, now)
-	}
+	s.credit--
 	b.act.Send(r.ID, s.ID, b.timeout(now, r))
 }
 
@@ -630,7 +628,7 @@
 func (b *Balancer) bringBack(now int64, s *server) {
 	quiet := now - s.lastServed
 	if quiet >= silentIsCold { // it may have started anew, which the list tells seconds late
-		s.coldSince = max(s.coldSince, now)
+		b.chill(now, s, now)
 		b.startLimit(s)
 	}
 	b.act.Log(fmt.Sprintf("return server=%s quiet_ms=%d trials=%d", s.ID, quiet/1000, s.trips))
@@ -671,20 +669,23 @@
 	return from + (1-from)*float64(max(age, 0))/float64(b.set.Rules.ColdFor)
 }
 
-// allowance keeps rule 4 alone: within any window of the rule a cold server gets no more than its
-// warm-up's part of the answers that this balancer gets from a warm server of its size, or one send.
-// Answers, not sends: in a jam a warm server is sent far more than it can do, and a cold one that got
-// its part of that fell over.
+// allowance keeps rule 4 alone: a cold server gets its warm-up's part of the answers that this balancer gets
+// from a warm one of its size, as a credit that builds up from a random part of one send. Guards against
+// hundreds of quiet balancers that each took one send a window for harmless and together pushed servers over.
+// Answers, not sends: in a jam a warm server is sent far more than it can do.
 func (b *Balancer) allowance(now int64, s *server) bool {
 	w := b.warmth(now, s)
 	if w >= 1 {
 		return true
 	}
-	// Sends are never forgotten early: a list that tells of one start twice would grant the budget twice.
-	for len(s.sends) > 0 && now-s.sends[0] >= b.set.Rules.FallFor {
-		s.sends = s.sends[1:]
-	}
-	return float64(len(s.sends)) < max(1, w*b.perSize*s.Size*float64(b.set.Rules.FallFor))
+	s.credit = min(s.credit+w*b.perSize*s.Size*float64(now-s.creditAt), 1)
+	s.creditAt = now
+	return s.credit >= 1
+}
+
+// chill makes s cold since a time. Another word of the same start grants no credit anew.
+func (b *Balancer) chill(now int64, s *server, since int64) {
+	s.coldSince, s.credit, s.creditAt = since, b.rng.Float64(), now
 }
 
 // ---- Time and the list of servers
@@ -743,7 +744,8 @@
 			b.known[in.ID] = s
 		}
 		if !met || in.UpSince > s.UpSince { // a new process: cold, and no failure of the old one counts
-			s.coldSince, s.suspended, s.trips, s.bad = max(in.UpSince, 0), false, 0, 0
+			s.suspended, s.trips, s.bad = false, 0, 0
+			b.chill(now, s, max(in.UpSince, 0))
 			fresh = append(fresh, s)
 		}
 		s.Server, s.listed = in, in.Size
--- /dev/null
+++ b/decide/fleet_test.go
@@ -0,0 +1,153 @@
+package decide
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// crowd hosts many balancers before one fleet that answers everything after the same time. It is no model of
+// servers: it counts what all balancers together send to each.
+type crowd struct {
+	now      int64
+	bs       []*Balancer
+	weights  []float64 // of each balancer's part of the traffic
+	sum      float64
+	rng      *rand.Rand
+	due      []crowdSend
+	sent     int
+	requests int
+	onSend   func(server string) // told of each send
+}
+
+type crowdSend struct {
+	from    *Balancer
+	request string
+	attempt int
+	server  string
+	at      int64
+}
+
+// mouth is one balancer's Actions.
+type mouth struct {
+	c *crowd
+	b *Balancer
+	n map[string]int
+}
+
+func (m *mouth) Send(request, server string, timeout int64) {
+	m.c.due = append(m.c.due, crowdSend{m.b, request, m.n[request], server, m.c.now})
+	m.n[request]++
+	m.c.sent++
+	if m.c.onSend != nil {
+		m.c.onSend(server)
+	}
+}
+func (m *mouth) Cancel(string, int)   {}
+func (m *mouth) Refuse(string, int64) {}
+func (m *mouth) Fail(string)          {}
+func (m *mouth) Probe(string)         {}
+func (m *mouth) Watch(bool)           {}
+func (m *mouth) Wake(int64, int64)    {}
+func (m *mouth) Log(string)           {}
+
+// newCrowd makes n balancers; skew 0 spreads traffic evenly, more gives the first ones most of it.
+func newCrowd(n int, set Settings, skew float64, servers []Server) *crowd {
+	c := &crowd{now: 1000 * second, rng: rand.New(rand.NewPCG(3, 3))}
+	for i := range n {
+		set.Me, set.Balancers = i, n
+		m := &mouth{c: c, n: map[string]int{}}
+		m.b = New(set, uint64(i+1), m)
+		m.b.Begin(c.now)
+		m.b.Listed(c.now, servers, true)
+		c.bs = append(c.bs, m.b)
+		w := 1.0
+		if skew > 0 {
+			w = 1 / (skew*float64(i) + 1)
+		}
+		c.weights = append(c.weights, w)
+		c.sum += w
+	}
+	return c
+}
+
+// run plays traffic of so many requests a second; each attempt is answered after 60 ms.
+func (c *crowd) run(seconds, perSecond int) {
+	const tick = 5000
+	for end := c.now + int64(seconds)*second; c.now < end; {
+		c.now += tick
+		var later []crowdSend
+		ready := c.due
+		c.due = nil
+		for _, d := range ready {
+			if c.now-d.at < 60_000 {
+				later = append(later, d)
+				continue
+			}
+			d.from.Outcome(c.now, Outcome{Request: d.request, Attempt: d.attempt, Server: d.server, Result: Served,
+				Latency: c.now - d.at, Closed: true})
+		}
+		c.due = append(later, c.due...)
+		if c.now%second == 0 {
+			for _, b := range c.bs {
+				b.Timer(c.now, tokenSecond)
+			}
+		}
+		for range perSecond * tick / int(second) {
+			x, i := c.rng.Float64()*c.sum, 0
+			for i < len(c.bs)-1 && x >= c.weights[i] {
+				x -= c.weights[i]
+				i++
+			}
+			c.requests++
+			c.bs[i].Request(c.now, Request{ID: fmt.Sprint("r", c.requests), Tenant: -1, Left: 2 * second})
+		}
+	}
+}
+
+// The failure: each of hundreds of quiet balancers granted a cold server one send a window, and together they
+// pushed it over. However many balancers share the traffic and however unevenly, what all of them send to one that
+// has just started stays, in any window of the rule, under the stated multiple of its warm-up's part of what a
+// warm server gets.
+func TestColdBudgetOfManyBalancersTogether(t *testing.T) {
+	for _, n := range []int{1, 10, 1000} {
+		for _, skew := range []float64{0, 0.3} {
+			t.Run(fmt.Sprint(n, " balancers, skew ", skew), func(t *testing.T) {
+				set := testSettings()
+				set.Rules.OverloadFactor = 2
+				const servers, perSecond = 20, 800
+				c := newCrowd(n, set, skew, fleet(servers))
+				c.run(6, perSecond)
+				cold := Server{ID: "cold", Size: 1, Zone: "z0", UpSince: c.now}
+				var times []int64
+				c.onSend = func(id string) {
+					if id == "cold" {
+						times = append(times, c.now)
+					}
+				}
+				for _, b := range c.bs {
+					b.Listed(c.now, []Server{cold}, false)
+				}
+				c.run(8, perSecond)
+				window := set.Rules.FallFor
+				for i, at := range times {
+					in := 0
+					for _, other := range times[i:] {
+						if other-at < window {
+							in++
+						}
+					}
+					part := set.Rules.ColdFrom + (1-set.Rules.ColdFrom)*float64(at-cold.UpSince)/float64(set.Rules.ColdFor)
+					budget := set.Rules.OverloadFactor * part * perSecond / servers * float64(window) / float64(second)
+					if float64(in) > budget {
+						t.Fatalf("%d sends within a window from %.2f s after the start, budget %.1f", in,
+							float64(at-cold.UpSince)/1e6, budget)
+					}
+				}
+				if len(times) == 0 {
+					t.Error("the cold server got nothing at all")
+				}
+			})
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -56,8 +56,9 @@
 	until      int64
 	lastServed int64
 	coldSince  int64   // start of its latest warm-up; 0: warm
-	sends      []int64 // while cold: times of own sends within the rule's window
-	answered   int     // own answers this second
+	credit     float64 // while cold: sends that it may get, as of the time below
+	creditAt   int64
+	answered   int // own answers this second
 }
 
 // classState is a class with the latencies seen of it, in µs.
