Arms: each balancer draws from a stable part of the list, as large as its traffic can learn

Cause: with hundreds of servers a sidecar of a few requests a second meets each once a minute. Limits, health and weights then rest on nothing, limits' least figures add up to floods, and session servers run out of connections. Change: arms are the first in service of the balancer's own rendezvous order: 3 at least, one for each 8 requests a second, and as many that each server is an arm of 8 balancers; ill ones are made up for. Small fleets keep all.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,6 +8,7 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -23,6 +24,11 @@
 	redraws    = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
 	warmBoost  = 300  // times its weight, for a key's home: most draws land there unless it is crowded
 
+	armsLeast = 3   // servers that a balancer draws from at the least: enough to spread losses and retries
+	armEach   = 8.0 // requests a second that an arm wants, as evidence: more traffic, more arms
+	armsCover = 8.0 // balancers that have a server as an arm, on average: fewer leave servers unused
+	armsMost  = 3   // times the arms wanted, with ill ones: past that the cause is shared
+
 	markShare   = 0.95   // of the answers come before the latency mark: time-outs stand on it
 	markStep    = 0.2    // log step of the mark for an answer past it: trouble shows in a few answers
 	halfStep    = 0.04   // of the median
@@ -74,7 +80,7 @@
 		set.Limits.MaxAttempts = triesMost
 	}
 	b := &Balancer{
-		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst,
+		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
 	}
 	for _, c := range set.Classes {
@@ -116,6 +122,7 @@
 		r.value *= b.set.OverShareWorth
 	}
 	r.class.taken++
+	b.taken++
 	b.open[in.ID] = r
 	b.try(now, r, len(b.queue) > 0)
 }
@@ -188,8 +195,8 @@
 // roomMayCome tells whether r lacks only room: at a server it could use, or in all.
 func (b *Balancer) roomMayCome(now int64, r *request) bool {
 	full := b.full()
-	for _, s := range b.servers {
-		if s.Phase == InService && r.mayRepeat(now, s) && (full || s.inFlight > 0) {
+	for _, s := range b.arms {
+		if r.mayRepeat(now, s) && (full || s.inFlight > 0) {
 			return true
 		}
 	}
@@ -380,18 +387,15 @@
 
 // draw picks a server for r by EXP3 and returns it with its probability, or nil when none has room.
 func (b *Balancer) draw(now int64, r *request) (*server, float64) {
-	if b.full() || !b.candidates(now, r) {
+	home := b.home(r.Key)
+	if b.full() || !b.candidates(now, r, home) {
 		return nil, 0
 	}
-	home := b.home(r.Key)
 	sum, size := 0.0, 0.0
 	for _, s := range b.cand {
 		sum, size = sum+s.armWeight(home), size+s.Size
 	}
 	b.tally.draws++
-	if len(b.cand) == 1 {
-		b.tally.only++
-	}
 	for n, crowd := 0, b.crowd(); ; n++ {
 		s, p := b.pick(sum, size, home)
 		bound := crowd * s.Size
@@ -408,14 +412,17 @@
 }
 
 // candidates gathers the servers that an attempt of r may go to: without replacement while others remain.
-func (b *Balancer) candidates(now int64, r *request) bool {
+func (b *Balancer) candidates(now int64, r *request, home *server) bool {
 	for _, again := range []bool{false, true} {
 		b.cand = b.cand[:0]
-		for _, s := range b.servers {
-			if b.eligible(now, s) && r.mayRepeat(now, s) && r.tried(s) == again {
+		for _, s := range b.arms {
+			if s != home && b.eligible(now, s) && r.mayRepeat(now, s) && r.tried(s) == again {
 				b.cand = append(b.cand, s)
 			}
 		}
+		if home != nil && b.eligible(now, home) && r.mayRepeat(now, home) && r.tried(home) == again {
+			b.cand = append(b.cand, home)
+		}
 		if len(b.cand) > 0 {
 			return true
 		}
@@ -466,7 +473,7 @@
 // Own attempts that pile up show a paused or slow server before its first answer does.
 func (b *Balancer) crowd() float64 {
 	size := 0.0
-	for _, s := range b.servers {
+	for _, s := range b.arms {
 		size += s.Size
 	}
 	return float64(b.out) / size
@@ -491,6 +498,30 @@
 	return best
 }
 
+// armsWanted is how many servers this balancer's own traffic can learn of, within those limits.
+func (b *Balancer) armsWanted() int {
+	cover := armsCover * float64(len(b.servers)) / float64(max(1, b.set.Balancers))
+	return int(min(max(armsLeast, b.rate/armEach, cover), float64(len(b.servers))))
+}
+
+// takeArms makes the arms the first in service of this balancer's own order (rendezvous hashing with its seed).
+// Ill ones stay for their trials and are not counted; a cold one counts for its part. Guards against quiet
+// balancers of a large fleet that meet each server once a minute, learn nothing and keep connections to all.
+func (b *Balancer) takeArms(now int64) {
+	want := float64(b.armsWanted())
+	well, most := 0.0, armsMost*b.armsWanted()
+	b.arms = b.arms[:0]
+	for _, s := range b.servers {
+		s.arm = s.Phase == InService && well < want && len(b.arms) < most
+		if s.arm {
+			b.arms = append(b.arms, s)
+			if !s.suspended {
+				well += b.warmth(now, s)
+			}
+		}
+	}
+}
+
 // observe takes in all that an outcome tells, but for a cancelled or unsent attempt, which tells nothing.
 func (b *Balancer) observe(now int64, r *request, a *attempt, o Outcome) {
 	if o.Result == Cancelled || o.Result == Moot {
@@ -514,7 +545,7 @@
 
 // learn is EXP3's update of the drawn server: w*exp(gamma*r/(p*M)).
 func (b *Balancer) learn(a *attempt, payoff float64) {
-	a.server.setLog(a.server.log + gamma*payoff/(a.p*float64(max(1, len(b.servers)))))
+	a.server.setLog(a.server.log + gamma*payoff/(a.p*float64(max(1, len(b.arms)))))
 }
 
 // payoff is 1 for an answer within the aim, falls with the latency after it, and is 0 for a failure.
@@ -525,14 +556,6 @@
 	return min(1, float64(c.Aim)/float64(max(1, o.Latency)))
 }
 
-// meanLog is the mean log-weight, where a new server starts.
-func (b *Balancer) meanLog() (mean float64) {
-	for _, s := range b.servers {
-		mean += s.log / float64(len(b.servers))
-	}
-	return mean
-}
-
 // sample moves the latency marks; a time-out counts as an answer at least that late.
 func (c *classState) sample(latency float64) {
 	c.mark = step(c.mark, latency, markShare, markStep)
@@ -577,17 +600,16 @@
 
 // startLimit allows what is this balancer's part of a guess for all: what came before tells nothing.
 func (b *Balancer) startLimit(s *server) {
-	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/float64(max(1, b.set.Balancers))), 0
+	sharers := float64(b.set.Balancers*b.armsWanted()) / float64(max(1, len(b.servers)))
+	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/max(1, sharers)), 0
 }
 
 // full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
 // that each keep one attempt at every server and fill the fleet together.
 func (b *Balancer) full() bool {
 	sum := 0.0
-	for _, s := range b.servers {
-		if s.Phase == InService {
-			sum += s.limit
-		}
+	for _, s := range b.arms {
+		sum += s.limit
 	}
 	return float64(b.out) >= max(1, sum)
 }
@@ -620,6 +642,7 @@
 	}
 	pause := min(suspendFirst*math.Exp2(float64(s.trips)), suspendMost) * (0.75 + b.rng.Float64()/2)
 	s.suspended, s.until = true, now+int64(pause)
+	b.takeArms(now)
 	if s.trips++; s.trips == 1 {
 		b.act.Log(fmt.Sprintf("suspend server=%s cause=%s held=%d", s.ID, last, s.inFlight))
 	}
@@ -633,16 +656,14 @@
 	}
 	b.act.Log(fmt.Sprintf("return server=%s quiet_ms=%d trials=%d", s.ID, quiet/1000, s.trips))
 	s.suspended, s.trips = false, 0
+	b.takeArms(now)
 }
 
 // maySuspend keeps enough servers in the draw: when most look ill the cause is shared. It is not while
 // another answers well: a lost zone can be most of a fleet, and a dead server in the draw takes all retries.
 func (b *Balancer) maySuspend(now int64, s *server) bool {
 	well, all := 0, 0
-	for _, o := range b.servers {
-		if o.Phase != InService {
-			continue
-		}
+	for _, o := range b.arms {
 		all++
 		if o != s && !o.suspended {
 			well++
@@ -709,10 +730,13 @@
 	b.forgetService()
 	b.valueClasses()
 	mean, answered, size := b.meanLog(), 0, 0.0
-	keep := max(keepLog, math.Pow(keepAnswer, float64(b.answers)/float64(max(1, len(b.servers)))))
+	keep := max(keepLog, math.Pow(keepAnswer, float64(b.answers)/float64(max(1, len(b.arms)))))
+	b.rate += (float64(b.taken) - b.rate) / 4
+	b.taken = 0
+	b.takeArms(now)
 	for _, s := range b.servers {
 		s.setLog((s.log - mean) * keep)
-		if s.Phase == InService && b.warmth(now, s) >= 1 {
+		if (s.arm || b.set.WarmKeys) && s.Phase == InService && b.warmth(now, s) >= 1 {
 			answered, size = answered+s.answered, size+s.Size
 		}
 		s.answered = 0
@@ -732,46 +756,29 @@
 			s.Phase = Removed
 		}
 	}
-	mean, fresh := b.meanLog(), []*server(nil)
+	var fresh []*server
 	for _, in := range list {
-		if !(in.Size > 0) || !b.set.SizesListed {
-			in.Size = 1
-		}
-		s, met := b.known[in.ID]
-		if !met {
-			s = &server{hash: hash(in.ID), lastServed: now} // not yet silent: it was not asked
-			s.setLog(mean)
-			b.known[in.ID] = s
-		}
-		if !met || in.UpSince > s.UpSince { // a new process: cold, and no failure of the old one counts
+		s := b.meet(now, in)
+		if s.listed == 0 || in.UpSince > s.UpSince { // a new process: cold, and no failure of the old one counts
 			s.suspended, s.trips, s.bad = false, 0, 0
 			b.chill(now, s, max(in.UpSince, 0))
 			fresh = append(fresh, s)
 		}
-		s.Server, s.listed = in, in.Size
-		if in.Phase != Removed && !slices.Contains(b.servers, s) {
-			b.servers = append(b.servers, s)
+		s.list(in, b.set.SizesListed)
+		if in.Phase != Removed && !s.held {
+			s.held, b.servers = true, append(b.servers, s)
 		}
 	}
-	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool { return s.Phase == Removed })
+	b.drop()
+	slices.SortFunc(b.servers, func(a, c *server) int { return cmp.Compare(a.rank, c.rank) })
 	b.scaleSizes()
+	b.takeArms(now)
 	for _, s := range fresh {
 		b.startLimit(s)
 	}
 	b.pump(now)
 }
 
-// scaleSizes makes the mean size one, so that sizes read as shares of a mean server.
-func (b *Balancer) scaleSizes() {
-	sum := 0.0
-	for _, s := range b.servers {
-		sum += s.listed
-	}
-	for _, s := range b.servers {
-		s.Size = s.listed * float64(len(b.servers)) / sum
-	}
-}
-
 // ListFailed asks again, later each time, so that a struggling list is not asked by all at once.
 func (b *Balancer) ListFailed(now int64) {
 	wait := min(askFirst*math.Exp2(float64(b.asks)), askMost)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -17,11 +17,11 @@
 // The design's formula by hand: weights 1, 2, 1 give (1-0.07)*2/4 + 0.07/3 = 0.488333.
 func TestProbabilityOfADraw(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(3)...)
-	w.b.servers[1].setLog(math.Log(2))
+	w.b.known["s1"].setLog(math.Log(2))
 	want := []float64{0.255833, 0.488333, 0.255833}
 	seen := map[string]float64{}
 	for range 200 {
-		w.b.candidates(w.now, &request{class: &w.b.classes[0]})
+		w.b.candidates(w.now, &request{class: &w.b.classes[0]}, nil)
 		s, p := w.b.pick(4, 3, nil)
 		seen[s.ID] = p
 	}
@@ -37,7 +37,7 @@
 	list := fleet(3)
 	list[0].Size = 4
 	w := newWorld(t, set, list...)
-	w.b.candidates(w.now, &request{class: &w.b.classes[0]})
+	w.b.candidates(w.now, &request{class: &w.b.classes[0]}, nil)
 	for range 200 {
 		if s, p := w.b.pick(3, 3, nil); s.ID == "s0" {
 			near(t, "p of the big server", p, 4.0/6, 1e-9)
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 )
 
@@ -151,3 +152,46 @@
 		}
 	}
 }
+
+// The failure: quiet balancers of a large fleet met each server once a minute, learned nothing, and kept a
+// connection to each. By hand: 1,000 balancers and 200 servers leave armsLeast arms to each; all arms together are 15
+// a server, so none is without and none has over three times that. With two balancers every server is an arm.
+func TestArmsOfManyBalancers(t *testing.T) {
+	c := newCrowd(1000, testSettings(), 0, fleet(200))
+	held := map[string]int{}
+	for _, b := range c.bs {
+		if len(b.arms) != armsLeast {
+			t.Fatalf("%d arms, want %d", len(b.arms), armsLeast)
+		}
+		for _, s := range b.arms {
+			held[s.ID]++
+		}
+	}
+	for _, s := range fleet(200) {
+		if n := held[s.ID]; n < 1 || n > 45 {
+			t.Errorf("%s is an arm of %d balancers, want 15 or so", s.ID, n)
+		}
+	}
+	if b := newCrowd(2, testSettings(), 0, fleet(12)).bs[0]; len(b.arms) != 12 {
+		t.Errorf("%d arms of 12 servers at two balancers, want all", len(b.arms))
+	}
+}
+
+// An ill arm is made up for by the next of the balancer's own order and comes back to its place; a change of the
+// list far away moves no arm.
+func TestAnIllArmIsMadeUpFor(t *testing.T) {
+	b := newCrowd(1000, testSettings(), 0, fleet(200)).bs[0]
+	now, before := 1000*second, slices.Clone(b.arms)
+	for _, s := range before[1:] {
+		s.answered, s.lastServed = 1, now
+	}
+	b.suspend(now, before[0], TimedOut)
+	if n := len(b.arms); n != len(before)+1 || !slices.Equal(b.arms[:len(before)], before) {
+		t.Errorf("%d arms after one fell ill, want the same and one more", n)
+	}
+	b.bringBack(now, before[0])
+	b.Listed(now, []Server{{ID: b.servers[100].ID, Size: 1, Phase: Removed}}, false)
+	if !slices.Equal(b.arms, before) {
+		t.Error("the arms are not the same after the return and a change elsewhere")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 )
 
 const (
@@ -19,6 +20,10 @@
 	act     Actions
 	rng     *rand.Rand
 	servers []*server // as listed, in a stable order
+	arms    []*server // those that it draws from
+	salt    uint64    // of its order of the servers
+	taken   int       // requests this second
+	rate    float64   // requests a second of late
 	known   map[string]*server
 	classes []classState
 	open    map[string]*request
@@ -36,8 +41,8 @@
 
 // tally counts what the next summary line tells.
 type tally struct {
-	since                                   int64
-	draws, redrawn, only, tries, shed, late int
+	since                             int64
+	draws, redrawn, tries, shed, late int
 }
 
 // server is what this balancer knows of one server.
@@ -45,6 +50,8 @@
 	Server             // Size is scaled to a mean of one
 	listed     float64 // size as listed
 	hash       uint64  // of its ID
+	rank       uint64  // place in this balancer's order
+	arm, held  bool    // drawn from; in the list of servers
 	log        float64 // EXP3's log-weight
 	weight     float64 // exp(log)
 	inFlight   int     // own attempts out
@@ -97,6 +104,53 @@
 	neverRan bool
 }
 
+// meet returns what is known of a listed server; a new one starts at the mean log-weight, not yet silent.
+func (b *Balancer) meet(now int64, in Server) *server {
+	s, met := b.known[in.ID]
+	if !met {
+		s = &server{hash: hash(in.ID), lastServed: now}
+		s.rank = mix(s.hash ^ b.salt)
+		s.setLog(b.meanLog())
+		b.known[in.ID] = s
+	}
+	return s
+}
+
+// list takes over an entry; a size that says nothing counts as one.
+func (s *server) list(in Server, sized bool) {
+	if !sized || !(in.Size > 0) {
+		in.Size = 1
+	}
+	s.Server, s.listed = in, in.Size
+}
+
+// meanLog is the mean log-weight, where a new server starts.
+func (b *Balancer) meanLog() (mean float64) {
+	for _, s := range b.arms {
+		mean += s.log / float64(len(b.arms))
+	}
+	return mean
+}
+
+// scaleSizes makes the mean size one, so that sizes read as shares of a mean server.
+func (b *Balancer) scaleSizes() {
+	sum := 0.0
+	for _, s := range b.servers {
+		sum += s.listed
+	}
+	for _, s := range b.servers {
+		s.Size = s.listed * float64(len(b.servers)) / sum
+	}
+}
+
+// drop forgets the place of servers that left the list.
+func (b *Balancer) drop() {
+	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
+		s.held = s.held && s.Phase != Removed
+		return !s.held
+	})
+}
+
 // setLog keeps the weight beside its logarithm.
 func (s *server) setLog(l float64) {
 	s.log = min(max(l, -logMost), logMost)
@@ -152,8 +206,8 @@
 	}
 	if t.shed > 0 || ill > 0 {
 		b.act.Log(fmt.Sprintf("summary tries=%d shed=%d late=%d out=%d limit=%.1f waiting=%d suspended=%d/%d "+
-			"draws=%d redrawn=%d only=%d", t.tries, t.shed, t.late, b.out, limit, len(b.queue), ill,
-			len(b.servers), t.draws, t.redrawn, t.only))
+			"draws=%d redrawn=%d", t.tries, t.shed, t.late, b.out, limit, len(b.queue), ill,
+			len(b.servers), t.draws, t.redrawn))
 	}
 	*t = tally{since: now}
 }
