--- a/decide/decide.go
+++ b/decide/decide.go
@@ -504,7 +504,7 @@
 	return int(min(max(armsLeast, b.rate/armEach, cover), float64(len(b.servers))))
 }
 
-// takeArms makes the arms the first in service of this balancer's own order (rendezvous hashing with its seed).
+// takeArms makes the arms the first in service of this balancer's own order (rendezvous hashing by its seed).
 // Ill ones stay for their trials and are not counted; a cold one counts for its part. Guards against quiet
 // balancers of a large fleet that meet each server once a minute, learn nothing and keep connections to all.
 func (b *Balancer) takeArms(now int64) {
@@ -759,7 +759,7 @@
 	var fresh []*server
 	for _, in := range list {
 		s := b.meet(now, in)
-		if s.listed == 0 || in.UpSince > s.UpSince { // a new process: cold, and no failure of the old one counts
+		if s.listed == 0 || in.UpSince > s.UpSince { // a new process: cold, and no old failure counts
 			s.suspended, s.trips, s.bad = false, 0, 0
 			b.chill(now, s, max(in.UpSince, 0))
 			fresh = append(fresh, s)
