Limits of homes in use count beside the arms'

Change: what may be out is the sum of the limits of the arms and of the servers that have own attempts or answers of this second: it follows own traffic.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -578,12 +578,10 @@
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case o.Result != Served && o.Result != TimedOut && o.Result != Full:
+	case early && float64(s.inFlight+2) > s.limit && s.cutAt == 0:
+		s.limit *= limitFirst
 	case early && float64(s.inFlight+2) > s.limit:
-		up := limitUp
-		if s.cutAt == 0 {
-			up = limitFirst
-		}
-		s.limit *= up
+		s.limit *= limitUp
 	case early:
 	default:
 		if (gaveUp || o.Result == Full) && a.sentAt > s.cutAt { // once for what was sent before the last cut
@@ -607,12 +605,14 @@
 	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/max(1, sharers)), 0
 }
 
-// full tells whether as much is out as the servers' limits add up to. Guards against many small balancers
-// that each keep one attempt at every server and fill the fleet together.
+// full tells whether as much is out as the limits of arms and of homes in use add up to. Guards against many
+// balancers that each keep one attempt at every server, and against busy ones held to a quiet one's part.
 func (b *Balancer) full() bool {
 	sum := 0.0
-	for _, s := range b.arms {
-		sum += s.limit
+	for _, s := range b.servers {
+		if s.arm || s.answered+s.inFlight > 0 {
+			sum += s.limit
+		}
 	}
 	return float64(b.out) >= max(1, sum)
 }
