--- /dev/null
+++ b/decide/bench_test.go
@@ -0,0 +1,47 @@
+package decide
+
+import (
+	"fmt"
+	"testing"
+)
+
+type silent struct{}
+
+func (silent) Send(string, string, int64) {}
+func (silent) Cancel(string, int)         {}
+func (silent) Refuse(string, int64)       {}
+func (silent) Fail(string)                {}
+func (silent) Probe(string)               {}
+func (silent) Watch(bool)                 {}
+func (silent) Wake(int64, int64)          {}
+func (silent) Log(string)                 {}
+
+// BenchmarkRequest is one request taken and answered at a balancer of 800 before 250 servers, with keys and without.
+func BenchmarkRequest(b *testing.B) {
+	for _, warm := range []bool{false, true} {
+		b.Run(fmt.Sprint("warm keys ", warm), func(b *testing.B) {
+			set := testSettings()
+			set.WarmKeys, set.Balancers = warm, 800
+			bal := New(set, 1, silent{})
+			now := int64(1000 * second)
+			bal.Begin(now)
+			bal.Listed(now, fleet(250), true)
+			ids := make([]string, 1024)
+			for i := range ids {
+				ids[i] = fmt.Sprint("r", i)
+			}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += 100_000
+				id := ids[i%len(ids)]
+				bal.Request(now, Request{ID: id, Tenant: -1, Left: 2 * second, Key: id})
+				if r := bal.open[id]; r != nil && len(r.tries) > 0 {
+					bal.Outcome(now, Outcome{Request: id, Server: r.tries[0].server.ID, Latency: 60_000, Closed: true})
+				}
+				if i%10 == 0 {
+					bal.Timer(now, tokenSecond)
+				}
+			}
+		})
+	}
+}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -229,3 +230,67 @@
 		t.Error("a rare key has two homes")
 	}
 }
+
+// A list that grows from one server to a thousand, repeats entries, shrinks to none and comes back neither panics nor
+// starves: whatever is listed is used, at any size.
+func TestAListOfAnySize(t *testing.T) {
+	set := testSettings()
+	set.Balancers = 500
+	w := newWorld(t, set, fleet(1)...)
+	serve := func(f *flight) (Result, bool) { return Served, w.now-f.sent >= 20_000 }
+	for _, n := range []int{1, 2, 10, 100, 1000, 1, 0, 300} {
+		list := fleet(n)
+		w.list(true, append(list, list...)...)
+		if len(w.b.servers) != n || len(w.b.arms) > max(n, 3*armsLeast) || n > 0 && len(w.b.arms) == 0 {
+			t.Fatalf("%d listed: %d servers kept, %d arms", n, len(w.b.servers), len(w.b.arms))
+		}
+		before := w.count("send")
+		w.traffic(50, serve)
+		if got := w.count("send") - before; n > 0 && got < 20 { // limits start at a part of one send for 500 balancers and grow
+			t.Errorf("%d listed: %d sends for 50 requests", n, got)
+		}
+	}
+}
+
+// A number of balancers that is absent, or wrong by a factor of ten either way, still keeps rule 4 for all together
+// and serves what comes.
+func TestAWrongNumberOfBalancers(t *testing.T) {
+	for _, told := range []int{0, 5, 500} {
+		set := testSettings()
+		const servers, perSecond = 20, 800
+		c := newCrowd(50, set, 0.3, fleet(servers))
+		for _, b := range c.bs {
+			b.set.Balancers = told
+			b.Listed(c.now, fleet(servers), true)
+		}
+		c.run(5, perSecond)
+		if c.sent < 3*perSecond {
+			t.Errorf("told %d: %d attempts for %d requests", told, c.sent, c.requests)
+		}
+		cold := 0
+		c.onSend = func(id string) {
+			if id == "cold" {
+				cold++
+			}
+		}
+		for _, b := range c.bs {
+			b.Listed(c.now, []Server{{ID: "cold", Size: 1, Zone: "z0", UpSince: c.now}}, false)
+		}
+		c.run(2, perSecond)
+		if most := set.Rules.OverloadFactor * set.Rules.ColdFrom * perSecond / servers * 2; float64(cold) > most {
+			t.Errorf("told %d: %d sends to a cold server in its first window, budget %.0f", told, cold, most)
+		}
+	}
+}
+
+// An infinite or absurd listed size counts as one: it would leave all others without a part.
+func TestAnAbsurdSizeCountsAsOne(t *testing.T) {
+	set := testSettings()
+	set.SizesListed = true
+	list := fleet(3)
+	list[0].Size, list[1].Size = math.Inf(1), 1e300
+	w := newWorld(t, set, list...)
+	for _, s := range w.b.servers {
+		near(t, "size of "+s.ID, s.Size, 1, 1e-9)
+	}
+}
--- a/decide/fuzz_test.go
+++ b/decide/fuzz_test.go
@@ -19,6 +19,9 @@
 	size := 1
 	if len(data) > 1 {
 		size = int(data[1] % 9)
+		if data[1] >= 240 { // a large fleet before one of many balancers
+			size, set.Balancers = 100*int(data[1]-238), 500
+		}
 	}
 	w := newWorld(t, set, fleet(size)...)
 	begun := w.now // two minutes of clock are enough for one order, or the search stalls on jumps
@@ -78,6 +81,9 @@
 		for i := range data {
 			data[i] = byte(rng.Uint32())
 		}
+		if seed%6 == 0 {
+			data[1] = byte(240 + seed%16)
+		}
 		f.Add(data)
 	}
 	f.Fuzz(func(t *testing.T, data []byte) {
--- a/decide/state.go
+++ b/decide/state.go
@@ -12,6 +12,7 @@
 const (
 	logMost  = 30.0       // log-weights stay within this of zero: beyond it a sum of floats loses the small ones
 	logEvery = 5 * second // between two summary lines
+	sizeMost = 1e9        // of a listed size: a sum of a fleet of them stays exact enough
 )
 
 // Balancer decides for one sidecar. It knows only what its events told it.
@@ -119,9 +120,9 @@
 	return s
 }
 
-// list takes over an entry; a size that says nothing counts as one.
+// list takes over an entry; a size that says nothing, or is past all measure, counts as one.
 func (s *server) list(in Server, sized bool) {
-	if !sized || !(in.Size > 0) {
+	if !sized || !(in.Size > 0 && in.Size <= sizeMost) {
 		in.Size = 1
 	}
 	s.Server, s.listed = in, in.Size
@@ -205,16 +206,16 @@
 		return
 	}
 	ill, limit := 0, 0.0
-	for _, s := range b.servers {
+	for _, s := range b.arms {
 		limit += s.limit
 		if s.suspended {
 			ill++
 		}
 	}
 	if t.shed > 0 || ill > 0 {
-		b.act.Log(fmt.Sprintf("summary tries=%d shed=%d late=%d out=%d limit=%.1f waiting=%d suspended=%d/%d "+
+		b.act.Log(fmt.Sprintf("summary tries=%d shed=%d late=%d out=%d limit=%.1f waiting=%d suspended=%d/%d listed=%d "+
 			"draws=%d redrawn=%d", t.tries, t.shed, t.late, b.out, limit, len(b.queue), ill,
-			len(b.servers), t.draws, t.redrawn))
+			len(b.arms), len(b.servers), t.draws, t.redrawn))
 	}
 	*t = tally{since: now}
 }
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -155,3 +155,25 @@
 		t.Errorf("got %v, want the write's error", err)
 	}
 }
+
+// A list of megabytes, given to many instances, is taken whole, and each of them serves from it.
+func TestAListOfMegabytes(t *testing.T) {
+	var in strings.Builder
+	in.WriteString("ROUND\t1000000\n")
+	const servers, instances = 20_000, 20
+	fmt.Fprintf(&in, "SNAPSHOT_ROWS\t0\t%d\n", servers)
+	for i := range servers {
+		fmt.Fprintf(&in, "ROW\t-\t1\tbig\t%d\tin_service\t10.1.%d.%d:7%03d\tzone-a\n", i/8, i/250, i%250, i%1000)
+	}
+	if in.Len() < 900_000 {
+		t.Fatalf("a list of %d bytes is no megabyte", in.Len())
+	}
+	for i := range instances {
+		fmt.Fprintf(&in, "ABOUT\t%d\nCREATE\t%d\t%s\nREGISTRY\tstale_copy\t1\t0\n", i, i+1, someSettings)
+		fmt.Fprintf(&in, "WORK_ITEM\trq_%d\t0\t900000\tacme\t0\tget\tk\t-\n", i)
+	}
+	in.WriteString("YOUR_TURN\n")
+	if n := strings.Count(replies(t, in.String())[0], "SEND\trq_"); n != instances {
+		t.Errorf("%d of %d instances sent their request", n, instances)
+	}
+}
