Time-outs at 2 latency marks, and an arm for each 16 requests a second

Cause: at quiet sidecars a time-out at 1.5 marks often ends an attempt that would have been answered; its work goes on.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,10 +25,10 @@
 	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
 	warmBoost    = 300   // times its weight, for a key's home: most draws land there unless it is crowded
 
-	armsLeast = 3   // servers that a balancer draws from at the least: enough to spread losses and retries
-	armEach   = 8.0 // requests a second that an arm wants, as evidence: more traffic, more arms
-	armsCover = 8.0 // balancers that have a server as an arm, on average: fewer leave servers unused
-	armsMost  = 3   // times the arms wanted, with ill ones: past that the cause is shared
+	armsLeast = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
+	armEach   = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
+	armsCover = 8.0  // balancers that have a server as an arm, on average: fewer leave servers unused
+	armsMost  = 3    // times the arms wanted, with ill ones: past that the cause is shared
 
 	markShare   = 0.95   // of the answers come before the latency mark: time-outs stand on it
 	markStep    = 0.2    // log step of the mark for an answer past it: trouble shows in a few answers
@@ -36,7 +36,7 @@
 	calmShare   = 0.9    // of the answers come before the calm mark, whose lowest value is kept as uncrowded
 	calmStep    = 0.05   // of the calm mark: one burst of late answers must not move it far
 	baseRise    = 1.01   // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
-	timeoutMark = 1.5    // marks that an attempt may take: slow answers seldom come after that
+	timeoutMark = 2.0    // marks that an attempt may take: slow answers seldom come after that
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
 
