--- a/decide/decide.go
+++ b/decide/decide.go
@@ -67,7 +67,6 @@
 	askMost  = 4e6     // µs; half of Rules.AskEvery bounds it too, past which the list counts as told
 )
 
-// Timer tokens.
 const (
 	tokenSecond = iota // rates and forgetting
 	tokenQueue         // a request has waited long enough
@@ -113,11 +112,12 @@
 func (b *Balancer) Request(now int64, in Request) {
 	class := &b.classes[in.Class]
 	r := &request{Request: in, class: class, taken: now, value: class.value, home: b.replica(in.Key)}
+	r.aim = int64(min(float64(class.Aim)+class.AimStretch*float64(max(0, in.Work)), float64(class.Deadline)))
 	if r.Left < 0 {
 		r.Left = class.Deadline
 	}
 	r.deadline = now + r.Left
-	r.until = min(now+int64(queueShare*float64(class.Aim)), r.deadline)
+	r.until = min(now+int64(queueShare*float64(r.aim)), r.deadline)
 	if b.overShare(in.Tenant) {
 		r.value *= b.set.OverShareWorth
 	}
@@ -204,7 +204,7 @@
 	}
 	b.queue = slices.Insert(b.queue, at, r)
 	b.act.Wake(r.until-now, tokenQueue)
-	for float64(len(b.queue)) > max(queueLeast, b.drain*queueShare*float64(r.class.Aim)) {
+	for float64(len(b.queue)) > max(queueLeast, b.drain*queueShare*float64(r.aim)) {
 		last := b.queue[len(b.queue)-1]
 		b.queue = b.queue[:len(b.queue)-1]
 		b.giveUp(now, last)
@@ -244,7 +244,7 @@
 	left := r.deadline - now
 	t := max(int64(timeoutMark*r.class.mark), minTimeout)
 	last := len(r.tries) >= b.set.Limits.MaxAttempts || r.class.Stream || r.class.Semantics == AtMostOnce
-	if last || t >= left || now-r.taken+t+int64(r.class.half) > r.class.Aim {
+	if last || t >= left || now-r.taken+t+int64(r.class.half) > r.aim {
 		return left
 	}
 	return t
@@ -532,7 +532,7 @@
 	}
 	if o.Result == Served {
 		b.answers++
-		if now-r.taken <= r.class.Aim {
+		if now-r.taken <= r.aim {
 			r.class.served++
 		}
 		a.server.answered++
@@ -543,7 +543,7 @@
 	}
 	b.judge(now, a.server, o.Result)
 	b.adapt(now, r.class, a, o)
-	b.learn(a, r.class.payoff(o))
+	b.learn(a, r.payoff(o))
 }
 
 // learn is EXP3's update of the drawn server: w*exp(gamma*r/(p*M)).
@@ -552,11 +552,11 @@
 }
 
 // payoff is 1 for an answer within the aim, falls with the latency after it, and is 0 for a failure.
-func (c *classState) payoff(o Outcome) float64 {
+func (r *request) payoff(o Outcome) float64 {
 	if o.Result != Served {
 		return 0
 	}
-	return min(1, float64(c.Aim)/float64(max(1, o.Latency)))
+	return min(1, float64(r.aim)/float64(max(1, o.Latency)))
 }
 
 // sample moves the latency marks; a time-out counts as an answer at least that late.
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -61,7 +61,7 @@
 }
 
 func TestPayoff(t *testing.T) {
-	c := &classState{Class: Class{Aim: 400_000}}
+	c := &request{aim: 400_000}
 	for _, v := range []struct {
 		result  Result
 		latency int64
@@ -338,7 +338,7 @@
 func TestNoEarlyTimeoutOnceARetryWouldMissTheAim(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(2)...)
 	c := &w.b.classes[0]
-	r := &request{class: c, taken: w.now, deadline: w.now + 2*second}
+	r := &request{class: c, aim: c.Aim, taken: w.now, deadline: w.now + 2*second}
 	c.mark, c.half = 100_000, 50_000
 	if got := w.b.timeout(w.now, r); got != 200_000 {
 		t.Errorf("time-out %d, want 200000: a retry still fits", got)
@@ -612,3 +612,19 @@
 		near(t, fmt.Sprint("limit with late share ", share), w.b.servers[0].limit, want, 1e-9)
 	}
 }
+
+// By hand: an aim of 400 ms stretched by 3 times the work hinted: 100 ms of work 700 ms, 900 ms of work no more than the
+// deadline of 2 s, none the class's own.
+func TestTheAimStretchesWithTheWork(t *testing.T) {
+	set := testSettings()
+	set.Classes[0].AimStretch = 3
+	w := newWorld(t, set, fleet(3)...)
+	for work, want := range map[int64]int64{0: 400_000, 100_000: 700_000, 900_000: 2 * second} {
+		id := fmt.Sprint("r", work)
+		w.reqs[id] = &booked{Request: Request{ID: id}, deadline: w.now + 2*second}
+		w.b.Request(w.now, Request{ID: id, Tenant: -1, Left: 2 * second, Work: work})
+		if got := w.b.open[id].aim; got != want {
+			t.Errorf("aim with %d us of work: %d, want %d", work, got, want)
+		}
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -88,6 +88,7 @@
 	class    *classState
 	taken    int64
 	deadline int64
+	aim      int64   // the class's, stretched by the work hinted
 	until    int64   // when waiting unsent ends
 	value    float64 // worth for the time it takes: who waits first and who is refused last
 	tries    []attempt
