--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	redraws      = 8     // per draw: past that many crowded servers all are crowded, and the draw stands
 	homesPerPart = 2.0   // homes of a key for each mean server's part of the requests that ask for it
 	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
-	warmBoost    = 300   // times its weight, for a key's home: most draws land there unless it is crowded
+	warmBoost    = 2.0   // times all arms together weighs a key\'s home: more, and a slow home keeps its keys at size
 
 	armsLeast = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
 	armEach   = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
@@ -386,7 +386,7 @@
 	}
 	sum, size := 0.0, 0.0
 	for _, s := range b.cand {
-		sum, size = sum+s.armWeight(home), size+s.Size
+		sum, size = sum+b.armWeight(s, home), size+s.Size
 	}
 	b.tally.draws++
 	for n, crowd := 0, b.crowd(); ; n++ {
@@ -443,7 +443,7 @@
 func (b *Balancer) pick(sum, size float64, home *server) (*server, float64) {
 	x, p := b.rng.Float64(), 0.0
 	for _, s := range b.cand {
-		p = (1-gamma)*s.armWeight(home)/sum + gamma*s.Size/size
+		p = (1-gamma)*b.armWeight(s, home)/sum + gamma*s.Size/size
 		if x -= p; x < 0 {
 			return s, p
 		}
@@ -454,10 +454,10 @@
 // armWeight is the server's weight over all its arms, raised where the request's key is at home. A limit
 // under one counts as that part of it. Guards against many balancers that take turns at a jammed server and
 // keep it so: work they gave up on still goes on there.
-func (s *server) armWeight(home *server) float64 {
+func (b *Balancer) armWeight(s, home *server) float64 {
 	w := s.Size * s.weight * min(1, s.limit)
 	if s == home {
-		return warmBoost * w
+		return warmBoost * float64(len(b.arms)) * w
 	}
 	return w
 }
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -628,3 +628,20 @@
 		}
 	}
 }
+
+// The failure: a home weighed 300 times a server, which three arms never outweighed: a slow home kept its keys at every
+// balancer. By hand, ten equal arms of which one is home: it weighs 20 beside 9, p = 0.93*20/29 + 0.07/10 = 0.648379.
+func TestAHomeWeighsTwiceAllArms(t *testing.T) {
+	set := testSettings()
+	set.WarmKeys = true
+	w := newWorld(t, set, fleet(10)...)
+	r := &request{class: &w.b.classes[0], home: hash("key") | 1}
+	home := w.b.home(r.home)
+	for range 100 {
+		if s, p := w.b.draw(w.now, r); s == home {
+			near(t, "p of the home", p, 0.93*20/29+0.07/10, 1e-9)
+			return
+		}
+	}
+	t.Error("the home was never drawn")
+}
