--- a/decide/decide.go
+++ b/decide/decide.go
@@ -23,7 +23,7 @@
 	redraws      = 8     // per draw: past that many crowded servers all are crowded, and the draw stands
 	homesPerPart = 2.0   // homes of a key for each mean server's part of the requests that ask for it
 	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
-	warmBoost    = 2.0   // times all arms together weighs a key\'s home: more, and a slow home keeps its keys at size
+	warmBoost    = 2.0   // times all arms together weighs a key's home: with more, slow homes keep their keys
 
 	armsLeast = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
 	armEach   = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
