--- a/decide/bench_test.go
+++ b/decide/bench_test.go
@@ -5,17 +5,6 @@
 	"testing"
 )
 
-type silent struct{}
-
-func (silent) Send(string, string, int64) {}
-func (silent) Cancel(string, int)         {}
-func (silent) Refuse(string, int64)       {}
-func (silent) Fail(string)                {}
-func (silent) Probe(string)               {}
-func (silent) Watch(bool)                 {}
-func (silent) Wake(int64, int64)          {}
-func (silent) Log(string)                 {}
-
 // BenchmarkRequest is one request taken and answered at a balancer of 800 before 250 servers, with keys and without.
 func BenchmarkRequest(b *testing.B) {
 	for _, warm := range []bool{false, true} {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -176,7 +176,7 @@
 }
 
 func (b *Balancer) trySend(now int64, r *request) bool {
-	if b.mayTry(now, r) {
+	if b.mayTry(now, r) && !b.full() {
 		if s, p := b.draw(now, r); s != nil {
 			b.send(now, r, s, p)
 			return true
@@ -381,7 +381,7 @@
 // draw picks a server for r by EXP3 and returns it with its probability, or nil when none has room.
 func (b *Balancer) draw(now int64, r *request) (*server, float64) {
 	home := b.home(r.home)
-	if b.full() || !b.candidates(now, r, home) {
+	if !b.candidates(now, r, home) {
 		return nil, 0
 	}
 	sum, size := 0.0, 0.0
@@ -409,11 +409,11 @@
 	for _, again := range []bool{false, true} {
 		b.cand = b.cand[:0]
 		for _, s := range b.arms {
-			if s != home && b.eligible(now, s) && r.mayRepeat(now, s) && r.tried(s) == again {
+			if s != home && b.eligible(now, r, s) && r.tried(s) == again {
 				b.cand = append(b.cand, s)
 			}
 		}
-		if home != nil && b.eligible(now, home) && r.mayRepeat(now, home) && r.tried(home) == again {
+		if home != nil && b.eligible(now, r, home) && r.tried(home) == again {
 			b.cand = append(b.cand, home)
 		}
 		if len(b.cand) > 0 {
@@ -423,15 +423,13 @@
 	return false
 }
 
-// eligible tells whether s may be sent anything now.
-func (b *Balancer) eligible(now int64, s *server) bool {
-	if s.Phase != InService || float64(s.inFlight) >= s.limit {
+// eligible tells whether an attempt of r may go to s now.
+func (b *Balancer) eligible(now int64, r *request, s *server) bool {
+	if s.Phase != InService || float64(s.inFlight) >= s.limit ||
+		s.suspended && (now < s.until || s.inFlight > 0) {
 		return false
 	}
-	if s.suspended && (now < s.until || s.inFlight > 0) {
-		return false
-	}
-	return b.allowance(now, s)
+	return b.allowance(now, s) && r.mayRepeat(now, s)
 }
 
 func (r *request) tried(s *server) bool {
@@ -489,9 +487,12 @@
 // home is the server that all balancers with this list pick for a replica of a key, by rendezvous hashing
 // over sizes: where servers do known keys faster, a key that all send to one server is warm for all.
 func (b *Balancer) home(key uint64) (best *server) {
+	if key == 0 {
+		return nil
+	}
 	least := math.Inf(1)
 	for _, s := range b.servers {
-		if key != 0 && s.Phase == InService && !s.suspended {
+		if s.Phase == InService && !s.suspended {
 			u := float64(mix(key^s.hash)>>11+1) / (1 << 53)
 			if far := -math.Log(u) / s.Size; far < least {
 				best, least = s, far
@@ -511,11 +512,10 @@
 // Ill ones stay for their trials and are not counted; a cold one counts for its part. Guards against quiet
 // balancers of a large fleet that meet each server once a minute, learn nothing and keep connections to all.
 func (b *Balancer) takeArms(now int64) {
-	want := float64(b.armsWanted())
-	well, most := 0.0, armsMost*b.armsWanted()
+	want, well := b.armsWanted(), 0.0
 	b.arms = b.arms[:0]
 	for _, s := range b.servers {
-		s.arm = s.Phase == InService && well < want && len(b.arms) < most
+		s.arm = s.Phase == InService && well < float64(want) && len(b.arms) < armsMost*want
 		if s.arm {
 			b.arms = append(b.arms, s)
 			if !s.suspended {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -282,14 +282,7 @@
 // The failure: a dead process turned attempts away at once, so it always had room and took them all.
 func TestADeadServerIsNoBlackHole(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(4)...)
-	dead := 0
-	w.traffic(500, func(f *flight) (Result, bool) {
-		if f.server.ID == "s0" {
-			dead++
-			return ConnectFailed, true
-		}
-		return Served, w.now-f.sent >= 100_000
-	})
+	dead := w.refusals(500, 100_000, func(id string) bool { return id == "s0" })
 	if dead > 20 {
 		t.Errorf("%d of 500 requests met the dead server, want 20 or fewer", dead)
 	}
@@ -494,14 +487,7 @@
 // one took every retry.
 func TestALostZoneIsSuspendedWhole(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(10)...)
-	refused := 0
-	w.traffic(600, func(f *flight) (Result, bool) {
-		if f.server.ID != "s0" {
-			refused++
-			return ConnectFailed, true
-		}
-		return Served, w.now-f.sent >= 20_000
-	})
+	refused := w.refusals(600, 20_000, func(id string) bool { return id != "s0" })
 	if refused > 120 {
 		t.Errorf("%d refused connections at nine dead servers in 6 s, want 120 or fewer", refused)
 	}
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -30,8 +31,21 @@
 	at      int64
 }
 
-// mouth is one balancer's Actions.
+// silent carries out nothing.
+type silent struct{}
+
+func (silent) Send(string, string, int64) {}
+func (silent) Cancel(string, int)         {}
+func (silent) Refuse(string, int64)       {}
+func (silent) Fail(string)                {}
+func (silent) Probe(string)               {}
+func (silent) Watch(bool)                 {}
+func (silent) Wake(int64, int64)          {}
+func (silent) Log(string)                 {}
+
+// mouth is one balancer's Actions: only its sends count.
 type mouth struct {
+	silent
 	c *crowd
 	b *Balancer
 	n map[string]int
@@ -45,13 +59,6 @@
 		m.c.onSend(server)
 	}
 }
-func (m *mouth) Cancel(string, int)   {}
-func (m *mouth) Refuse(string, int64) {}
-func (m *mouth) Fail(string)          {}
-func (m *mouth) Probe(string)         {}
-func (m *mouth) Watch(bool)           {}
-func (m *mouth) Wake(int64, int64)    {}
-func (m *mouth) Log(string)           {}
 
 // newCrowd makes n balancers; skew 0 spreads traffic evenly, more gives the first ones most of it.
 func newCrowd(n int, set Settings, skew float64, servers []Server) *crowd {
@@ -107,6 +114,20 @@
 	}
 }
 
+// coldSends tells all balancers of a server that starts now, and returns the times of what they send it in some seconds.
+func (c *crowd) coldSends(seconds, perSecond int) (times []int64) {
+	c.onSend = func(id string) {
+		if id == "cold" {
+			times = append(times, c.now)
+		}
+	}
+	for _, b := range c.bs {
+		b.Listed(c.now, []Server{{ID: "cold", Size: 1, Zone: "z0", UpSince: c.now}}, false)
+	}
+	c.run(seconds, perSecond)
+	return times
+}
+
 // The failure: each of hundreds of quiet balancers granted a cold server one send a window, and together they
 // pushed it over. However many balancers share the traffic and however unevenly, what all of them send to one that
 // has just started stays, in any window of the rule, under the stated multiple of its warm-up's part of what a
@@ -120,17 +141,8 @@
 				const servers, perSecond = 20, 800
 				c := newCrowd(n, set, skew, fleet(servers))
 				c.run(6, perSecond)
-				cold := Server{ID: "cold", Size: 1, Zone: "z0", UpSince: c.now}
-				var times []int64
-				c.onSend = func(id string) {
-					if id == "cold" {
-						times = append(times, c.now)
-					}
-				}
-				for _, b := range c.bs {
-					b.Listed(c.now, []Server{cold}, false)
-				}
-				c.run(8, perSecond)
+				start := c.now
+				times := c.coldSends(8, perSecond)
 				window := set.Rules.FallFor
 				for i, at := range times {
 					in := 0
@@ -139,11 +151,11 @@
 							in++
 						}
 					}
-					part := set.Rules.ColdFrom + (1-set.Rules.ColdFrom)*float64(at-cold.UpSince)/float64(set.Rules.ColdFor)
+					part := set.Rules.ColdFrom + (1-set.Rules.ColdFrom)*float64(at-start)/float64(set.Rules.ColdFor)
 					budget := set.Rules.OverloadFactor * part * perSecond / servers * float64(window) / float64(second)
 					if float64(in) > budget {
 						t.Fatalf("%d sends within a window from %.2f s after the start, budget %.1f", in,
-							float64(at-cold.UpSince)/1e6, budget)
+							float64(at-start)/1e6, budget)
 					}
 				}
 				if len(times) == 0 {
@@ -203,30 +215,26 @@
 func TestAHotKeyHasSeveralHomes(t *testing.T) {
 	set := testSettings()
 	set.WarmKeys = true
-	w, other := newWorld(t, set, fleet(50)...), newWorld(t, set, fleet(50)...)
-	homes := [2]map[*server]bool{{}, {}}
-	ids := [2]map[string]bool{{}, {}}
-	for j, b := range []*Balancer{w.b, other.b} {
+	bs := newCrowd(2, set, 0, fleet(50)).bs // each with its own seed
+	homes := [2]map[string]bool{{}, {}}
+	for j, b := range bs {
 		for i := range 2000 {
 			key := fmt.Sprint("k", i/2)
 			if i%10 == 0 {
 				key = "hot"
 			}
-			s := b.home(b.replica(key))
-			if key == "hot" && i >= 1000 {
-				homes[j][s], ids[j][s.ID] = true, true
+			if s := b.home(b.replica(key)); key == "hot" && i >= 1000 {
+				homes[j][s.ID] = true
 			}
 		}
 	}
 	if n := len(homes[0]); n < 5 || n > 11 {
 		t.Errorf("the hot key has %d homes, want 5 to 11", n)
 	}
-	for id := range ids[0] {
-		if !ids[1][id] && len(ids[1]) >= len(ids[0]) {
-			t.Errorf("one balancer has the hot key at home at %s, the other does not", id)
-		}
+	if !maps.Equal(homes[0], homes[1]) {
+		t.Errorf("one balancer has the hot key at home at %v, the other at %v", homes[0], homes[1])
 	}
-	if a, b := w.b.replica("once"), w.b.replica("once"); a != b {
+	if a, b := bs[0].replica("once"), bs[0].replica("once"); a != b {
 		t.Error("a rare key has two homes")
 	}
 }
@@ -267,16 +275,7 @@
 		if c.sent < 3*perSecond {
 			t.Errorf("told %d: %d attempts for %d requests", told, c.sent, c.requests)
 		}
-		cold := 0
-		c.onSend = func(id string) {
-			if id == "cold" {
-				cold++
-			}
-		}
-		for _, b := range c.bs {
-			b.Listed(c.now, []Server{{ID: "cold", Size: 1, Zone: "z0", UpSince: c.now}}, false)
-		}
-		c.run(2, perSecond)
+		cold := len(c.coldSends(2, perSecond))
 		if most := set.Rules.OverloadFactor * set.Rules.ColdFrom * perSecond / servers * 2; float64(cold) > most {
 			t.Errorf("told %d: %d sends to a cold server in its first window, budget %.0f", told, cold, most)
 		}
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -109,6 +109,19 @@
 	}
 }
 
+// refusals plays traffic of n requests before servers of which the dead turn connections away at once and the others
+// answer after some time; it counts what the dead turned away.
+func (w *world) refusals(n int, answerAfter int64, dead func(id string) bool) (refused int) {
+	w.traffic(n, func(f *flight) (Result, bool) {
+		if dead(f.server.ID) {
+			refused++
+			return ConnectFailed, true
+		}
+		return Served, w.now-f.sent >= answerAfter
+	})
+	return refused
+}
+
 // settle ends a flight; a served one closes its request.
 func (w *world) settle(f *flight, result Result) {
 	if f.over {
