--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,138 @@
+// Package config is the one place where configuration is read, checked and given defaults.
+package config
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"damsonscale/decide"
+	"damsonscale/internal/discovery"
+)
+
+// Limits are what the sidecar's machine grants it.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int     `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+const (
+	defaultCores    = 1.0
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	leastMemoryMB   = 32 // the runtime and the buffers of a few connections
+	leastSockets    = 32 // the runtime's own, one listener, one watch, a few connections each way
+)
+
+// Config is all that a sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     *discovery.List // the list as last known; nil: none
+	Settings  decide.Settings
+	Transport Transport
+}
+
+// file is the configuration file's form.
+type file struct {
+	Name      string          `json:"name"`
+	Listen    string          `json:"listen"`
+	Discovery string          `json:"discovery"`
+	Seed      string          `json:"seed"`
+	Limits    Limits          `json:"limits"`
+	Known     *discovery.List `json:"known"`
+	Settings  json.RawMessage `json:"settings"`
+}
+
+// Load reads the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before it.
+func Load(env func(string) string) (*Config, error) {
+	path := env("PROXY_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("PROXY_CONFIG: names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_CONFIG: %w", err)
+	}
+	return Parse(text, env)
+}
+
+// Parse reads a configuration and names the first key that makes no sense.
+func Parse(text []byte, env func(string) string) (*Config, error) {
+	var in file
+	if err := json.Unmarshal(text, &in); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	override(&in.Name, env("PROXY_NAME"))
+	override(&in.Listen, env("PROXY_LISTEN"))
+	override(&in.Discovery, env("PROXY_DISCOVERY"))
+	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known}
+	if err := c.check(in.Seed); err != nil {
+		return nil, err
+	}
+	if len(in.Settings) == 0 {
+		return nil, fmt.Errorf("config: settings is missing")
+	}
+	var err error
+	if c.Settings, c.Transport, err = parseSettings(in.Settings); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return c, nil
+}
+
+func override(s *string, with string) {
+	if with != "" {
+		*s = with
+	}
+}
+
+// check fills in defaults and names the first key that makes no sense.
+func (c *Config) check(seed string) (err error) {
+	if c.Name == "" {
+		return fmt.Errorf("config: name is missing")
+	}
+	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
+		return fmt.Errorf("config: listen: expected address:port, got %q", c.Listen)
+	}
+	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
+		return fmt.Errorf("config: discovery: expected address:port, got %q", c.Discovery)
+	}
+	if seed != "" {
+		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+			return fmt.Errorf("config: seed: expected up to 16 hex digits, got %q", seed)
+		}
+	}
+	if c.Known != nil {
+		if err := c.Known.Check(); err != nil {
+			return fmt.Errorf("config: known.%w", err)
+		}
+	}
+	return c.Limits.check()
+}
+
+func (l *Limits) check() error {
+	if l.Cores == 0 {
+		l.Cores = defaultCores
+	}
+	if l.MemoryMB == 0 {
+		l.MemoryMB = defaultMemoryMB
+	}
+	if l.Sockets == 0 {
+		l.Sockets = defaultSockets
+	}
+	switch {
+	case !(l.Cores > 0):
+		return fmt.Errorf("config: limits.cores: expected more than 0, got %v", l.Cores)
+	case l.MemoryMB < leastMemoryMB:
+		return fmt.Errorf("config: limits.memory_mb: expected at least %d, got %d", leastMemoryMB, l.MemoryMB)
+	case l.Sockets < leastSockets:
+		return fmt.Errorf("config: limits.sockets: expected at least %d, got %d", leastSockets, l.Sockets)
+	}
+	return nil
+}
--- a/internal/drill/settings.go
+++ b/internal/config/settings.go
@@ -1,8 +1,9 @@
-package drill
+package config
 
 import (
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"damsonscale/decide"
 )
@@ -29,7 +30,9 @@
 		Cancel, ParallelTries, Probes, RetryAfter bool
 		MaxAttempts                               int
 		MaxRetryAfterUs                           int64
+		ConnIdleUs, DialTimeoutUs                 int64
 	}
+	Report     struct{ Via string }
 	ScoringMix decide.Goal
 	FamilyInfo struct{ WarmKeys bool }
 	Guarantees struct {
@@ -46,12 +49,54 @@
 	"": decide.ScopeAll, "all": decide.ScopeAll, "zone": decide.ScopeZone, "cell": decide.ScopeCell,
 }
 
-// settings reads the settings and refuses those that make no sense.
-func settings(text []byte) (set decide.Settings, err error) {
+// Transport is what the settings say of connections; the decisions do not need it.
+type Transport struct {
+	ConnIdle    time.Duration // servers close a connection idle for this long
+	DialTimeout time.Duration // a connection that is not up by then counts as refused
+	ProbeLoad   bool          // load reports come with probes
+}
+
+const (
+	defaultConnIdle    = 10 * time.Second
+	defaultDialTimeout = 250 * time.Millisecond
+)
+
+// ParseSettings reads the settings and refuses those that make no sense.
+func ParseSettings(text []byte) (decide.Settings, error) {
+	set, _, err := parseSettings(text)
+	return set, err
+}
+
+func parseSettings(text []byte) (set decide.Settings, tr Transport, err error) {
 	var in info
 	if err := json.Unmarshal(text, &in); err != nil {
-		return set, fmt.Errorf("settings are not the JSON expected: %w", err)
+		return set, tr, fmt.Errorf("settings are not the JSON expected: %w", err)
+	}
+	if tr, err = in.transport(); err != nil {
+		return set, tr, err
 	}
+	set, err = in.decisions()
+	return set, tr, err
+}
+
+// transport takes out what connections need, with defaults for absent figures.
+func (in *info) transport() (Transport, error) {
+	tr := Transport{ConnIdle: defaultConnIdle, DialTimeout: defaultDialTimeout, ProbeLoad: in.Report.Via == "pull"}
+	l := in.Limits
+	if l.ConnIdleUs < 0 || l.DialTimeoutUs < 0 {
+		return tr, fmt.Errorf("settings: Limits.ConnIdleUs and Limits.DialTimeoutUs must not be negative")
+	}
+	if l.ConnIdleUs > 0 {
+		tr.ConnIdle = time.Duration(l.ConnIdleUs) * time.Microsecond
+	}
+	if l.DialTimeoutUs > 0 {
+		tr.DialTimeout = time.Duration(l.DialTimeoutUs) * time.Microsecond
+	}
+	return tr, nil
+}
+
+// decisions takes out what the decisions need.
+func (in *info) decisions() (set decide.Settings, err error) {
 	set = decide.Settings{
 		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
 		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
--- a/internal/drill/parse.go
+++ b/internal/drill/parse.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"damsonscale/decide"
+	"damsonscale/internal/config"
 )
 
 func absent(b []byte) bool { return len(b) == 1 && b[0] == '-' }
@@ -168,7 +169,7 @@
 	if err != nil {
 		return fmt.Errorf("expected a seed, got %q", clip(f[0]))
 	}
-	set, err := settings(f[1])
+	set, err := config.ParseSettings(f[1])
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/frontend/frontend.go
@@ -0,0 +1,272 @@
+// Package frontend serves the sidecar's client with fasthttp.
+package frontend
+
+import (
+	"context"
+	"errors"
+	"log"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"damsonscale/decide"
+	"damsonscale/internal/sidecar"
+)
+
+const (
+	maxBody      = 64 << 10
+	readBuffer   = 8 << 10          // holds the longest head taken
+	readTimeout  = 15 * time.Second // of one request, from its first byte
+	idleTimeout  = 5 * time.Minute
+	writeTimeout = 5 * time.Second
+	hardPart     = 1.1 // of the sockets: so many more are taken to be told no
+
+	acceptAfterTerm = 700 * time.Millisecond // clients go on coming for a while after SIGTERM
+	quietBefore     = 300 * time.Millisecond // without a new connection, before the listener is closed
+	drainStep       = 10 * time.Millisecond
+	graceIdle       = 50 * time.Millisecond // a connection idle for this long has no request on its way
+)
+
+// Frontend is the sidecar's side towards its client.
+type Frontend struct {
+	side     *sidecar.Sidecar
+	settings *decide.Settings
+	classes  map[string]int
+	tenants  map[string]int
+	server   *fasthttp.Server
+	sockets  int
+	draining atomic.Bool
+	room     chan struct{} // a token for each connection that may still be accepted
+
+	mu         sync.Mutex
+	conns      map[*clientConn]bool
+	lastAccept time.Time
+}
+
+// New makes a frontend that holds about so many client connections.
+func New(side *sidecar.Sidecar, settings *decide.Settings, sockets int) *Frontend {
+	f := &Frontend{
+		side: side, settings: settings, classes: map[string]int{}, tenants: map[string]int{}, sockets: sockets,
+		conns: map[*clientConn]bool{}, room: make(chan struct{}, int(hardPart*float64(sockets))),
+	}
+	for i, c := range settings.Classes {
+		f.classes[c.Name] = i
+	}
+	for i, t := range settings.Tenants {
+		f.tenants[t.Name] = i
+	}
+	f.server = &fasthttp.Server{
+		Handler:                      f.handle,
+		ErrorHandler:                 badInput,
+		MaxRequestBodySize:           maxBody,
+		ReadBufferSize:               readBuffer,
+		ReadTimeout:                  readTimeout,
+		IdleTimeout:                  idleTimeout,
+		WriteTimeout:                 writeTimeout,
+		Concurrency:                  1 << 20, // never reached: its 503 would count as a refusal of ours
+		DisablePreParseMultipartForm: true,    // the body goes on as it came
+		NoDefaultServerHeader:        true,
+		NoDefaultDate:                true,
+		CloseOnShutdown:              true,
+		Logger:                       quiet{},
+	}
+	return f
+}
+
+// quiet drops what fasthttp would log a line a connection for.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+// badInput answers what is no request that can be served.
+func badInput(ctx *fasthttp.RequestCtx, err error) {
+	var small *fasthttp.ErrSmallBuffer
+	var timeout net.Error
+	switch {
+	case errors.As(err, &small):
+		ctx.Error("request head too large", fasthttp.StatusRequestHeaderFieldsTooLarge)
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		ctx.Error("request body too large", fasthttp.StatusRequestEntityTooLarge)
+	case errors.As(err, &timeout) && timeout.Timeout():
+		ctx.Error("request took too long to come", fasthttp.StatusRequestTimeout)
+	default:
+		ctx.Error("malformed request", fasthttp.StatusBadRequest)
+	}
+}
+
+// Serve serves ln until Drain closes it.
+func (f *Frontend) Serve(ln net.Listener) error {
+	return f.server.Serve(&listener{Listener: ln, front: f})
+}
+
+// listener counts connections and closes the longest idle one where sockets are short.
+type listener struct {
+	net.Listener
+	front *Frontend
+}
+
+// Accept takes the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	f := l.front
+	f.room <- struct{}{}
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		<-f.room
+		return nil, err
+	}
+	now := time.Now()
+	c := &clientConn{Conn: nc, front: f, readAt: now}
+	c.idleSince.Store(now.UnixMicro())
+	f.mu.Lock()
+	f.conns[c] = true
+	f.lastAccept = now
+	over := len(f.conns) > f.sockets
+	f.mu.Unlock()
+	if over {
+		f.closeIdlest()
+	}
+	return c, nil
+}
+
+func (f *Frontend) dropped(c *clientConn) {
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+	<-f.room
+}
+
+// closeIdlest closes the connection that has been idle longest, if any is.
+func (f *Frontend) closeIdlest() {
+	var idlest *clientConn
+	least := int64(0)
+	f.mu.Lock()
+	for c := range f.conns {
+		if at := c.idleSince.Load(); at != 0 && c.served.Load() && (idlest == nil || at < least) {
+			idlest, least = c, at
+		}
+	}
+	f.mu.Unlock()
+	if idlest != nil {
+		idlest.Close()
+	}
+}
+
+// closeIdle closes connections idle for at least that long; unused ones only where all is true.
+func (f *Frontend) closeIdle(idle time.Duration, all bool) {
+	var old []*clientConn
+	before := time.Now().Add(-idle).UnixMicro()
+	f.mu.Lock()
+	for c := range f.conns {
+		if at := c.idleSince.Load(); at != 0 && at <= before && (all || c.served.Load()) {
+			old = append(old, c)
+		}
+	}
+	f.mu.Unlock()
+	for _, c := range old {
+		c.Close()
+	}
+}
+
+func (f *Frontend) open() (conns int, sinceAccept time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.conns), time.Since(f.lastAccept)
+}
+
+// Drain answers all that is taken, takes what still comes for a while, and returns when nothing is left or
+// ctx ends. fasthttp's Shutdown would close the listener at once, while clients still come.
+func (f *Frontend) Drain(ctx context.Context, ln net.Listener) {
+	f.draining.Store(true)
+	f.closeIdle(graceIdle, false)
+	began, listening := time.Now(), true
+	for ctx.Err() == nil {
+		time.Sleep(drainStep)
+		conns, quiet := f.open()
+		switch {
+		case listening && time.Since(began) > acceptAfterTerm && quiet > quietBefore:
+			ln.Close()
+			listening = false
+		case listening:
+			f.closeIdle(graceIdle, false)
+		case conns == 0:
+			log.Printf("event=drained after_ms=%d", time.Since(began).Milliseconds())
+			return
+		default:
+			f.closeIdle(graceIdle, true)
+		}
+	}
+}
+
+// overfull tells whether more connections are open than the sockets allow.
+func (f *Frontend) overfull() bool {
+	conns, _ := f.open()
+	return conns > f.sockets
+}
+
+// handle answers one request.
+func (f *Frontend) handle(ctx *fasthttp.RequestCtx) {
+	c, ok := ctx.Conn().(*clientConn)
+	if !ok {
+		ctx.Error("not a connection of this server", fasthttp.StatusInternalServerError)
+		return
+	}
+	at := c.readAt
+	if string(ctx.Request.Header.RequestURI()) == "/health/ready" {
+		f.ready(ctx)
+	} else if call, bad := f.parse(ctx, at); bad != nil {
+		ctx.Error(bad.text, bad.status)
+	} else if f.overfull() {
+		refuse(ctx, sidecar.Answer{})
+		ctx.SetConnectionClose()
+	} else {
+		gone := c.watch()
+		a, left := f.side.Do(call, gone)
+		c.unwatch()
+		if left {
+			ctx.SetConnectionClose()
+		}
+		answer(ctx, a)
+	}
+	if f.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+}
+
+func (f *Frontend) ready(ctx *fasthttp.RequestCtx) {
+	if f.side.Ready() && !f.draining.Load() {
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		return
+	}
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+// answer writes the final answer.
+func answer(ctx *fasthttp.RequestCtx, a sidecar.Answer) {
+	switch a.Verdict {
+	case sidecar.Served:
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		if len(a.ContentType) > 0 {
+			ctx.Response.Header.SetContentTypeBytes(a.ContentType)
+		}
+		ctx.Response.SetBodyRaw(a.Body)
+	case sidecar.Refused:
+		refuse(ctx, a)
+	case sidecar.Duplicate:
+		ctx.Error("a request of this id is under way", fasthttp.StatusConflict)
+	case sidecar.Late:
+		ctx.Error("time is up", fasthttp.StatusGatewayTimeout)
+	default:
+		ctx.Error("no server answered", fasthttp.StatusBadGateway)
+	}
+}
+
+func refuse(ctx *fasthttp.RequestCtx, a sidecar.Answer) {
+	ctx.Error("refused, trying again is harmless", fasthttp.StatusServiceUnavailable)
+	if a.RetryAfter > 0 {
+		ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+}
--- /dev/null
+++ b/internal/frontend/parse.go
@@ -0,0 +1,152 @@
+package frontend
+
+import (
+	"bytes"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"damsonscale/decide"
+	"damsonscale/internal/sidecar"
+	"damsonscale/internal/upstream"
+)
+
+const (
+	maxID       = 128       // bytes of a request's id
+	maxDeadline = time.Hour // a longer one is no deadline
+)
+
+// fault is why a request can't be taken.
+type fault struct {
+	status int
+	text   string
+}
+
+func bad(status int, format string, args ...any) *fault {
+	return &fault{status, fmt.Sprintf(format, args...)}
+}
+
+// parse takes out the fields that decisions need; at is when the request had come.
+func (f *Frontend) parse(ctx *fasthttp.RequestCtx, at time.Time) (*sidecar.Call, *fault) {
+	h := &ctx.Request.Header
+	uri := h.RequestURI()
+	path, query, _ := bytes.Cut(uri, []byte{'?'})
+	class, ok := f.class(path)
+	if !ok {
+		return nil, bad(fasthttp.StatusNotFound, "unknown class")
+	}
+	if wrong := f.method(h, class); wrong != nil {
+		return nil, wrong
+	}
+	id := h.Peek("Req-Id")
+	if len(id) == 0 || len(id) > maxID || len(h.PeekAll("Req-Id")) > 1 {
+		return nil, bad(fasthttp.StatusBadRequest, "Req-Id: expected once, with 1 to %d bytes", maxID)
+	}
+	left, err := strconv.ParseInt(string(h.Peek(upstream.DeadlineHeader)), 10, 64)
+	if err != nil || left <= 0 || left > maxDeadline.Milliseconds() {
+		return nil, bad(fasthttp.StatusBadRequest, "%s: expected 1 to %d", upstream.DeadlineHeader, maxDeadline.Milliseconds())
+	}
+	c := &sidecar.Call{
+		Deadline: at.Add(time.Duration(left) * time.Millisecond),
+		Request: decide.Request{
+			ID: string(id), Class: class, Tenant: -1, Key: key(query), IsRetry: string(h.Peek("Req-Retry")) == "1",
+			Work: hint(h.Peek("Req-Cost")),
+		},
+		Message: upstream.Message{Head: head(h, uri, ctx.Request.Body()), Body: ctx.Request.Body()},
+	}
+	if t, ok := f.tenants[string(h.Peek("Req-Owner"))]; ok {
+		c.Request.Tenant = t
+	}
+	return c, nil
+}
+
+// class is the first part of the path.
+func (f *Frontend) class(path []byte) (int, bool) {
+	name, _, _ := strings.Cut(strings.TrimPrefix(string(path), "/"), "/")
+	i, ok := f.classes[name]
+	return i, ok
+}
+
+// method checks that the request comes as its class does.
+func (f *Frontend) method(h *fasthttp.RequestHeader, class int) *fault {
+	switch f.settings.Classes[class].Semantics {
+	case decide.Idempotent:
+		if !h.IsGet() {
+			return bad(fasthttp.StatusMethodNotAllowed, "expected GET")
+		}
+	case decide.Deduplicated:
+		if !h.IsPost() {
+			return bad(fasthttp.StatusMethodNotAllowed, "expected POST")
+		}
+		if len(h.Peek("Idempotency-Key")) == 0 {
+			return bad(fasthttp.StatusBadRequest, "Idempotency-Key: missing")
+		}
+	default:
+		if !h.IsPost() {
+			return bad(fasthttp.StatusMethodNotAllowed, "expected POST")
+		}
+	}
+	return nil
+}
+
+// key is what the request is about.
+func key(query []byte) string {
+	for pair := range bytes.SplitSeq(query, []byte{'&'}) {
+		if v, ok := bytes.CutPrefix(pair, []byte("obj=")); ok {
+			return string(v)
+		}
+	}
+	return ""
+}
+
+// hint is the work hinted, from ms to µs; what is no such number hints nothing.
+func hint(text []byte) int64 {
+	ms, err := strconv.ParseFloat(string(text), 64)
+	if err != nil || !(ms > 0) || ms > float64(math.MaxInt32) {
+		return 0
+	}
+	return int64(ms * 1000)
+}
+
+// hopByHop are the headers that end here, and the two that the sidecar writes itself.
+var hopByHop = map[string]bool{
+	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
+	"transfer-encoding": true, "upgrade": true, "expect": true, "content-length": true, "req-deadline-ms": true,
+}
+
+// head makes the bytes that go on: request line and headers as they came, but for those that end here.
+func head(h *fasthttp.RequestHeader, uri, body []byte) []byte {
+	raw := h.RawHeaders()
+	b := make([]byte, 0, len(raw)+len(uri)+64)
+	b = append(append(b, h.Method()...), ' ')
+	b = append(append(b, uri...), " HTTP/1.1\r\n"...)
+	drop := strings.ToLower(string(h.Peek("Connection")))
+	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
+		line = bytes.TrimSuffix(line, []byte{'\r'})
+		name, _, ok := bytes.Cut(line, []byte{':'})
+		low := strings.ToLower(string(name))
+		if !ok || hopByHop[low] || named(drop, low) {
+			continue
+		}
+		b = append(append(b, line...), "\r\n"...)
+	}
+	if len(body) > 0 || !h.IsGet() {
+		b = append(b, "Content-Length: "...)
+		b = append(strconv.AppendInt(b, int64(len(body)), 10), "\r\n"...)
+	}
+	return b
+}
+
+// named tells whether a Connection header names a header as one that ends here.
+func named(connection, header string) bool {
+	for token := range strings.SplitSeq(connection, ",") {
+		if strings.TrimSpace(token) == header {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/sidecar/actions.go
@@ -0,0 +1,93 @@
+package sidecar
+
+import (
+	"log"
+	"time"
+
+	"damsonscale/decide"
+	"damsonscale/internal/upstream"
+)
+
+// actions carries out what the module does. Its methods run on the actor and never wait.
+type actions struct{ s *Sidecar }
+
+// Send starts an attempt.
+func (x actions) Send(request, server string, timeout int64) {
+	s, c := x.s, x.s.calls[request]
+	if c == nil {
+		return
+	}
+	now := time.Now()
+	n := len(c.attempts)
+	a := &upstream.Attempt{
+		Host: server, Message: &c.Message, Gate: &c.gate, Sent: now, Deadline: c.until(now, timeout),
+	}
+	if k := s.conf.Settings.Classes[c.Request.Class]; k.Semantics == decide.Deduplicated && !c.effectAt.IsZero() {
+		a.WriteBy = c.effectAt.Add(time.Duration(k.Window) * time.Microsecond) // rule 2 at the moment of writing
+	}
+	a.Done = func(a *upstream.Attempt, r upstream.Report) {
+		s.box <- func(now int64) { s.settle(now, c, n, a, r) }
+	}
+	c.attempts = append(c.attempts, a)
+	c.out++
+	s.offer(a)
+}
+
+// until is when an attempt's wait ends: never past the module's time for the request.
+func (c *Call) until(now time.Time, timeout int64) time.Time {
+	last := c.Deadline.Add(-giveUpBefore)
+	if t := now.Add(time.Duration(timeout) * time.Microsecond); timeout > 0 && t.Before(last) {
+		return t
+	}
+	return last
+}
+
+// Cancel calls an attempt back.
+func (x actions) Cancel(request string, attempt int) {
+	if c := x.s.calls[request]; c != nil && attempt >= 0 && attempt < len(c.attempts) {
+		c.attempts[attempt].Cancel()
+	}
+}
+
+// Refuse answers that a new try is harmless.
+func (x actions) Refuse(request string, retryAfter int64) {
+	x.answer(request, Answer{Verdict: Refused, RetryAfter: time.Duration(retryAfter) * time.Microsecond})
+}
+
+// Fail answers that the request failed.
+func (x actions) Fail(request string) { x.answer(request, Answer{Verdict: Failed}) }
+
+func (x actions) answer(request string, a Answer) {
+	if c := x.s.calls[request]; c != nil {
+		c.finish(a)
+		x.s.forget(c)
+	}
+}
+
+// Probe asks a server for its state or load.
+func (x actions) Probe(server string) {
+	s := x.s
+	s.offer(upstream.Probe(server, s.conf.Transport.ProbeLoad, probeTimeout, func(a *upstream.Attempt, r upstream.Report) {
+		s.box <- func(now int64) {
+			s.peers[server].out--
+			s.balancer.Probed(now, decide.Probe{
+				Server: server, Result: r.End.Result(), Latency: r.At.Sub(a.Sent).Microseconds(), Load: r.Load,
+			})
+			s.retire(server)
+		}
+	}))
+}
+
+// Watch asks for the list's changes from now on, or stops.
+func (x actions) Watch(on bool) { x.s.list.Watch(on) }
+
+// Wake sets a timer.
+func (x actions) Wake(in, token int64) {
+	s := x.s
+	time.AfterFunc(time.Duration(in)*time.Microsecond, func() {
+		s.box <- func(now int64) { s.balancer.Timer(now, token) }
+	})
+}
+
+// Log writes the module's line.
+func (x actions) Log(line string) { log.Printf("from=module %s", line) }
--- /dev/null
+++ b/internal/sidecar/sidecar.go
@@ -0,0 +1,218 @@
+// Package sidecar runs the decision module as an actor between clients, servers and the list.
+package sidecar
+
+import (
+	"context"
+	"log"
+	"time"
+
+	"damsonscale/decide"
+	"damsonscale/internal/config"
+	"damsonscale/internal/discovery"
+	"damsonscale/internal/upstream"
+)
+
+const (
+	mailbox      = 1024
+	probeTimeout = 300 * time.Millisecond
+)
+
+// Sidecar is the module's actor: one goroutine owns the balancer and all calls.
+//
+// Clients, peers, the list and timers post events and wait for room. The actor itself never waits: what it
+// hands to a peer or to the list is offered, and an attempt that finds a peer's mailbox full ends as unwritten.
+type Sidecar struct {
+	conf     *config.Config
+	balancer *decide.Balancer
+	list     *discovery.Client
+	shared   upstream.Shared
+	box      chan func(now int64)
+	start    time.Time
+	calls    map[string]*Call
+	peers    map[string]*peer
+}
+
+// peer is a server's actor with what the module has out there.
+type peer struct {
+	*upstream.Peer
+	out int
+}
+
+// New makes the actor; sockets is how many connections to servers it may hold.
+func New(conf *config.Config, sockets int) *Sidecar {
+	s := &Sidecar{
+		conf: conf, box: make(chan func(int64), mailbox), start: time.Now(),
+		calls: map[string]*Call{}, peers: map[string]*peer{},
+	}
+	s.list = discovery.New(conf.Discovery, conf.Known, s)
+	s.shared = upstream.Shared{
+		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address,
+		DialTimeout: conf.Transport.DialTimeout, ConnIdle: conf.Transport.ConnIdle,
+	}
+	s.balancer = decide.New(conf.Settings, conf.Seed, actions{s})
+	return s
+}
+
+// Ready tells whether any server is known.
+func (s *Sidecar) Ready() bool { return s.list.Roster.Known() }
+
+// Run serves the mailbox until ctx ends.
+func (s *Sidecar) Run(ctx context.Context) {
+	go s.list.Run(ctx)
+	s.balancer.Begin(s.now())
+	if k := s.conf.Known; k != nil && len(k.Hosts) > 0 {
+		s.balancer.Listed(s.now(), servers(k), true)
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.box:
+			f(s.now())
+		}
+	}
+}
+
+// now is Unix time in µs at the start, moved on by the monotonic clock.
+func (s *Sidecar) now() int64 { return s.at(time.Now()) }
+
+func (s *Sidecar) at(t time.Time) int64 { return s.start.UnixMicro() + t.Sub(s.start).Microseconds() }
+
+// ---- Clients
+
+// Do takes a request and returns its final answer; gone is closed when the client leaves.
+func (s *Sidecar) Do(c *Call, gone <-chan struct{}) (a Answer, left bool) {
+	c.answer = make(chan Answer, 1)
+	last := time.NewTimer(time.Until(c.Deadline) - answerBefore)
+	defer last.Stop()
+	select {
+	case s.box <- func(now int64) { s.take(now, c) }:
+	case <-last.C: // the module's mailbox is full: nothing was sent, nothing will be
+		return Answer{Verdict: Late}, false
+	}
+	select {
+	case a = <-c.answer:
+		c.gate.Close()
+		return a, false
+	case <-gone:
+		left = true
+	case <-last.C:
+	}
+	c.gate.Close()
+	go func() { s.box <- func(now int64) { s.left(now, c) } }()
+	return Answer{Verdict: Late}, left
+}
+
+func (s *Sidecar) take(now int64, c *Call) {
+	if s.calls[c.Request.ID] != nil { // Guards against two requests of one id, whose attempts could not be told apart
+		c.finish(Answer{Verdict: Duplicate})
+		return
+	}
+	s.calls[c.Request.ID] = c
+	c.Request.Left = max(0, s.at(c.Deadline.Add(-giveUpBefore))-now)
+	s.balancer.Request(now, c.Request)
+}
+
+func (s *Sidecar) left(now int64, c *Call) {
+	if c.answered || s.calls[c.Request.ID] != c {
+		return
+	}
+	c.answered = true
+	s.balancer.Gone(now, c.Request.ID)
+	s.forget(c)
+}
+
+// forget drops a call that is answered and has nothing out.
+func (s *Sidecar) forget(c *Call) {
+	if c.answered && c.out == 0 && s.calls[c.Request.ID] == c {
+		delete(s.calls, c.Request.ID)
+	}
+}
+
+// ---- The list
+
+// Listed takes the list from its actor.
+func (s *Sidecar) Listed(l *discovery.List) {
+	s.box <- func(now int64) {
+		s.balancer.Listed(now, servers(l), l.Whole)
+		for host := range s.peers {
+			s.retire(host)
+		}
+	}
+}
+
+// ListFailed takes word that an ask failed or the watch broke.
+func (s *Sidecar) ListFailed() {
+	s.box <- func(now int64) { s.balancer.ListFailed(now) }
+}
+
+// servers puts a list into the module's terms.
+func servers(l *discovery.List) []decide.Server {
+	out := make([]decide.Server, 0, len(l.Hosts))
+	for _, e := range l.Hosts {
+		s := decide.Server{ID: e.Host, Size: e.Share, Zone: e.Zone, Cell: -1, UpSince: e.BornMs * 1000}
+		if e.Cell != nil {
+			s.Cell = *e.Cell
+		}
+		switch e.Health {
+		case discovery.Ready:
+			s.Phase = decide.InService
+		case discovery.Gone:
+			s.Phase = decide.Removed
+		default: // a state that is not known wants nothing new either
+			s.Phase = decide.Draining
+		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// ---- Servers
+
+func (s *Sidecar) peer(host string) *peer {
+	p := s.peers[host]
+	if p == nil {
+		p = &peer{Peer: upstream.NewPeer(host, &s.shared)}
+		s.peers[host] = p
+	}
+	return p
+}
+
+// retire stops the actor of a host that is no longer listed, once nothing is out there.
+func (s *Sidecar) retire(host string) {
+	p := s.peers[host]
+	if _, listed := s.list.Roster.Find(host); p != nil && p.out == 0 && !listed {
+		p.Stop()
+		delete(s.peers, host)
+	}
+}
+
+// offer hands an attempt to its peer; where the mailbox is full it ends as unwritten.
+func (s *Sidecar) offer(a *upstream.Attempt) {
+	p := s.peer(a.Host)
+	p.out++
+	if !p.Offer(a) {
+		log.Printf("event=mailbox_full peer=%s", a.Host)
+		go a.Done(a, upstream.Report{End: upstream.Unwritten, At: time.Now()}) // the actor must not wait for itself
+	}
+}
+
+// settle takes an attempt's end. An answer of a server ends its call.
+func (s *Sidecar) settle(now int64, c *Call, n int, a *upstream.Attempt, r upstream.Report) {
+	p := s.peers[a.Host]
+	p.out--
+	c.out--
+	result := r.End.Result()
+	if !result.NeverRan() && c.effectAt.IsZero() {
+		c.effectAt = a.Sent
+	}
+	if result == decide.Served {
+		c.finish(Answer{Verdict: Served, Body: r.Body, ContentType: r.ContentType})
+	}
+	s.balancer.Outcome(now, decide.Outcome{
+		Request: c.Request.ID, Attempt: n, Server: a.Host, Result: result,
+		Latency: r.At.Sub(a.Sent).Microseconds(), Closed: c.answered, Load: r.Load,
+	})
+	s.forget(c)
+	s.retire(a.Host)
+}
--- /dev/null
+++ b/internal/upstream/attempt.go
@@ -0,0 +1,91 @@
+package upstream
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"damsonscale/decide"
+)
+
+// Message is a request as it goes on: its bytes as they came, but for the fields that the sidecar owns.
+type Message struct {
+	Head []byte // request line and headers without the closing empty line and without DeadlineHeader
+	Body []byte
+}
+
+// DeadlineHeader tells a server how long the sidecar will wait.
+const DeadlineHeader = "Req-Deadline-Ms"
+
+// render makes the bytes of one attempt.
+func (m *Message) render(left time.Duration) []byte {
+	b := make([]byte, 0, len(m.Head)+len(m.Body)+48)
+	b = append(append(b, m.Head...), DeadlineHeader+": "...)
+	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
+	return append(append(b, "\r\n\r\n"...), m.Body...)
+}
+
+// Gate stands between a request's attempts and its final answer: once closed, nothing more is written for it.
+// Guards against an attempt that is written after the final answer because goroutines lag.
+type Gate struct {
+	mu     sync.Mutex
+	closed bool
+}
+
+// Close waits for a write under way and lets no other begin.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	g.closed = true
+	g.mu.Unlock()
+}
+
+// pass runs write unless the gate is closed.
+func (g *Gate) pass(write func()) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		return false
+	}
+	write()
+	return true
+}
+
+// Attempt is one send to one server, or a probe.
+type Attempt struct {
+	Host     string
+	Message  *Message
+	Gate     *Gate
+	Sent     time.Time // when the decision was made
+	Deadline time.Time // when the wait ends
+	WriteBy  time.Time // when even a first byte would be too late; zero: never
+	Done     func(*Attempt, Report)
+
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Report is what came of an attempt.
+type Report struct {
+	End         End
+	Status      int
+	At          time.Time
+	Fresh       bool // a new connection was opened for it
+	Body        []byte
+	ContentType []byte
+	Load        *decide.Load
+}
+
+// Cancel calls an attempt back. It never blocks.
+func (a *Attempt) Cancel() { a.cancel() }
+
+// arm starts the attempt's clock.
+func (a *Attempt) arm() { a.ctx, a.cancel = context.WithDeadline(context.Background(), a.Deadline) }
+
+// interrupted tells why the context cut a wait, after the last byte was written.
+func (a *Attempt) interrupted() End {
+	if a.ctx.Err() == context.Canceled {
+		return Withdrawn
+	}
+	return Expired
+}
--- /dev/null
+++ b/internal/upstream/load.go
@@ -0,0 +1,30 @@
+package upstream
+
+import (
+	"bytes"
+	"strconv"
+
+	"damsonscale/decide"
+)
+
+// parseLoad reads a load report in text form, "TEXT name=value, name=value"; nil where there is none.
+// Names that it does not know, and values that are no numbers, are skipped: a report is a hint.
+func parseLoad(text []byte) *decide.Load {
+	rest, ok := bytes.CutPrefix(bytes.TrimSpace(text), []byte("TEXT "))
+	if !ok {
+		return nil
+	}
+	l := &decide.Load{InFlight: -1, Queue: -1, Busy: -1, Latency: -1, Rate: -1, FailRate: -1}
+	fields := map[string]*float64{
+		"inflight": &l.InFlight, "queue": &l.Queue, "util": &l.Busy, "latency_ms": &l.Latency, "qps": &l.Rate,
+		"eps": &l.FailRate,
+	}
+	for pair := range bytes.SplitSeq(rest, []byte{','}) {
+		name, value, _ := bytes.Cut(bytes.TrimSpace(pair), []byte{'='})
+		to, known := fields[string(name)]
+		if v, err := strconv.ParseFloat(string(value), 64); err == nil && known && v >= 0 {
+			*to = v
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/internal/upstream/peer.go
@@ -0,0 +1,221 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+var (
+	errNoAnswer = errors.New("no answer of HTTP/1.1")
+	errNoLength = errors.New("answer of no stated length")
+)
+
+const (
+	mailbox    = 256
+	sweepEvery = time.Second
+	idlePart   = 0.6 // of the servers' idle limit: a connection older than this is not written to
+)
+
+// Budget counts the sockets that all peers may hold.
+type Budget struct {
+	limit int64
+	used  atomic.Int64
+}
+
+// NewBudget makes a budget of that many sockets.
+func NewBudget(limit int) *Budget { return &Budget{limit: int64(limit)} }
+
+func (b *Budget) take() bool {
+	if b.used.Add(1) > b.limit {
+		b.used.Add(-1)
+		return false
+	}
+	return true
+}
+
+func (b *Budget) give() { b.used.Add(-1) }
+
+// tight tells whether idle connections should go: three quarters of the sockets are in use.
+func (b *Budget) tight() bool { return b.used.Load()*4 > b.limit*3 }
+
+// Shared is what all peers have in common.
+type Shared struct {
+	Budget      *Budget
+	Find        func(host string) (dial string, ready bool) // as listed at this moment
+	DialTimeout time.Duration
+	ConnIdle    time.Duration // the servers' idle limit
+}
+
+// Peer is a server's actor: it owns the idle connections and starts attempts on them.
+//
+// The module posts attempts with Offer, which never blocks: a full mailbox turns the attempt down. Attempts
+// and the sweep post their ends and wait for room; the actor itself waits only on what Done waits on.
+type Peer struct {
+	Host string
+
+	shared *Shared
+	box    chan any
+	idle   []*conn // the latest used last
+}
+
+type ended struct {
+	a *Attempt
+	c *conn // fit to serve again; nil: none
+	r Report
+}
+
+type shed struct{}
+
+// NewPeer starts a server's actor.
+func NewPeer(host string, shared *Shared) *Peer {
+	p := &Peer{Host: host, shared: shared, box: make(chan any, mailbox)}
+	go p.run()
+	return p
+}
+
+// Offer hands the peer an attempt; false: its mailbox is full and nothing was or will be sent.
+func (p *Peer) Offer(a *Attempt) bool {
+	a.arm()
+	select {
+	case p.box <- a:
+		return true
+	default:
+		a.cancel()
+		return false
+	}
+}
+
+// Shed asks the peer to close its idle connections. It never blocks.
+func (p *Peer) Shed() {
+	select {
+	case p.box <- shed{}:
+	default:
+	}
+}
+
+// Stop ends the actor. No attempt may be out or be offered from then on.
+func (p *Peer) Stop() { close(p.box) }
+
+func (p *Peer) run() {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case m, ok := <-p.box:
+			if !ok {
+				p.sweep(true)
+				return
+			}
+			p.serve(m)
+		case <-tick.C:
+			_, ready := p.shared.Find(p.Host)
+			p.sweep(!ready || p.shared.Budget.tight())
+		}
+	}
+}
+
+func (p *Peer) serve(m any) {
+	switch m := m.(type) {
+	case *Attempt:
+		go p.attempt(m, p.takeIdle())
+	case ended:
+		if m.c != nil {
+			p.keep(m.c)
+		}
+		m.a.cancel()
+		m.a.Done(m.a, m.r)
+	case shed:
+		p.sweep(true)
+	}
+}
+
+// takeIdle returns the latest used idle connection that is fit to be written to, or nil.
+func (p *Peer) takeIdle() *conn {
+	addr, _ := p.shared.Find(p.Host)
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if c.addr == addr && p.young(c) && c.quiet() {
+			return c
+		}
+		c.shut()
+	}
+	return nil
+}
+
+// keep puts a connection aside, unless sockets are short: idle ones go first.
+func (p *Peer) keep(c *conn) {
+	if p.shared.Budget.tight() {
+		c.shut()
+		return
+	}
+	c.idleSince = time.Now()
+	p.idle = append(p.idle, c)
+}
+
+func (p *Peer) young(c *conn) bool {
+	return time.Since(c.idleSince) < time.Duration(idlePart*float64(p.shared.ConnIdle))
+}
+
+// sweep closes idle connections that are old or closed by the server, or all of them.
+func (p *Peer) sweep(all bool) {
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if !all && p.young(c) && c.quiet() {
+			kept = append(kept, c)
+		} else {
+			c.shut()
+		}
+	}
+	clear(p.idle[len(kept):])
+	p.idle = kept
+}
+
+// attempt runs one attempt to its end and reports it to the actor.
+func (p *Peer) attempt(a *Attempt, c *conn) {
+	r := Report{}
+	fresh := c == nil
+	if fresh {
+		c, r.End = p.dial(a)
+	}
+	if c != nil {
+		var reuse bool
+		r, reuse = c.exchange(a, func() bool {
+			addr, ready := p.shared.Find(p.Host)
+			return ready && addr == c.addr
+		})
+		if !reuse {
+			c.shut()
+			c = nil
+		}
+	}
+	r.Fresh = fresh
+	if r.At.IsZero() {
+		r.At = time.Now()
+	}
+	p.box <- ended{a: a, c: c, r: r}
+}
+
+// dial opens a connection for an attempt.
+func (p *Peer) dial(a *Attempt) (*conn, End) {
+	addr, ready := p.shared.Find(p.Host)
+	if !ready || a.ctx.Err() != nil || !p.shared.Budget.take() {
+		return nil, Unwritten
+	}
+	ctx, cancel := context.WithTimeout(a.ctx, p.shared.DialTimeout)
+	defer cancel()
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.shared.Budget.give()
+		if a.ctx.Err() == context.Canceled {
+			return nil, Unwritten
+		}
+		return nil, Unreachable
+	}
+	return &conn{Conn: nc, br: bufio.NewReaderSize(nc, readBuffer), addr: addr, budget: p.shared.Budget}, Answered
+}
