--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"log"
 	"net"
 	"os"
@@ -12,16 +13,20 @@
 	"syscall"
 	"time"
 
+	"damsonscale/decide"
 	"damsonscale/internal/config"
 	"damsonscale/internal/frontend"
 	"damsonscale/internal/sidecar"
 )
 
 const (
-	heapPart     = 0.6 // of the memory limit: the rest is for stacks, the runtime and the program itself
-	ownSockets   = 24  // the runtime's, the log, the listener, the watch
-	clientPart   = 0.6 // of the other sockets
-	drainLongest = 3500 * time.Millisecond
+	heapPart   = 0.6 // of the memory limit: the rest is for stacks, the runtime and the program itself
+	ownSockets = 12  // the runtime's, the log, the listener, the watch
+	clientPart = 0.5 // of the other sockets: each request out holds one on either side
+
+	bindFor   = 10 * time.Second // the one before may still hold the address
+	bindEvery = 20 * time.Millisecond
+	drainMore = 600 * time.Millisecond // past the longest deadline, after SIGTERM
 )
 
 func main() {
@@ -39,9 +44,9 @@
 	limits := conf.Limits
 	debug.SetMemoryLimit(int64(heapPart * float64(limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, min(runtime.NumCPU(), int(limits.Cores+0.5))))
-	clients := max(2, int(clientPart*float64(limits.Sockets-ownSockets))*10/11)
-	servers := max(2, int((1-clientPart)*float64(limits.Sockets-ownSockets)))
-	ln, err := net.Listen("tcp", conf.Listen)
+	clients := int(clientPart * float64(limits.Sockets-ownSockets))
+	servers := limits.Sockets - ownSockets - clients
+	ln, err := listen(conf.Listen)
 	if err != nil {
 		return err
 	}
@@ -59,8 +64,28 @@
 	case <-term.Done():
 	}
 	log.Printf("event=term name=%s", conf.Name)
-	ctx, cancel := context.WithTimeout(context.Background(), drainLongest)
+	ctx, cancel := context.WithTimeout(context.Background(), longest(conf.Settings.Classes)+drainMore)
 	defer cancel()
 	front.Drain(ctx, ln)
 	return nil
 }
+
+// listen waits for the address where another still holds it. Guards against a restart that ends in a crash
+// because the one before it is still answering.
+func listen(addr string) (net.Listener, error) {
+	for end := time.Now().Add(bindFor); ; time.Sleep(bindEvery) {
+		ln, err := net.Listen("tcp", addr)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+			return ln, err
+		}
+	}
+}
+
+// longest is the longest deadline of a class.
+func longest(classes []decide.Class) time.Duration {
+	most := int64(0)
+	for _, c := range classes {
+		most = max(most, c.Deadline)
+	}
+	return time.Duration(most) * time.Microsecond
+}
--- /dev/null
+++ b/cmd/damsonscale/main_test.go
@@ -0,0 +1,586 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// TestMain lets the test's own binary be the program: the tests start it and speak to it on loopback.
+func TestMain(m *testing.M) {
+	if os.Getenv("DAMSONSCALE_RUN_MAIN") == "1" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const patience = 30 * time.Second // before a test that waits for something gives up
+
+const settings = `{"Balancers":1,"Me":0,"Zone":"z","RegistryMode":"on_request","WeightSource":"nominal","TickUs":5000,
+"Services":[
+ {"Name":"look","Semantics":"idempotent","AimUs":2000000,"DeadlineUs":20000000,"LateShare":0.3,"Worth":1},
+ {"Name":"make","Semantics":"deduplicated","Group":"all","AimUs":2000000,"DeadlineUs":20000000,"WindowUs":20000000,"LateShare":0.3,"Worth":1},
+ {"Name":"once","Semantics":"at_most_once","AimUs":2000000,"DeadlineUs":20000000,"LateShare":0.3,"Worth":1}],
+"Realms":[{"Name":"t","AllowancePerS":1000}],
+"Limits":{"Cancel":true,"RetryAfter":true,"MaxAttempts":4,"MaxRetryAfterUs":1000000,"ConnIdleUs":10000000,"DialTimeoutUs":250000},
+"ScoringMix":{"Whole":1},
+"Guarantees":{"AnswerSlackUs":20000,"AskEveryUs":10000000,"StopSendingWithinUs":2000000,"ColdFrom":0.5,"ColdUs":5000000,
+ "OverloadFactor":3,"FallUs":3000000}}`
+
+type host struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	Born   int64   `json:"born_ms"`
+}
+
+type list struct {
+	Seq   int    `json:"seq"`
+	Whole bool   `json:"whole"`
+	Hosts []host `json:"hosts"`
+}
+
+func hostAt(name, addr, health string) host {
+	return host{Host: name, Dial: addr, Site: "z", Health: health, Share: 1}
+}
+
+// discovery is a stand-in that writes to each watch what the test puts into lines.
+type discovery struct {
+	addr    string
+	lines   chan string
+	watches chan string // the query of each watch
+	hangUp  chan bool
+}
+
+func startDiscovery(t *testing.T) *discovery {
+	d := &discovery{lines: make(chan string), watches: make(chan string, 64), hangUp: make(chan bool)}
+	d.addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		d.watches <- r.URL.RawQuery
+		w.WriteHeader(http.StatusOK)
+		w.(http.Flusher).Flush()
+		beat := time.NewTicker(2 * time.Second)
+		defer beat.Stop()
+		for {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-d.hangUp:
+				return
+			case <-beat.C:
+				io.WriteString(w, "\n")
+			case l := <-d.lines:
+				io.WriteString(w, l+"\n")
+			}
+			w.(http.Flusher).Flush()
+		}
+	})
+	return d
+}
+
+func (d *discovery) tell(t *testing.T, l list) {
+	t.Helper()
+	text, _ := json.Marshal(l)
+	d.write(t, string(text))
+}
+
+func (d *discovery) write(t *testing.T, line string) {
+	t.Helper()
+	select {
+	case d.lines <- line:
+	case <-time.After(patience):
+		t.Fatal("nobody watches")
+	}
+}
+
+func serveHTTP(t *testing.T, h http.HandlerFunc) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(ln)
+	t.Cleanup(func() { s.Close() })
+	return ln.Addr().String()
+}
+
+// program is a started sidecar.
+type program struct {
+	cmd  *exec.Cmd
+	addr string
+	log  bytes.Buffer
+	done chan error
+}
+
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func start(t *testing.T, discoveryAddr string, known *list, change func(map[string]any)) *program {
+	t.Helper()
+	p := &program{addr: freeAddr(t), done: make(chan error, 1)}
+	conf := map[string]any{
+		"name": "n1", "listen": p.addr, "discovery": discoveryAddr, "seed": "8c1f30d27a5be964",
+		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
+		"settings": json.RawMessage(settings),
+	}
+	if known != nil {
+		conf["known"] = known
+	}
+	if change != nil {
+		change(conf)
+	}
+	text, _ := json.Marshal(conf)
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(os.Environ(), "DAMSONSCALE_RUN_MAIN=1", "PROXY_CONFIG="+path)
+	p.cmd.Stderr = &p.log
+	if err := p.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go func() { p.done <- p.cmd.Wait() }()
+	t.Cleanup(func() { p.cmd.Process.Kill() })
+	return p
+}
+
+// status returns the answer's status to a GET, 0 where there is none.
+func (p *program) status(path string) int {
+	resp, err := http.Get("http://" + p.addr + path)
+	if err != nil {
+		return 0
+	}
+	io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("never came: %s", what)
+}
+
+func (p *program) ready(t *testing.T) {
+	t.Helper()
+	eventually(t, "ready", func() bool { return p.status("/health/ready") == 200 })
+}
+
+var ids atomic.Int64
+
+func request(t *testing.T, addr, method, path, body string) *http.Request {
+	t.Helper()
+	r, err := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Req-Id", fmt.Sprintf("%016x", ids.Add(1)))
+	r.Header.Set("Req-Owner", "t")
+	r.Header.Set("Req-Deadline-Ms", "20000")
+	if method == "POST" {
+		r.Header.Set("Idempotency-Key", "5c0f6e1a")
+	}
+	return r
+}
+
+func do(t *testing.T, r *http.Request) (int, string) {
+	t.Helper()
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, string(body)
+}
+
+// one starts a sidecar with one known server.
+func one(t *testing.T, h http.HandlerFunc) (*program, *discovery) {
+	d := startDiscovery(t)
+	addr := serveHTTP(t, h)
+	p := start(t, d.addr, &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", addr, "Ready")}}, nil)
+	p.ready(t)
+	return p, d
+}
+
+func TestReadyOnceAListIsKnown(t *testing.T) {
+	d := startDiscovery(t)
+	server := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") })
+	p := start(t, d.addr, nil, nil)
+	eventually(t, "an answer", func() bool { return p.status("/health/ready") != 0 })
+	if s := p.status("/health/ready"); s != 503 {
+		t.Fatalf("ready without a list: %d", s)
+	}
+	if q := <-d.watches; q != "watch=1" {
+		t.Fatalf("asked with %q", q)
+	}
+	d.tell(t, list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", server, "Ready")}})
+	p.ready(t)
+	if s, body := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 || body != "yes" {
+		t.Fatal(s, body)
+	}
+}
+
+// What goes on is what came: method, path, query, id, key, body and further headers.
+func TestRequestGoesOnAsItCame(t *testing.T) {
+	type seen struct {
+		method, uri, body string
+		head              http.Header
+	}
+	got := make(chan seen, 1)
+	p, d := one(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		got <- seen{r.Method, r.RequestURI, string(b), r.Header}
+		w.Header().Set("Content-Type", "application/x-clip")
+		w.Write(bytes.Repeat([]byte{0, 1, 255}, 20000))
+	})
+	if q := <-d.watches; q != "watch=1&from=41" {
+		t.Fatalf("watched with %q", q)
+	}
+	body := strings.Repeat("\x00b\r\n", 16384)
+	uri := "/make//a/../b%2Fc?obj=7f%20a&x=%zz&obj=2"
+	r := request(t, p.addr, "POST", "/", body)
+	r.URL.Opaque = uri
+	r.Header["X-odd-CASE"] = []string{"Kept as it is"}
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "ends here")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	answer, _ := io.ReadAll(resp.Body)
+	resp.Body.Close()
+	if resp.StatusCode != 200 || len(answer) != 60000 || resp.Header.Get("Content-Type") != "application/x-clip" {
+		t.Fatal(resp.StatusCode, len(answer), resp.Header)
+	}
+	s := <-got
+	if s.method != "POST" || s.uri != uri || s.body != body {
+		t.Fatalf("%s %s, %d bytes", s.method, s.uri, len(s.body))
+	}
+	for _, name := range []string{"Req-Id", "Req-Owner", "Idempotency-Key"} {
+		if s.head.Get(name) != r.Header.Get(name) {
+			t.Errorf("%s: %q", name, s.head.Get(name))
+		}
+	}
+	if s.head.Get("X-Odd-Case") != "Kept as it is" || s.head.Get("X-Hop") != "" || len(s.head["Req-Deadline-Ms"]) != 1 {
+		t.Errorf("headers: %v", s.head)
+	}
+}
+
+// raw writes bytes on a new connection and returns the status of the first answer; 0: none.
+func raw(t *testing.T, addr, text string) int {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(patience))
+	io.WriteString(c, text)
+	c.(*net.TCPConn).CloseWrite()
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// Bad input gets a 4xx that is no refusal, and no server sees any of it.
+func TestBadInput(t *testing.T) {
+	var attempts atomic.Int64
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) { attempts.Add(1) })
+	const head = "Host: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: 900\r\n"
+	for name, text := range map[string]string{
+		"no HTTP":              "\x16\x03\x01\x02\x00\x01\x00\r\n\r\n",
+		"no version":           "GET /look\r\n\r\n",
+		"header without colon": "GET /look HTTP/1.1\r\n" + head + "oops\r\n\r\n",
+		"folded header":        "GET /look HTTP/1.1\r\n" + head + "A: b\r\n c: d\r\n\r\n",
+		"space before colon":   "GET /look HTTP/1.1\r\n" + head + "Content-Length : 5\r\n\r\n",
+		"unknown class":        "GET /nope HTTP/1.1\r\n" + head + "\r\n",
+		"no class":             "GET / HTTP/1.1\r\n" + head + "\r\n",
+		"no id":                "GET /look HTTP/1.1\r\nHost: h\r\nReq-Deadline-Ms: 900\r\n\r\n",
+		"two ids":              "GET /look HTTP/1.1\r\n" + head + "Req-Id: a2\r\n\r\n",
+		"endless id":           "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: " + strings.Repeat("a", 999) + "\r\nReq-Deadline-Ms: 900\r\n\r\n",
+		"no deadline":          "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: a1\r\n\r\n",
+		"two deadlines":        "GET /look HTTP/1.1\r\n" + head + "Req-Deadline-Ms: 1\r\n\r\n",
+		"deadline no number":   "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: soon\r\n\r\n",
+		"deadline zero":        "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: 0\r\n\r\n",
+		"deadline negative":    "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: -5\r\n\r\n",
+		"deadline absurd":      "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: 99999999999999999999\r\n\r\n",
+		"wrong method":         "PUT /look HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n",
+		"HEAD":                 "HEAD /look HTTP/1.1\r\n" + head + "\r\n",
+		"keyed as safe":        "GET /make HTTP/1.1\r\n" + head + "\r\n",
+		"safe as keyed":        "POST /look HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n",
+		"keyed without key":    "POST /make HTTP/1.1\r\n" + head + "Content-Length: 0\r\n\r\n",
+		"body too large":       "POST /once HTTP/1.1\r\n" + head + "Content-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537),
+		"chunks too large":     "POST /once HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n1ffff\r\n" + strings.Repeat("x", 70000),
+		"chunk size absurd":    "POST /once HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\nffffffffffffffffffff\r\n",
+		"length no number":     "POST /once HTTP/1.1\r\n" + head + "Content-Length: many\r\n\r\n",
+		"two lengths":          "POST /once HTTP/1.1\r\n" + head + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxx",
+		"both framings":        "POST /once HTTP/1.1\r\n" + head + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"endless head":         "GET /look HTTP/1.1\r\n" + head + "A: " + strings.Repeat("x", 20000) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			if s := raw(t, p.addr, text); s < 400 || s > 499 || s == 429 {
+				t.Fatalf("answered %d", s)
+			}
+		})
+	}
+	if n := attempts.Load(); n != 0 {
+		t.Fatalf("%d attempts", n)
+	}
+	if s, _ := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 {
+		t.Fatalf("a good request afterwards: %d", s)
+	}
+}
+
+// Two requests of one id could not be told apart: the second one is turned down, and not as a refusal.
+func TestDuplicateID(t *testing.T) {
+	came, on := make(chan bool, 2), make(chan bool)
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-on
+	})
+	r := request(t, p.addr, "GET", "/look", "")
+	first := make(chan int)
+	go func() {
+		s, _ := do(t, r.Clone(r.Context()))
+		first <- s
+	}()
+	<-came
+	if s, _ := do(t, r); s != 409 {
+		t.Fatalf("the second: %d", s)
+	}
+	close(on)
+	if s := <-first; s != 200 {
+		t.Fatalf("the first: %d", s)
+	}
+}
+
+// A client that leaves takes its attempt with it.
+func TestClientLeaves(t *testing.T) {
+	came, gone := make(chan bool, 1), make(chan bool, 1)
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-r.Context().Done()
+		gone <- true
+	})
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request(t, p.addr, "GET", "/look", "").Write(c)
+	<-came
+	c.Close()
+	select {
+	case <-gone:
+	case <-time.After(patience / 2): // less than the request's own time
+		t.Fatal("the attempt was not called back")
+	}
+}
+
+// A server that says nothing costs its client no more than the time it gave: the answer comes in time.
+func TestSilentServerIsAnsweredInTime(t *testing.T) {
+	var attempts atomic.Int64
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {
+		attempts.Add(1)
+		<-r.Context().Done()
+	})
+	r := request(t, p.addr, "POST", "/once", "x")
+	r.Header.Set("Req-Deadline-Ms", "300")
+	// An effect that may have happened is not refused, which would call for another try, and not tried again.
+	if s, _ := do(t, r); s != 502 && s != 504 {
+		t.Fatalf("answered %d", s)
+	}
+	if n := attempts.Load(); n != 1 {
+		t.Fatalf("%d attempts", n)
+	}
+}
+
+// Once the list says that a server drains, nothing new goes to it; what it has is finished.
+func TestDrainingServerGetsNothingNew(t *testing.T) {
+	d := startDiscovery(t)
+	var drained atomic.Bool
+	var late atomic.Int64
+	came, finish := make(chan bool, 64), make(chan bool)
+	old := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		if drained.Load() {
+			late.Add(1)
+		}
+		came <- true
+		<-finish
+		io.WriteString(w, "old")
+	})
+	other := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "new") })
+	p := start(t, d.addr, &list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", old, "Ready")}}, nil)
+	p.ready(t)
+	first := make(chan string)
+	go func() {
+		_, body := do(t, request(t, p.addr, "GET", "/look", ""))
+		first <- body
+	}()
+	<-came
+	d.tell(t, list{Seq: 2, Hosts: []host{hostAt("s2", other, "Ready"), hostAt("s1", old, "Terminating")}})
+	eventually(t, "answers of the other alone", func() bool {
+		s, body := do(t, request(t, p.addr, "GET", "/look", ""))
+		return s == 200 && body == "new"
+	})
+	drained.Store(true)
+	for range 50 {
+		if s, body := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 || body != "new" {
+			t.Fatal(s, body)
+		}
+	}
+	close(finish)
+	if body := <-first; body != "old" {
+		t.Fatalf("what the draining server had: %q", body)
+	}
+	if late.Load() != 0 {
+		t.Fatal("the draining server got something new")
+	}
+}
+
+// A watch that ends is asked for again from where it was; one that sends garbage, for the whole list.
+func TestWatchComesBack(t *testing.T) {
+	p, d := one(t, func(w http.ResponseWriter, r *http.Request) {})
+	<-d.watches
+	d.tell(t, list{Seq: 44, Hosts: []host{}})
+	d.hangUp <- true
+	if q := <-d.watches; q != "watch=1&from=44" {
+		t.Fatalf("asked again with %q", q)
+	}
+	for _, garbage := range []string{`{"seq":45,"hosts":[{"host":"","dial":"x"}]}`, `{"seq":`, "\x00\xff", `[1]`,
+		`{"seq":46,"whole":true,"hosts":[{"host":"s1","dial":"","health":"Ready"}]}`} {
+		d.write(t, garbage)
+		if q := <-d.watches; q != "watch=1" {
+			t.Fatalf("asked after garbage with %q", q)
+		}
+	}
+	if s, _ := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 {
+		t.Fatalf("the list held is lost: %d", s)
+	}
+}
+
+// After SIGTERM what is taken is answered, clients that still come are served, and the program exits with 0.
+func TestTerm(t *testing.T) {
+	came, finish := make(chan bool, 8), make(chan bool)
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/look/slow" {
+			came <- true
+			<-finish
+		}
+		io.WriteString(w, "yes")
+	})
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if s, body := do(t, request(t, p.addr, "GET", "/look/slow", "")); s != 200 || body != "yes" {
+				t.Error(s, body)
+			}
+		}()
+	}
+	for range 4 {
+		<-came
+	}
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	eventually(t, "word of the drain", func() bool { return p.status("/health/ready") == 503 })
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Do(request(t, p.addr, "GET", "/look", ""))
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("a client that came after SIGTERM: %v %v", resp, err)
+	}
+	resp.Body.Close()
+	close(finish)
+	wg.Wait()
+	select {
+	case err := <-p.done:
+		if err != nil {
+			t.Fatalf("exit: %v\n%s", err, p.log.String())
+		}
+	case <-time.After(patience):
+		t.Fatal("did not exit")
+	}
+}
+
+// The place is free for the next one at once, and one that starts while the last still ends waits for it.
+func TestAddressStillInUse(t *testing.T) {
+	d := startDiscovery(t)
+	server := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {})
+	var ln net.Listener
+	p := start(t, d.addr, &list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", server, "Ready")}}, func(c map[string]any) {
+		var err error
+		if ln, err = net.Listen("tcp", c["listen"].(string)); err != nil {
+			t.Fatal(err)
+		}
+	})
+	time.Sleep(100 * time.Millisecond) // the program meets the address in use, if it is quick
+	ln.Close()
+	p.ready(t)
+}
+
+func TestFaultyConfigIsNamed(t *testing.T) {
+	p := start(t, "nowhere", nil, nil)
+	if err := <-p.done; err == nil {
+		t.Fatal("started")
+	}
+	if !strings.Contains(p.log.String(), "discovery: expected address:port") {
+		t.Fatalf("said %q", p.log.String())
+	}
+}
+
+// More clients than sockets: idle ones make room, and everyone is answered.
+func TestMoreClientsThanSockets(t *testing.T) {
+	d := startDiscovery(t)
+	server := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") })
+	p := start(t, d.addr, &list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", server, "Ready")}}, func(c map[string]any) {
+		c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 48}
+	})
+	p.ready(t)
+	var kept []net.Conn
+	for range 100 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(patience))
+		kept = append(kept, c)
+		request(t, p.addr, "GET", "/look", "").Write(c)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || resp.StatusCode != 200 {
+			t.Fatalf("connection %d: %v %v", len(kept), resp, err)
+		}
+	}
+}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -16,9 +16,10 @@
 )
 
 const (
-	callTimeout = 3 * time.Second // a call that has not begun its answer by then has failed
-	silence     = 5 * time.Second // a watch sends a line each 2 s at least: one that misses two is broken
-	maxLine     = 4 << 20         // bytes of one list
+	dialTimeout = time.Second
+	callTimeout = 2500 * time.Millisecond // a call that has not begun its answer by then has failed
+	silence     = 4500 * time.Millisecond // a watch sends a line each 2 s at least: one that misses two is broken
+	maxLine     = 4 << 20                 // bytes of one list
 	mailbox     = 64
 )
 
@@ -129,7 +130,7 @@
 
 // watch holds one watch open, handing each list to take, and returns why it ended.
 func watch(ctx context.Context, addr string, from int64, take func(*List)) error {
-	dialer := net.Dialer{Timeout: callTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -14,7 +14,8 @@
 	net.Conn
 	front     *Frontend
 	readAt    time.Time     // when the last bytes came
-	idleSince atomic.Int64  // Unix µs; 0: busy
+	idleSince atomic.Int64  // Unix µs; busy or taken where it is not idle
+	between   bool          // the next byte begins a request
 	served    atomic.Bool   // it has carried a request
 	done      chan struct{} // closed when the background read has ended
 	ahead     [1]byte       // what the background read got
@@ -23,24 +24,48 @@
 	closed    atomic.Bool
 }
 
-// Read returns what the background read got first.
+// What idleSince holds besides a time.
+const (
+	busy  = 0  // a request is being read or served, or its answer is not written yet
+	taken = -1 // chosen to be closed
+)
+
+// Read returns what the background read got first. A connection is idle only while it waits here for the
+// first byte of a request. Guards against closing one that carries a request which has been read.
 func (c *clientConn) Read(p []byte) (n int, err error) {
 	if c.has && len(p) > 0 {
-		p[0], c.has = c.ahead[0], false
+		p[0], c.has, c.between = c.ahead[0], false, false
 		return 1, nil
 	}
 	if c.failed != nil {
 		return 0, c.failed
 	}
+	if c.between {
+		c.idleSince.Store(time.Now().UnixMicro())
+	}
 	n, err = c.Conn.Read(p)
+	if c.between && c.idleSince.Swap(busy) == taken {
+		return 0, net.ErrClosed
+	}
+	c.between = c.between && n == 0
 	c.readAt = time.Now()
 	return n, err
 }
 
+// takeIdle claims an idle connection that has been so since before, to be closed.
+func (c *clientConn) takeIdle(before int64) bool {
+	at := c.idleSince.Load()
+	return at > busy && at <= before && c.idleSince.CompareAndSwap(at, taken)
+}
+
+// finished tells that the request read last has been handled.
+func (c *clientConn) finished() {
+	c.between = true
+	c.served.Store(true)
+}
+
 // watch begins the background read; the channel is closed when the client has left.
 func (c *clientConn) watch() <-chan struct{} {
-	c.idleSince.Store(0)
-	c.served.Store(true)
 	gone, done := make(chan struct{}), make(chan struct{})
 	c.done = done
 	if c.has || c.failed != nil {
@@ -68,7 +93,6 @@
 	if c.has {
 		c.readAt = time.Now()
 	}
-	c.idleSince.Store(time.Now().UnixMicro())
 }
 
 // Close closes the connection and gives its socket back, once.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"log"
+	"math"
 	"net"
 	"strconv"
 	"sync"
@@ -23,11 +24,12 @@
 	readTimeout  = 15 * time.Second // of one request, from its first byte
 	idleTimeout  = 5 * time.Minute
 	writeTimeout = 5 * time.Second
-	hardPart     = 1.1 // of the sockets: so many more are taken to be told no
+	softPart     = 0.9 // of the sockets; connections past it are taken to be told no
 
 	acceptAfterTerm = 700 * time.Millisecond // clients go on coming for a while after SIGTERM
 	quietBefore     = 300 * time.Millisecond // without a new connection, before the listener is closed
 	drainStep       = 10 * time.Millisecond
+	unusedAfter     = time.Second           // a new connection that has sent nothing for so long counts as idle
 	graceIdle       = 50 * time.Millisecond // a connection idle for this long has no request on its way
 )
 
@@ -47,11 +49,11 @@
 	lastAccept time.Time
 }
 
-// New makes a frontend that holds about so many client connections.
+// New makes a frontend that holds at most so many client connections.
 func New(side *sidecar.Sidecar, settings *decide.Settings, sockets int) *Frontend {
 	f := &Frontend{
-		side: side, settings: settings, classes: map[string]int{}, tenants: map[string]int{}, sockets: sockets,
-		conns: map[*clientConn]bool{}, room: make(chan struct{}, int(hardPart*float64(sockets))),
+		side: side, settings: settings, classes: map[string]int{}, tenants: map[string]int{},
+		sockets: int(softPart * float64(sockets)), conns: map[*clientConn]bool{}, room: make(chan struct{}, sockets),
 	}
 	for i, c := range settings.Classes {
 		f.classes[c.Name] = i
@@ -119,7 +121,7 @@
 		return nil, err
 	}
 	now := time.Now()
-	c := &clientConn{Conn: nc, front: f, readAt: now}
+	c := &clientConn{Conn: nc, front: f, readAt: now, between: true}
 	c.idleSince.Store(now.UnixMicro())
 	f.mu.Lock()
 	f.conns[c] = true
@@ -139,18 +141,19 @@
 	<-f.room
 }
 
-// closeIdlest closes the connection that has been idle longest, if any is.
+// closeIdlest closes the connection that has been idle longest, if any is. One that has carried nothing yet
+// is idle only after a while: its first request is likely on its way.
 func (f *Frontend) closeIdlest() {
 	var idlest *clientConn
-	least := int64(0)
+	least, fresh := int64(math.MaxInt64), time.Now().Add(-unusedAfter).UnixMicro()
 	f.mu.Lock()
 	for c := range f.conns {
-		if at := c.idleSince.Load(); at != 0 && c.served.Load() && (idlest == nil || at < least) {
+		if at := c.idleSince.Load(); at > busy && at < least && (c.served.Load() || at < fresh) {
 			idlest, least = c, at
 		}
 	}
 	f.mu.Unlock()
-	if idlest != nil {
+	if idlest != nil && idlest.takeIdle(least) {
 		idlest.Close()
 	}
 }
@@ -161,7 +164,7 @@
 	before := time.Now().Add(-idle).UnixMicro()
 	f.mu.Lock()
 	for c := range f.conns {
-		if at := c.idleSince.Load(); at != 0 && at <= before && (all || c.served.Load()) {
+		if (all || c.served.Load()) && c.takeIdle(before) {
 			old = append(old, c)
 		}
 	}
@@ -214,6 +217,7 @@
 		ctx.Error("not a connection of this server", fasthttp.StatusInternalServerError)
 		return
 	}
+	defer c.finished()
 	at := c.readAt
 	if string(ctx.Request.Header.RequestURI()) == "/health/ready" {
 		f.ready(ctx)
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"fmt"
-	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -33,6 +32,9 @@
 // parse takes out the fields that decisions need; at is when the request had come.
 func (f *Frontend) parse(ctx *fasthttp.RequestCtx, at time.Time) (*sidecar.Call, *fault) {
 	h := &ctx.Request.Header
+	if wrong := framing(h); wrong != nil {
+		return nil, wrong
+	}
 	uri := h.RequestURI()
 	path, query, _ := bytes.Cut(uri, []byte{'?'})
 	class, ok := f.class(path)
@@ -47,14 +49,13 @@
 		return nil, bad(fasthttp.StatusBadRequest, "Req-Id: expected once, with 1 to %d bytes", maxID)
 	}
 	left, err := strconv.ParseInt(string(h.Peek(upstream.DeadlineHeader)), 10, 64)
-	if err != nil || left <= 0 || left > maxDeadline.Milliseconds() {
+	if err != nil || left <= 0 || left > maxDeadline.Milliseconds() || len(h.PeekAll(upstream.DeadlineHeader)) > 1 {
 		return nil, bad(fasthttp.StatusBadRequest, "%s: expected 1 to %d", upstream.DeadlineHeader, maxDeadline.Milliseconds())
 	}
 	c := &sidecar.Call{
 		Deadline: at.Add(time.Duration(left) * time.Millisecond),
 		Request: decide.Request{
 			ID: string(id), Class: class, Tenant: -1, Key: key(query), IsRetry: string(h.Peek("Req-Retry")) == "1",
-			Work: hint(h.Peek("Req-Cost")),
 		},
 		Message: upstream.Message{Head: head(h, uri, ctx.Request.Body()), Body: ctx.Request.Body()},
 	}
@@ -64,6 +65,27 @@
 	return c, nil
 }
 
+// framing refuses what servers could read otherwise than fasthttp does: folded lines and two lengths. Guards
+// against a request that hides another one.
+func framing(h *fasthttp.RequestHeader) *fault {
+	lengths, chunked := 0, false
+	for line := range bytes.SplitSeq(h.RawHeaders(), []byte{'\n'}) {
+		if len(line) > 0 && (line[0] == ' ' || line[0] == '\t') {
+			return bad(fasthttp.StatusBadRequest, "folded header")
+		}
+		switch name, _, _ := bytes.Cut(line, []byte{':'}); strings.ToLower(string(name)) {
+		case "content-length":
+			lengths++
+		case "transfer-encoding":
+			chunked = true
+		}
+	}
+	if lengths > 1 || lengths == 1 && chunked {
+		return bad(fasthttp.StatusBadRequest, "more than one length")
+	}
+	return nil
+}
+
 // class is the first part of the path.
 func (f *Frontend) class(path []byte) (int, bool) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(string(path), "/"), "/")
@@ -103,15 +125,6 @@
 	return ""
 }
 
-// hint is the work hinted, from ms to µs; what is no such number hints nothing.
-func hint(text []byte) int64 {
-	ms, err := strconv.ParseFloat(string(text), 64)
-	if err != nil || !(ms > 0) || ms > float64(math.MaxInt32) {
-		return 0
-	}
-	return int64(ms * 1000)
-}
-
 // hopByHop are the headers that end here, and the two that the sidecar writes itself.
 var hopByHop = map[string]bool{
 	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -47,7 +47,7 @@
 	s.list = discovery.New(conf.Discovery, conf.Known, s)
 	s.shared = upstream.Shared{
 		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address,
-		DialTimeout: conf.Transport.DialTimeout, ConnIdle: conf.Transport.ConnIdle,
+		DialTimeout: conf.Transport.DialTimeout, ConnIdle: conf.Transport.ConnIdle, Short: s.short,
 	}
 	s.balancer = decide.New(conf.Settings, conf.Seed, actions{s})
 	return s
@@ -197,6 +197,15 @@
 	}
 }
 
+// short asks every peer for its longest idle connection: an attempt waits for a socket.
+func (s *Sidecar) short() {
+	s.box <- func(int64) {
+		for _, p := range s.peers {
+			p.Shed()
+		}
+	}
+}
+
 // settle takes an attempt's end. An answer of a server ends its call.
 func (s *Sidecar) settle(now int64, c *Call, n int, a *upstream.Attempt, r upstream.Report) {
 	p := s.peers[a.Host]
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"strconv"
 	"sync"
 	"time"
@@ -18,12 +19,13 @@
 // DeadlineHeader tells a server how long the sidecar will wait.
 const DeadlineHeader = "Req-Deadline-Ms"
 
-// render makes the bytes of one attempt.
-func (m *Message) render(left time.Duration) []byte {
-	b := make([]byte, 0, len(m.Head)+len(m.Body)+48)
-	b = append(append(b, m.Head...), DeadlineHeader+": "...)
-	b = strconv.AppendInt(b, max(1, left.Milliseconds()), 10)
-	return append(append(b, "\r\n\r\n"...), m.Body...)
+// render makes the bytes of one attempt and tells how many they are. The body is not copied.
+func (m *Message) render(left time.Duration) (parts net.Buffers, size int64) {
+	head := make([]byte, 0, len(m.Head)+48)
+	head = append(append(head, m.Head...), DeadlineHeader+": "...)
+	head = strconv.AppendInt(head, max(1, left.Milliseconds()), 10)
+	head = append(head, "\r\n\r\n"...)
+	return net.Buffers{head, m.Body}, int64(len(head) + len(m.Body))
 }
 
 // Gate stands between a request's attempts and its final answer: once closed, nothing more is written for it.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -78,9 +78,9 @@
 		if a.ctx.Err() != nil || !mayWrite() || !a.WriteBy.IsZero() && !now.Before(a.WriteBy) {
 			return
 		}
-		b := a.Message.render(a.Deadline.Sub(now))
-		switch n, err := c.Write(b); {
-		case n == len(b):
+		parts, size := a.Message.render(a.Deadline.Sub(now))
+		switch n, err := parts.WriteTo(c.Conn); {
+		case n == size:
 			end = Answered
 		case err != nil && a.ctx.Err() == context.Canceled:
 			end = Unwritten
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -39,8 +40,26 @@
 
 func (b *Budget) give() { b.used.Add(-1) }
 
-// tight tells whether idle connections should go: three quarters of the sockets are in use.
-func (b *Budget) tight() bool { return b.used.Load()*4 > b.limit*3 }
+// await takes a socket as soon as there is one, asking by short for idle ones to be closed; false: ctx ended
+// first. Guards against attempts that use up a request's tries within microseconds while none is free yet.
+func (b *Budget) await(ctx context.Context, short func()) bool {
+	for n := 0; !b.take(); n++ {
+		if n == 0 {
+			short()
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return ctx.Err() == nil || b.refund()
+}
+
+func (b *Budget) refund() bool {
+	b.give()
+	return false
+}
 
 // Shared is what all peers have in common.
 type Shared struct {
@@ -48,6 +67,7 @@
 	Find        func(host string) (dial string, ready bool) // as listed at this moment
 	DialTimeout time.Duration
 	ConnIdle    time.Duration // the servers' idle limit
+	Short       func()        // asks all peers to shed; it may block
 }
 
 // Peer is a server's actor: it owns the idle connections and starts attempts on them.
@@ -89,7 +109,7 @@
 	}
 }
 
-// Shed asks the peer to close its idle connections. It never blocks.
+// Shed asks the peer to close the connection that has been idle longest. It never blocks.
 func (p *Peer) Shed() {
 	select {
 	case p.box <- shed{}:
@@ -107,13 +127,12 @@
 		select {
 		case m, ok := <-p.box:
 			if !ok {
-				p.sweep(true)
+				p.shed(len(p.idle))
 				return
 			}
 			p.serve(m)
 		case <-tick.C:
-			_, ready := p.shared.Find(p.Host)
-			p.sweep(!ready || p.shared.Budget.tight())
+			p.sweep()
 		}
 	}
 }
@@ -124,12 +143,13 @@
 		go p.attempt(m, p.takeIdle())
 	case ended:
 		if m.c != nil {
-			p.keep(m.c)
+			m.c.idleSince = time.Now()
+			p.idle = append(p.idle, m.c)
 		}
 		m.a.cancel()
 		m.a.Done(m.a, m.r)
 	case shed:
-		p.sweep(true)
+		p.shed(min(1, len(p.idle)))
 	}
 }
 
@@ -147,32 +167,28 @@
 	return nil
 }
 
-// keep puts a connection aside, unless sockets are short: idle ones go first.
-func (p *Peer) keep(c *conn) {
-	if p.shared.Budget.tight() {
-		c.shut()
-		return
-	}
-	c.idleSince = time.Now()
-	p.idle = append(p.idle, c)
-}
-
 func (p *Peer) young(c *conn) bool {
 	return time.Since(c.idleSince) < time.Duration(idlePart*float64(p.shared.ConnIdle))
 }
 
-// sweep closes idle connections that are old or closed by the server, or all of them.
-func (p *Peer) sweep(all bool) {
-	kept := p.idle[:0]
-	for _, c := range p.idle {
-		if !all && p.young(c) && c.quiet() {
-			kept = append(kept, c)
-		} else {
+// sweep closes idle connections that are old, closed by the server, or to one that wants nothing new.
+func (p *Peer) sweep() {
+	addr, ready := p.shared.Find(p.Host)
+	p.idle = slices.DeleteFunc(p.idle, func(c *conn) bool {
+		stale := !ready || c.addr != addr || !p.young(c) || !c.quiet()
+		if stale {
 			c.shut()
 		}
+		return stale
+	})
+}
+
+// shed closes the n connections that have been idle longest.
+func (p *Peer) shed(n int) {
+	for _, c := range p.idle[:n] {
+		c.shut()
 	}
-	clear(p.idle[len(kept):])
-	p.idle = kept
+	p.idle = slices.Delete(p.idle, 0, n)
 }
 
 // attempt runs one attempt to its end and reports it to the actor.
@@ -203,11 +219,11 @@
 // dial opens a connection for an attempt.
 func (p *Peer) dial(a *Attempt) (*conn, End) {
 	addr, ready := p.shared.Find(p.Host)
-	if !ready || a.ctx.Err() != nil || !p.shared.Budget.take() {
-		return nil, Unwritten
-	}
 	ctx, cancel := context.WithTimeout(a.ctx, p.shared.DialTimeout)
 	defer cancel()
+	if !ready || !p.shared.Budget.await(ctx, p.shared.Short) {
+		return nil, Unwritten
+	}
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,383 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"damsonscale/decide"
+)
+
+// server is a stand-in that hands each connection to serve.
+type server struct {
+	net.Listener
+	conns atomic.Int64
+}
+
+func listen(t *testing.T, serve func(net.Conn, *bufio.Reader)) *server {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &server{Listener: ln}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go func() {
+				defer c.Close()
+				serve(c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+// take reads one whole request; false: the connection ended.
+func take(br *bufio.Reader) (*fasthttp.Request, bool) {
+	var r fasthttp.Request
+	return &r, r.Read(br) == nil
+}
+
+// always answers each request with the same bytes and closes after it where last is true.
+func always(answer string, last bool) func(net.Conn, *bufio.Reader) {
+	return func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, ok := take(br); !ok {
+				return
+			}
+			io.WriteString(c, answer)
+			if last {
+				return
+			}
+		}
+	}
+}
+
+func peerOf(t *testing.T, find func(string) (string, bool)) (*Peer, *Shared) {
+	t.Helper()
+	sh := &Shared{Budget: NewBudget(8), Find: find, DialTimeout: time.Second, ConnIdle: time.Hour, Short: func() {}}
+	p := NewPeer("s1", sh)
+	t.Cleanup(p.Stop)
+	return p, sh
+}
+
+func at(addr string) func(string) (string, bool) {
+	return func(string) (string, bool) { return addr, true }
+}
+
+// offer sends one attempt and returns the channel of its report.
+func offer(t *testing.T, p *Peer, change func(*Attempt)) (*Attempt, chan Report) {
+	t.Helper()
+	done := make(chan Report, 1)
+	now := time.Now()
+	a := &Attempt{
+		Host: "s1", Gate: &Gate{}, Sent: now, Deadline: now.Add(time.Minute),
+		Message: &Message{Head: []byte("POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"), Body: []byte("hi")},
+		Done:    func(_ *Attempt, r Report) { done <- r },
+	}
+	if change != nil {
+		change(a)
+	}
+	if !p.Offer(a) {
+		t.Fatal("mailbox full")
+	}
+	return a, done
+}
+
+func send(t *testing.T, p *Peer, change func(*Attempt)) Report {
+	t.Helper()
+	_, done := offer(t, p, change)
+	return <-done
+}
+
+// Each way in which an answer can end is told apart; a short 200 is a reset, and only what the server says
+// itself, or a missing last byte, proves that nothing ran.
+func TestEnds(t *testing.T) {
+	ok := "HTTP/1.1 200 OK\r\n"
+	for _, c := range []struct {
+		name, answer string
+		want         End
+	}{
+		{"whole", ok + "Content-Length: 3\r\n\r\nyes", Answered},
+		{"empty", ok + "Content-Length: 0\r\n\r\n", Answered},
+		{"chunked", ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n\r\n", Answered},
+		{"interim first", "HTTP/1.1 100 Continue\r\n\r\n" + ok + "Content-Length: 3\r\n\r\nyes", Answered},
+		{"short", ok + "Content-Length: 30\r\n\r\nyes", Broken},
+		{"short chunk", ok + "Transfer-Encoding: chunked\r\n\r\n9\r\nyes", Broken},
+		{"no last chunk", ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n", Broken},
+		{"no trailer's end", ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\n", Broken},
+		{"no length", ok + "Connection: close\r\n\r\nyes", Broken},
+		{"too long", ok + "Content-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), Broken},
+		{"absurd length", ok + "Content-Length: 99999999999999999999\r\n\r\nyes", Broken},
+		{"negative length", ok + "Content-Length: -5\r\n\r\nyes", Broken},
+		{"garbage", "\x00\xff\x16\x03 nonsense\r\n\r\n", Broken},
+		{"half a head", "HTTP/1.1 200 OK\r\nContent-", Broken},
+		{"nothing", "", Broken},
+		{"upgrade", "HTTP/1.1 101 Switching Protocols\r\n\r\n", Broken},
+		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", Failed},
+		{"declined", "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", Declined},
+		{"declined late", "HTTP/1.1 504 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", Declined},
+		{"503 of another", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", Failed},
+		{"500 that claims it", "HTTP/1.1 500 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", Failed},
+		{"no content", "HTTP/1.1 204 No\r\n\r\n", Failed},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := listen(t, always(c.answer, true))
+			p, _ := peerOf(t, at(s.Addr().String()))
+			r := send(t, p, nil)
+			if r.End != c.want {
+				t.Fatalf("got %v, want %v", r.End, c.want)
+			}
+			if c.want == Answered && c.name != "empty" && string(r.Body) != "yes" {
+				t.Fatalf("body %q", r.Body)
+			}
+		})
+	}
+}
+
+func TestResults(t *testing.T) {
+	want := map[End]decide.Result{
+		Answered: decide.Served, Failed: decide.Errored, Declined: decide.Full, Unreachable: decide.ConnectFailed,
+		Broken: decide.Reset, Expired: decide.TimedOut, Withdrawn: decide.Cancelled, Unwritten: decide.Moot,
+	}
+	never := map[End]bool{Declined: true, Unreachable: true, Unwritten: true}
+	for e := Answered; e <= Unwritten; e++ {
+		if e.Result() != want[e] || e.Result().NeverRan() != never[e] {
+			t.Errorf("%v maps to %v, never ran %v", e, e.Result(), e.Result().NeverRan())
+		}
+	}
+	if (Unwritten + 1).Result().NeverRan() {
+		t.Error("an end that is not known must not promise that nothing ran")
+	}
+}
+
+func TestRefusedConnectionIsUnreachable(t *testing.T) {
+	s := listen(t, always("", true))
+	addr := s.Addr().String()
+	s.Close()
+	p, _ := peerOf(t, at(addr))
+	if r := send(t, p, nil); r.End != Unreachable {
+		t.Fatal(r.End)
+	}
+}
+
+func TestSilentServerExpires(t *testing.T) {
+	s := listen(t, func(c net.Conn, br *bufio.Reader) { io.Copy(io.Discard, br) })
+	p, sh := peerOf(t, at(s.Addr().String()))
+	if r := send(t, p, func(a *Attempt) { a.Deadline = a.Sent.Add(60 * time.Millisecond) }); r.End != Expired {
+		t.Fatal(r.End)
+	}
+	if n := sh.Budget.used.Load(); n != 0 { // given up by closing the connection
+		t.Fatalf("%d sockets still held", n)
+	}
+}
+
+func TestCancelClosesTheConnection(t *testing.T) {
+	came, closed := make(chan bool), make(chan bool)
+	s := listen(t, func(c net.Conn, br *bufio.Reader) {
+		take(br)
+		came <- true
+		_, err := br.ReadByte()
+		closed <- err != nil
+	})
+	p, _ := peerOf(t, at(s.Addr().String()))
+	a, done := offer(t, p, nil)
+	<-came
+	a.Cancel()
+	if r := <-done; r.End != Withdrawn {
+		t.Fatal(r.End)
+	}
+	if !<-closed {
+		t.Fatal("the server still has the connection")
+	}
+}
+
+// A dial that comes up after the list has changed, or the request is over, writes nothing.
+func TestNothingWrittenWhenItWouldBeTooLate(t *testing.T) {
+	for name, change := range map[string]func(*Attempt){
+		"draining":        nil,
+		"request is over": func(a *Attempt) { a.Gate.Close() },
+		"past the window": func(a *Attempt) { a.WriteBy = a.Sent.Add(-time.Second) },
+		"time is up":      func(a *Attempt) { a.Deadline = a.Sent.Add(-time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			got := make(chan int64, 1)
+			s := listen(t, func(c net.Conn, br *bufio.Reader) {
+				n, _ := io.Copy(io.Discard, br)
+				got <- n
+			})
+			var asked atomic.Int64
+			p, _ := peerOf(t, func(string) (string, bool) {
+				// idle look-up, dial, and then the check before the write
+				return s.Addr().String(), asked.Add(1) <= 2 || name != "draining"
+			})
+			if r := send(t, p, change); r.End != Unwritten {
+				t.Fatal(r.End)
+			}
+			if s.conns.Load() > 0 {
+				if n := <-got; n != 0 {
+					t.Fatalf("%d bytes were written", n)
+				}
+			}
+		})
+	}
+}
+
+const yes = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nyes"
+
+func TestConnectionsAreKept(t *testing.T) {
+	s := listen(t, always(yes, false))
+	p, _ := peerOf(t, at(s.Addr().String()))
+	for i := range 5 {
+		if r := send(t, p, nil); r.End != Answered || r.Fresh != (i == 0) {
+			t.Fatalf("attempt %d: %v, fresh %v", i, r.End, r.Fresh)
+		}
+	}
+	if n := s.conns.Load(); n != 1 {
+		t.Fatalf("%d connections", n)
+	}
+}
+
+func TestConnectionsAreNotKept(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		change func(*Shared)
+	}{
+		"the server says close":  {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nyes", nil},
+		"bytes after the answer": {yes + "HTTP/1.1 200 OK\r\n", nil},
+		"idle for too long":      {yes, func(s *Shared) { s.ConnIdle = 1 }},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := listen(t, always(c.answer, false))
+			p, sh := peerOf(t, at(s.Addr().String()))
+			if c.change != nil {
+				c.change(sh)
+			}
+			for range 3 {
+				if r := send(t, p, nil); r.End != Answered || !r.Fresh {
+					t.Fatalf("%v, fresh %v", r.End, r.Fresh)
+				}
+			}
+		})
+	}
+}
+
+// A connection that the server has closed is not written to: that would end as a reset, which may have run.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	gone := make(chan bool, 8)
+	s := listen(t, func(c net.Conn, br *bufio.Reader) {
+		take(br)
+		io.WriteString(c, yes)
+		c.Close()
+		gone <- true
+	})
+	p, _ := peerOf(t, at(s.Addr().String()))
+	for range 4 {
+		if r := send(t, p, nil); r.End != Answered || !r.Fresh {
+			t.Fatalf("%v, fresh %v", r.End, r.Fresh)
+		}
+		<-gone
+	}
+}
+
+// A new address of the same host gets new connections.
+func TestNewAddress(t *testing.T) {
+	one, two := listen(t, always(yes, false)), listen(t, always(yes, false))
+	var mu sync.Mutex
+	addr := one.Addr().String()
+	p, _ := peerOf(t, func(string) (string, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		return addr, true
+	})
+	send(t, p, nil)
+	mu.Lock()
+	addr = two.Addr().String()
+	mu.Unlock()
+	if r := send(t, p, nil); r.End != Answered || two.conns.Load() != 1 {
+		t.Fatal(r.End, two.conns.Load())
+	}
+}
+
+// A peer short of a socket waits for one as long as for a connection; idle ones of others are closed for it.
+func TestWaitsForASocket(t *testing.T) {
+	s := listen(t, always(yes, false))
+	sh := &Shared{Budget: NewBudget(1), Find: at(s.Addr().String()), DialTimeout: time.Minute, ConnIdle: time.Hour}
+	other, p := NewPeer("s2", sh), NewPeer("s1", sh)
+	defer other.Stop()
+	defer p.Stop()
+	sh.Short = other.Shed
+	if r := send(t, other, nil); r.End != Answered { // holds the only socket, idle, from now on
+		t.Fatal(r.End)
+	}
+	if r := send(t, p, nil); r.End != Answered || sh.Budget.used.Load() != 1 {
+		t.Fatal(r.End, sh.Budget.used.Load())
+	}
+}
+
+func TestMessageGoesOnAsItCame(t *testing.T) {
+	got := make(chan []byte, 1)
+	s := listen(t, func(c net.Conn, br *bufio.Reader) {
+		var all []byte
+		for !bytes.HasSuffix(all, []byte("hi")) {
+			b, err := br.ReadByte()
+			if err != nil {
+				return
+			}
+			all = append(all, b)
+		}
+		got <- all
+		io.WriteString(c, yes)
+	})
+	p, _ := peerOf(t, at(s.Addr().String()))
+	send(t, p, func(a *Attempt) { a.Deadline = a.Sent.Add(time.Hour) })
+	head, tail, _ := bytes.Cut(<-got, []byte("Req-Deadline-Ms: 3"))
+	if string(head) != "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n" || !bytes.HasSuffix(tail, []byte("\r\n\r\nhi")) {
+		t.Fatalf("%q ... %q", head, tail)
+	}
+}
+
+func TestLoadReports(t *testing.T) {
+	l := parseLoad([]byte("TEXT inflight=7, queue=2, util=0.61, new=4"))
+	if l == nil || l.InFlight != 7 || l.Queue != 2 || l.Busy != 0.61 || l.Latency != -1 {
+		t.Fatalf("%+v", l)
+	}
+	for _, text := range []string{"", "JSON {}", "inflight"} {
+		if l := parseLoad([]byte(text)); l != nil {
+			t.Errorf("%q gave %+v", text, l)
+		}
+	}
+	if l := parseLoad([]byte("TEXT inflight=x, util=-1, queue=NaN")); l.InFlight != -1 || l.Busy != -1 || l.Queue != -1 {
+		t.Errorf("absurd figures were taken: %+v", l)
+	}
+}
+
+// Whatever a server sends, reading it ends without a panic.
+func FuzzAnswer(f *testing.F) {
+	for _, s := range []string{yes, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\nA: b\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "HTTP/1.1 099 \r\n\r\n", "\r\n\r\n", "HTTP/9 x",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n"} {
+		f.Add([]byte(s))
+	}
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var resp fasthttp.Response
+		if readAnswer(bufio.NewReader(bytes.NewReader(in)), &resp) == nil {
+			end(&resp)
+			parseLoad(resp.Header.Peek("Srv-Load"))
+		}
+	})
+}
