No 408 on unused connections, no exit when descriptors run out; short deadlines cut by a part

Causes found by reading fasthttp and by tests: on a new connection whose first byte does not come in ReadTimeout fasthttp writes a 408, which the client would read as the answer to its next request; its Serve ends on EMFILE, which ended the process; a dial that failed for want of descriptors counted against the server. SIGTERM before the listener was up ended the process by the signal. An ask for the list could be dropped by a full mailbox; now the newer replaces the older.

--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -46,12 +46,12 @@
 	runtime.GOMAXPROCS(max(1, min(runtime.NumCPU(), int(limits.Cores+0.5))))
 	clients := int(clientPart * float64(limits.Sockets-ownSockets))
 	servers := limits.Sockets - ownSockets - clients
-	ln, err := listen(conf.Listen)
+	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	ln, err := listen(term, conf.Listen)
 	if err != nil {
 		return err
 	}
-	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	side := sidecar.New(conf, servers)
 	go side.Run(context.Background())
 	front := frontend.New(side, &conf.Settings, clients)
@@ -72,10 +72,10 @@
 
 // listen waits for the address where another still holds it. Guards against a restart that ends in a crash
 // because the one before it is still answering.
-func listen(addr string) (net.Listener, error) {
+func listen(ctx context.Context, addr string) (net.Listener, error) {
 	for end := time.Now().Add(bindFor); ; time.Sleep(bindEvery) {
 		ln, err := net.Listen("tcp", addr)
-		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) {
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) || ctx.Err() != nil {
 			return ln, err
 		}
 	}
--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -139,6 +139,7 @@
 
 func start(t *testing.T, discoveryAddr string, known *list, change func(map[string]any)) *program {
 	t.Helper()
+	limit := "256"
 	p := &program{addr: freeAddr(t), done: make(chan error, 1)}
 	conf := map[string]any{
 		"name": "n1", "listen": p.addr, "discovery": discoveryAddr, "seed": "8c1f30d27a5be964",
@@ -151,12 +152,16 @@
 	if change != nil {
 		change(conf)
 	}
+	if n, ok := conf["descriptors"]; ok { // fewer than it is told of
+		limit = fmt.Sprint(n)
+		delete(conf, "descriptors")
+	}
 	text, _ := json.Marshal(conf)
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	p.cmd = exec.Command(os.Args[0])
+	p.cmd = exec.Command("/bin/sh", "-c", "ulimit -n "+limit+"; exec "+os.Args[0])
 	p.cmd.Env = append(os.Environ(), "DAMSONSCALE_RUN_MAIN=1", "PROXY_CONFIG="+path)
 	p.cmd.Stderr = &p.log
 	if err := p.cmd.Start(); err != nil {
@@ -584,3 +589,32 @@
 		}
 	}
 }
+
+// A process that may hold fewer descriptors than it was told stays up, and serves once there is room.
+func TestOutOfDescriptors(t *testing.T) {
+	d := startDiscovery(t)
+	server := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {})
+	p := start(t, d.addr, &list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", server, "Ready")}}, func(c map[string]any) {
+		c["descriptors"] = 24
+	})
+	p.ready(t)
+	var held []net.Conn
+	for range 40 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	select {
+	case err := <-p.done:
+		t.Fatalf("exit: %v\n%s", err, p.log.String())
+	case <-time.After(200 * time.Millisecond):
+	}
+	for _, c := range held {
+		c.Close()
+	}
+	if s, _ := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 {
+		t.Fatalf("afterwards: %d", s)
+	}
+}
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -29,14 +29,15 @@
 	ListFailed()
 }
 
-// Client is the list's actor: it owns the watch and the roster. Watch and the reader of the watch post to its
-// mailbox; an ask that finds the mailbox full is dropped, as asks of the same watch are waiting in it.
+// Client is the list's actor: it owns the watch and the roster. The reader of a watch posts to its mailbox and
+// waits for room; of asks it holds one, and a newer one takes the older one's place.
 type Client struct {
 	Roster *Roster
 
 	addr   string
 	to     Listener
 	box    chan func()
+	asks   chan bool
 	seq    int64
 	round  int // numbers the watches, so that a late word of an old one is known
 	cancel context.CancelFunc
@@ -44,7 +45,7 @@
 
 // New makes the actor with the list as last known, which may be nil.
 func New(addr string, known *List, to Listener) *Client {
-	c := &Client{Roster: &Roster{}, addr: addr, to: to, box: make(chan func(), mailbox), seq: -1}
+	c := &Client{Roster: &Roster{}, addr: addr, to: to, box: make(chan func(), mailbox), asks: make(chan bool, 1), seq: -1}
 	if known != nil && len(known.Hosts) > 0 {
 		c.seq = known.Seq
 		first := *known
@@ -63,21 +64,22 @@
 			return
 		case f := <-c.box:
 			f()
+		case on := <-c.asks:
+			c.stop()
+			if on {
+				c.start()
+			}
 		}
 	}
 }
 
-// Watch asks for changes from now on, or stops asking. It never blocks.
+// Watch asks for changes from now on, or stops asking. It never blocks; only one goroutine may call it.
 func (c *Client) Watch(on bool) {
 	select {
-	case c.box <- func() {
-		c.stop()
-		if on {
-			c.start()
-		}
-	}:
+	case <-c.asks:
 	default:
 	}
+	c.asks <- on
 }
 
 func (c *Client) stop() {
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -47,6 +48,9 @@
 	if c.between && c.idleSince.Swap(busy) == taken {
 		return 0, net.ErrClosed
 	}
+	if c.between && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, io.EOF // Guards against the 408 of fasthttp on a new connection: the next request would read it
+	}
 	c.between = c.between && n == 0
 	c.readAt = time.Now()
 	return n, err
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -116,6 +117,10 @@
 	f := l.front
 	f.room <- struct{}{}
 	nc, err := l.Listener.Accept()
+	for ; outOfSockets(err); nc, err = l.Listener.Accept() {
+		f.closeIdlest()
+		time.Sleep(drainStep)
+	}
 	if err != nil {
 		<-f.room
 		return nil, err
@@ -134,6 +139,12 @@
 	return c, nil
 }
 
+// outOfSockets tells of errors that pass. Guards against fasthttp's Serve, which ends on them.
+func outOfSockets(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM)
+}
+
 func (f *Frontend) dropped(c *clientConn) {
 	f.mu.Lock()
 	delete(f.conns, c)
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -52,17 +52,15 @@
 	if err != nil || left <= 0 || left > maxDeadline.Milliseconds() || len(h.PeekAll(upstream.DeadlineHeader)) > 1 {
 		return nil, bad(fasthttp.StatusBadRequest, "%s: expected 1 to %d", upstream.DeadlineHeader, maxDeadline.Milliseconds())
 	}
-	c := &sidecar.Call{
-		Deadline: at.Add(time.Duration(left) * time.Millisecond),
-		Request: decide.Request{
-			ID: string(id), Class: class, Tenant: -1, Key: key(query), IsRetry: string(h.Peek("Req-Retry")) == "1",
-		},
-		Message: upstream.Message{Head: head(h, uri, ctx.Request.Body()), Body: ctx.Request.Body()},
+	r := decide.Request{
+		ID: string(id), Class: class, Tenant: -1, Key: key(query), IsRetry: string(h.Peek("Req-Retry")) == "1",
 	}
 	if t, ok := f.tenants[string(h.Peek("Req-Owner"))]; ok {
-		c.Request.Tenant = t
+		r.Tenant = t
 	}
-	return c, nil
+	body := ctx.Request.Body()
+	m := upstream.Message{Head: head(h, uri, body), Body: body}
+	return sidecar.NewCall(r, m, at, time.Duration(left)*time.Millisecond), nil
 }
 
 // framing refuses what servers could read otherwise than fasthttp does: folded lines and two lengths. Guards
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -35,11 +35,10 @@
 
 // until is when an attempt's wait ends: never past the module's time for the request.
 func (c *Call) until(now time.Time, timeout int64) time.Time {
-	last := c.Deadline.Add(-giveUpBefore)
-	if t := now.Add(time.Duration(timeout) * time.Microsecond); timeout > 0 && t.Before(last) {
+	if t := now.Add(time.Duration(timeout) * time.Microsecond); timeout > 0 && t.Before(c.giveUp) {
 		return t
 	}
-	return last
+	return c.giveUp
 }
 
 // Cancel calls an attempt back.
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -28,10 +28,11 @@
 
 // Call is one request of the client, taken and owed one final answer.
 type Call struct {
-	Request  decide.Request // Left is set when the module takes it
-	Message  upstream.Message
-	Deadline time.Time // when the client stops waiting
+	Request decide.Request // Left is set when the module takes it
+	Message upstream.Message
 
+	giveUp   time.Time // when the module's time for it ends
+	last     time.Time // when it is answered, whatever the module does
 	gate     upstream.Gate
 	answer   chan Answer // holds the one answer of the module
 	attempts []*upstream.Attempt
@@ -40,13 +41,22 @@
 	effectAt time.Time // when the first attempt that may have run was sent
 }
 
-// answerBefore is how long before the client's deadline the last answer leaves: lag of goroutines, the way
-// back, and the client's own clock.
+// How long before the client's deadline the module's time for a request ends, and the last answer leaves
+// whatever the module does: goroutines lag and the way back takes time. Short deadlines give up a part.
 const (
-	answerBefore = 12 * time.Millisecond
-	giveUpBefore = 20 * time.Millisecond // when the module's own time for a request ends
+	giveUpBefore, giveUpPart = 20 * time.Millisecond, 8
+	answerBefore, answerPart = 12 * time.Millisecond, 14
 )
 
+// NewCall makes a call of a request that had come by a time and is to be answered within left.
+func NewCall(r decide.Request, m upstream.Message, came time.Time, left time.Duration) *Call {
+	return &Call{
+		Request: r, Message: m, answer: make(chan Answer, 1),
+		giveUp: came.Add(left - min(giveUpBefore, left/giveUpPart)),
+		last:   came.Add(left - min(answerBefore, left/answerPart)),
+	}
+}
+
 // finish gives the call its answer, once.
 func (c *Call) finish(a Answer) bool {
 	if c.answered {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -82,8 +82,7 @@
 
 // Do takes a request and returns its final answer; gone is closed when the client leaves.
 func (s *Sidecar) Do(c *Call, gone <-chan struct{}) (a Answer, left bool) {
-	c.answer = make(chan Answer, 1)
-	last := time.NewTimer(time.Until(c.Deadline) - answerBefore)
+	last := time.NewTimer(time.Until(c.last))
 	defer last.Stop()
 	select {
 	case s.box <- func(now int64) { s.take(now, c) }:
@@ -109,7 +108,7 @@
 		return
 	}
 	s.calls[c.Request.ID] = c
-	c.Request.Left = max(0, s.at(c.Deadline.Add(-giveUpBefore))-now)
+	c.Request.Left = max(0, s.at(c.giveUp)-now)
 	s.balancer.Request(now, c.Request)
 }
 
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -216,6 +217,12 @@
 	p.box <- ended{a: a, c: c, r: r}
 }
 
+// ownFault tells of a lack on this side. Guards against servers suspended for it.
+func ownFault(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) ||
+		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
+}
+
 // dial opens a connection for an attempt.
 func (p *Peer) dial(a *Attempt) (*conn, End) {
 	addr, ready := p.shared.Find(p.Host)
@@ -228,7 +235,7 @@
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.shared.Budget.give()
-		if a.ctx.Err() == context.Canceled {
+		if a.ctx.Err() == context.Canceled || ownFault(err) {
 			return nil, Unwritten
 		}
 		return nil, Unreachable
