--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -521,6 +521,7 @@
 	}
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	eventually(t, "word of the drain", func() bool { return p.status("/health/ready") == 503 })
+	time.Sleep(300 * time.Millisecond) // clients go on coming for that long and more
 	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	resp, err := c.Do(request(t, p.addr, "GET", "/look", ""))
 	if err != nil || resp.StatusCode != 200 {
