--- /dev/null
+++ b/examples/toyserver/main.go
@@ -0,0 +1,100 @@
+// Command toyserver is what a newcomer tries a sidecar with: a few servers of different speed on loopback, and
+// a discovery service that lists them. An interrupt makes the last server drain; a second one ends the program.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/signal"
+	"time"
+
+	"damsonscale/internal/discovery"
+)
+
+const (
+	discoveryAddr = "127.0.0.1:8500"
+	firstPort     = 9001
+	servers       = 3
+	work          = 10 * time.Millisecond // of the fastest server; the next takes twice as long, and so on
+	beat          = 2 * time.Second       // of a watch
+)
+
+// serve answers each request after the server's own time, with its name.
+func serve(i int) {
+	h := func(w http.ResponseWriter, r *http.Request) {
+		io.Copy(io.Discard, r.Body)
+		time.Sleep(time.Duration(float64(i+1) * (0.5 + rand.Float64()) * float64(work)))
+		fmt.Fprintf(w, "%s %s by %s\n", r.Method, r.RequestURI, name(i))
+	}
+	log.Fatal(http.ListenAndServe(addr(i), http.HandlerFunc(h)))
+}
+
+func name(i int) string { return fmt.Sprintf("s-%d", i+1) }
+
+func addr(i int) string { return fmt.Sprintf("127.0.0.1:%d", firstPort+i) }
+
+// list is the whole list; the last server drains once drained is closed.
+func list(drained <-chan struct{}) discovery.List {
+	l := discovery.List{Seq: 1, Whole: true}
+	for i := range servers {
+		e := discovery.Entry{Host: name(i), Dial: addr(i), Zone: "a", Health: discovery.Ready, Share: 1}
+		l.Hosts = append(l.Hosts, e)
+	}
+	select {
+	case <-drained:
+		l.Seq = 2
+		l.Hosts[servers-1].Health = discovery.Terminating
+	default:
+	}
+	return l
+}
+
+// registry answers with the list; a watch stays open, gets the list again when it changes, and beats in between.
+func registry(drained <-chan struct{}) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		out := json.NewEncoder(w)
+		out.Encode(list(drained))
+		if r.URL.Query().Get("watch") != "1" {
+			return
+		}
+		flush := w.(http.Flusher).Flush
+		flush()
+		changed := drained
+		tick := time.NewTicker(beat)
+		defer tick.Stop()
+		for {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-tick.C:
+				io.WriteString(w, "\n")
+			case <-changed:
+				out.Encode(list(drained))
+				changed = nil
+			}
+			flush()
+		}
+	}
+}
+
+func main() {
+	drained := make(chan struct{})
+	for i := range servers {
+		go serve(i)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/registry/instances", registry(drained))
+	go func() { log.Fatal(http.ListenAndServe(discoveryAddr, mux)) }()
+	log.Printf("event=start discovery=%s servers=%d first=%s", discoveryAddr, servers, addr(0))
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt)
+	<-stop
+	log.Printf("event=drain server=%s", name(servers-1))
+	close(drained)
+	<-stop
+}
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,130 @@
+package config
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+func none(string) string { return "" }
+
+func example(t *testing.T) []byte {
+	t.Helper()
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func TestExample(t *testing.T) {
+	c, err := Parse(example(t), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n1" || c.Listen != "127.0.0.1:8000" || c.Seed != 0x8c1f30d27a5be964 || c.Limits.Sockets != 256 {
+		t.Errorf("%+v", c)
+	}
+	if len(c.Settings.Classes) != 2 || c.Settings.Rules.AskEvery != 10_000_000 || c.Settings.ListPushed {
+		t.Errorf("%+v", c.Settings)
+	}
+	if c.Transport.ConnIdle != 10*time.Second || c.Transport.DialTimeout != 250*time.Millisecond {
+		t.Errorf("%+v", c.Transport)
+	}
+}
+
+// change parses the example with one key replaced, or removed where value is nil.
+func change(t *testing.T, key string, value any) (*Config, error) {
+	t.Helper()
+	var all map[string]any
+	if err := json.Unmarshal(example(t), &all); err != nil {
+		t.Fatal(err)
+	}
+	at, path := all, strings.Split(key, ".")
+	for _, k := range path[:len(path)-1] {
+		at = at[k].(map[string]any)
+	}
+	if last := path[len(path)-1]; value == nil {
+		delete(at, last)
+	} else {
+		at[last] = value
+	}
+	text, _ := json.Marshal(all)
+	return Parse(text, none)
+}
+
+// A message names the faulty key.
+func TestFaultyKeys(t *testing.T) {
+	class := func(semantics, group string) []any {
+		return []any{map[string]any{"Name": "c", "Semantics": semantics, "Group": group}}
+	}
+	for _, c := range []struct {
+		key   string
+		value any
+		says  string
+	}{
+		{"name", "", "name"},
+		{"listen", "8000", "listen"},
+		{"listen", "localhost:http", "listen"},
+		{"discovery", nil, "discovery"},
+		{"seed", "xyz", "seed"},
+		{"limits.cores", -1, "limits.cores"},
+		{"limits.memory_mb", 1, "limits.memory_mb"},
+		{"limits.sockets", 3, "limits.sockets"},
+		{"limits.sockets", "many", "limits.sockets"},
+		{"known.hosts", []any{map[string]any{"dial": "127.0.0.1:1"}}, "known.hosts[0].host"},
+		{"known.hosts", []any{map[string]any{"host": "s"}}, "known.hosts[0].dial"},
+		{"settings", nil, "settings"},
+		{"settings.Services", []any{}, "classes"},
+		{"settings.Services", class("sometimes", ""), "sometimes"},
+		{"settings.Services", class("idempotent", "planet"), "planet"},
+		{"settings.Limits.ConnIdleUs", -1, "ConnIdleUs"},
+		{"settings.Guarantees.ColdFrom", 7, "cold share"},
+	} {
+		if _, err := change(t, c.key, c.value); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s = %v: said %v", c.key, c.value, err)
+		}
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	for _, key := range []string{"limits", "seed", "known", "settings.Limits.ConnIdleUs", "settings.Limits.DialTimeoutUs"} {
+		c, err := change(t, key, nil)
+		if err != nil {
+			t.Fatalf("without %s: %v", key, err)
+		}
+		if c.Limits.Sockets == 0 || c.Limits.MemoryMB == 0 || c.Limits.Cores == 0 || c.Transport.ConnIdle == 0 ||
+			c.Transport.DialTimeout == 0 {
+			t.Errorf("without %s: %+v %+v", key, c.Limits, c.Transport)
+		}
+	}
+}
+
+// What the environment says goes before the file; the file itself is named there.
+func TestEnvironment(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.json")
+	if err := os.WriteFile(path, example(t), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	env := map[string]string{"PROXY_CONFIG": path, "PROXY_NAME": "n9", "PROXY_LISTEN": "127.0.0.1:1",
+		"PROXY_DISCOVERY": "127.0.0.1:2"}
+	c, err := Load(func(k string) string { return env[k] })
+	if err != nil || c.Name != "n9" || c.Listen != "127.0.0.1:1" || c.Discovery != "127.0.0.1:2" {
+		t.Fatal(c, err)
+	}
+	for _, file := range []string{"", path + ".gone"} {
+		env["PROXY_CONFIG"] = file
+		if _, err := Load(func(k string) string { return env[k] }); err == nil || !strings.Contains(err.Error(), "PROXY_CONFIG") {
+			t.Errorf("%q: said %v", file, err)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","settings":{"Services":[{}]}}`))
+	f.Add([]byte(`[]`))
+	f.Fuzz(func(t *testing.T, in []byte) { Parse(in, none) })
+}
