--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -48,9 +48,7 @@
 	c := &Client{Roster: &Roster{}, addr: addr, to: to, box: make(chan func(), mailbox), asks: make(chan bool, 1), seq: -1}
 	if known != nil && len(known.Hosts) > 0 {
 		c.seq = known.Seq
-		first := *known
-		first.Whole = true
-		c.Roster.apply(&first)
+		c.Roster.Replace(known)
 	}
 	return c
 }
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,185 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+func entry(host, dial string, s State) Entry { return Entry{Host: host, Dial: dial, Health: s} }
+
+// The roster holds what was listed last: changes apply on top, a whole list replaces it.
+func TestRoster(t *testing.T) {
+	var r Roster
+	if _, ready := r.Address("a"); ready || r.Known() {
+		t.Fatal("an empty roster knows a server")
+	}
+	r.apply(&List{Hosts: []Entry{entry("a", "1", Ready), entry("b", "2", Ready)}})
+	r.apply(&List{Hosts: []Entry{entry("a", "1", Terminating), entry("c", "3", Ready)}})
+	r.apply(&List{Hosts: []Entry{{Host: "b", Health: Gone}}})
+	for host, want := range map[string]bool{"a": false, "b": false, "c": true} {
+		if _, ready := r.Address(host); ready != want {
+			t.Errorf("%s ready: %v", host, ready)
+		}
+	}
+	if _, listed := r.Find("a"); !listed {
+		t.Error("a draining server is still listed")
+	}
+	r.apply(&List{Whole: true, Hosts: []Entry{entry("d", "4", Ready), entry("e", "5", "Dozing")}})
+	if _, listed := r.Find("c"); listed {
+		t.Error("a server absent from a whole list is still there")
+	}
+	if _, ready := r.Address("e"); ready {
+		t.Error("a server of unknown health got work")
+	}
+}
+
+// talk answers one watch with text and then hangs up, or stays silent where keep is true.
+func talk(t *testing.T, text string, keep bool) (addr string, asked chan string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	asked = make(chan string, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		br := bufio.NewReader(c)
+		first, _ := br.ReadString('\n')
+		for line := ""; line != "\r\n"; {
+			if line, err = br.ReadString('\n'); err != nil {
+				return
+			}
+		}
+		asked <- strings.TrimSpace(first)
+		io.WriteString(c, text)
+		if keep {
+			io.Copy(io.Discard, br)
+		}
+	}()
+	return ln.Addr().String(), asked
+}
+
+const ok = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+// chunk is text as one chunk of under 256 bytes.
+func chunk(text string) string {
+	const hex = "0123456789abcdef"
+	return string(hex[len(text)/16]) + string(hex[len(text)%16]) + "\r\n" + text + "\r\n"
+}
+
+// However discovery ends a watch, it is an error that says whether the whole list is to be asked for; what came
+// whole before counts.
+func TestWatchEnds(t *testing.T) {
+	list := `{"seq":7,"whole":false,"hosts":[{"host":"s","dial":"d","health":"Ready"}]}` + "\n"
+	for _, c := range []struct {
+		name, text string
+		lists      int
+		garbage    bool
+	}{
+		{"hangs up at once", "", 0, false},
+		{"busy", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", 0, false},
+		{"no HTTP", "\x00\x01\r\n\r\n", 0, false},
+		{"a list, then the end", ok + chunk(list) + "0\r\n\r\n", 1, false},
+		{"a list, then a break", ok + chunk(list) + "5\r\nhal", 1, false},
+		{"a list in two chunks", ok + chunk(list[:20]) + chunk(list[20:]) + chunk("\n") + chunk(list) + "0\r\n\r\n", 2, false},
+		{"half a list", ok + chunk(list[:20]) + "0\r\n\r\n", 0, false},
+		{"no list", ok + chunk("[1]\n"), 0, true},
+		{"a list of nobody", ok + chunk(`{"hosts":[{"dial":"x"}]}`+"\n"), 0, true},
+		{"broken chunks", ok + "zz\r\n", 0, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			addr, _ := talk(t, c.text, false)
+			lists := 0
+			err := watch(context.Background(), addr, 3, func(l *List) {
+				if l.Seq == 7 && len(l.Hosts) == 1 {
+					lists++
+				}
+			})
+			if err == nil || lists != c.lists || errors.Is(err, errGarbage) != c.garbage {
+				t.Fatalf("%d lists, then %v", lists, err)
+			}
+		})
+	}
+}
+
+func TestWatchAsksFromTheVersionSeen(t *testing.T) {
+	for from, want := range map[int64]string{
+		-1: "GET /registry/instances?watch=1 HTTP/1.1", 0: "GET /registry/instances?watch=1&from=0 HTTP/1.1",
+		41: "GET /registry/instances?watch=1&from=41 HTTP/1.1",
+	} {
+		addr, asked := talk(t, "", false)
+		watch(context.Background(), addr, from, nil)
+		if got := <-asked; got != want {
+			t.Errorf("asked %q", got)
+		}
+	}
+}
+
+// A watch that says nothing is broken: its machine may be gone while its connection stays.
+func TestSilentWatchIsBroken(t *testing.T) {
+	client, server := net.Pipe()
+	defer server.Close()
+	defer client.Close()
+	go func() {
+		io.WriteString(server, "\n") // one beat, then nothing
+	}()
+	err := lines(hurried{client}, bufio.NewReader(client), nil)
+	var timeout net.Error
+	if !errors.As(err, &timeout) || !timeout.Timeout() {
+		t.Fatal(err)
+	}
+}
+
+// hurried is a connection whose seconds are milliseconds.
+type hurried struct{ net.Conn }
+
+func (h hurried) SetReadDeadline(at time.Time) error {
+	return h.Conn.SetReadDeadline(time.Now().Add(time.Until(at) / 100))
+}
+
+// told records what the list's actor tells.
+type told chan string
+
+func (c told) Listed(l *List) { c <- "listed" }
+func (c told) ListFailed()    { c <- "failed" }
+
+// Asks never wait for the list's actor, and of two the newer counts.
+func TestNewerAskCounts(t *testing.T) {
+	to := make(told, 16)
+	addr, asked := talk(t, ok, false)
+	c := New(addr, &List{Seq: 5, Hosts: []Entry{entry("a", "1", Ready)}}, to)
+	c.Watch(false)
+	c.Watch(false)
+	c.Watch(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go c.Run(ctx)
+	if got := <-asked; !strings.Contains(got, "from=5") {
+		t.Fatalf("asked %q", got)
+	}
+	if word := <-to; word != "failed" { // it hung up after its head
+		t.Fatalf("told %s", word)
+	}
+}
+
+func FuzzList(f *testing.F) {
+	f.Add([]byte(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"b","block":null,"share":1e309}]}`))
+	f.Add([]byte(`{"hosts":[{"host":"a","dial":"b","block":-1,"born_ms":99999999999}]}`))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		if l, err := parseList(in); err == nil {
+			var r Roster
+			r.apply(l)
+		}
+	})
+}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -86,6 +86,13 @@
 	return m != nil && len(*m) > 0
 }
 
+// Replace sets the whole list.
+func (r *Roster) Replace(l *List) {
+	whole := *l
+	whole.Whole = true
+	r.apply(&whole)
+}
+
 // apply takes a list in.
 func (r *Roster) apply(l *List) {
 	next := make(map[string]Entry, len(l.Hosts))
--- /dev/null
+++ b/internal/sidecar/sidecar_test.go
@@ -0,0 +1,164 @@
+package sidecar
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"damsonscale/decide"
+	"damsonscale/internal/config"
+	"damsonscale/internal/discovery"
+	"damsonscale/internal/upstream"
+)
+
+func sidecar(t *testing.T, addr string) *Sidecar {
+	t.Helper()
+	return New(&config.Config{
+		Discovery: "127.0.0.1:1",
+		Known:     &discovery.List{Seq: 1, Hosts: []discovery.Entry{{Host: "s1", Dial: addr, Health: discovery.Ready}}},
+		Transport: config.Transport{ConnIdle: time.Minute, DialTimeout: time.Second},
+		Settings: decide.Settings{
+			Classes: []decide.Class{
+				{Name: "look", Worth: 1}, {Name: "make", Worth: 1, Semantics: decide.Deduplicated, Window: 1_000_000},
+			},
+			Limits: decide.Limits{Cancel: true},
+		},
+	}, 8)
+}
+
+func run(t *testing.T, s *Sidecar) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go s.Run(ctx)
+}
+
+func call(id string, class int, left time.Duration) *Call {
+	m := upstream.Message{Head: []byte("GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\n")}
+	return NewCall(decide.Request{ID: id, Class: class, Tenant: -1}, m, time.Now(), left)
+}
+
+// ask runs f on the actor.
+func ask[T any](s *Sidecar, f func() T) T {
+	back := make(chan T)
+	s.box <- func(int64) { back <- f() }
+	return <-back
+}
+
+func toy(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestServed(t *testing.T) {
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, r.Header.Get("Req-Id")) }))
+	run(t, s)
+	for _, id := range []string{"a", "b", "a"} { // an id may come again once it is answered
+		a, left := s.Do(call(id, 0, time.Minute), nil)
+		if left || a.Verdict != Served || string(a.Body) != id {
+			t.Fatalf("%s: %+v", id, a)
+		}
+	}
+	if n := ask(s, func() int { return len(s.calls) }); n != 0 {
+		t.Fatalf("%d calls are still held", n)
+	}
+}
+
+// Where the module's actor says nothing the client is answered all the same, and nothing is sent afterwards.
+func TestAnsweredInTimeWhateverTheModuleDoes(t *testing.T) {
+	came := make(chan bool, 1)
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { came <- true }))
+	if a, left := s.Do(call("a", 0, 50*time.Millisecond), nil); left || a.Verdict != Late {
+		t.Fatalf("%+v", a)
+	}
+	run(t, s) // only now does it take the request
+	eventually(t, func() bool { return ask(s, func() int { return len(s.calls) }) == 0 })
+	select {
+	case <-came:
+		t.Fatal("sent after the final answer")
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+// A full mailbox of the module holds nobody up past the request's time.
+func TestFullMailbox(t *testing.T) {
+	s := sidecar(t, "127.0.0.1:1")
+	for range mailbox {
+		s.box <- func(int64) {}
+	}
+	if a, _ := s.Do(call("a", 0, 50*time.Millisecond), nil); a.Verdict != Late {
+		t.Fatalf("%+v", a)
+	}
+}
+
+// Rule 2 holds at the moment of writing: a repeat of what may have run carries the end of the window with it.
+func TestRepeatCarriesItsWindow(t *testing.T) {
+	came := make(chan bool, 1)
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { came <- true }))
+	c := call("k", 1, time.Minute)
+	c.effectAt = time.Now().Add(-2 * time.Second)
+	s.calls["k"] = c
+	actions{s}.Send("k", "s1", 0)
+	(<-s.box)(s.now()) // the attempt's end
+	if c.out != 0 || len(came) != 0 {
+		t.Fatalf("%d out, %d written past the window", c.out, len(came))
+	}
+}
+
+// A server that is gone takes its actor with it, once nothing is out there.
+func TestGonePeerIsRetired(t *testing.T) {
+	came, finish := make(chan bool), make(chan bool)
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-finish
+	}))
+	run(t, s)
+	done := make(chan Answer)
+	go func() {
+		a, _ := s.Do(call("a", 0, time.Minute), nil)
+		done <- a
+	}()
+	<-came
+	gone := &discovery.List{Seq: 2, Whole: true}
+	ask(s, func() bool { s.list.Roster.Replace(gone); return true })
+	s.Listed(gone)
+	if n := ask(s, func() int { return len(s.peers) }); n != 1 {
+		t.Fatalf("%d peers while an attempt is out", n)
+	}
+	finish <- true
+	if a := <-done; a.Verdict != Served {
+		t.Fatalf("%+v", a)
+	}
+	eventually(t, func() bool { return ask(s, func() int { return len(s.peers) }) == 0 })
+}
+
+func TestServersInTheModulesTerms(t *testing.T) {
+	cell := int64(3)
+	got := servers(&discovery.List{Hosts: []discovery.Entry{
+		{Host: "a", Zone: "z", Cell: &cell, Health: discovery.Ready, Share: 1.5, BornMs: 7},
+		{Host: "b", Health: discovery.Terminating}, {Host: "c", Health: discovery.Gone}, {Host: "d", Health: "Dozing"},
+	}})
+	want := []decide.Server{
+		{ID: "a", Size: 1.5, Zone: "z", Cell: 3, UpSince: 7000},
+		{ID: "b", Cell: -1, Phase: decide.Draining}, {ID: "c", Cell: -1, Phase: decide.Removed},
+		{ID: "d", Cell: -1, Phase: decide.Draining},
+	}
+	for i := range want {
+		if got[i] != want[i] {
+			t.Errorf("%+v, want %+v", got[i], want[i])
+		}
+	}
+}
+
+func eventually(t *testing.T, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never came")
+		}
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -329,6 +329,16 @@
 	}
 }
 
+// A full mailbox turns an attempt down and never makes the module wait.
+func TestFullMailboxTurnsDown(t *testing.T) {
+	p := &Peer{box: make(chan any, 1)}
+	a := func() *Attempt { return &Attempt{Deadline: time.Now().Add(time.Minute)} }
+	if !p.Offer(a()) || p.Offer(a()) {
+		t.Fatal("one of two fits")
+	}
+	p.Shed()
+}
+
 func TestMessageGoesOnAsItCame(t *testing.T) {
 	got := make(chan []byte, 1)
 	s := listen(t, func(c net.Conn, br *bufio.Reader) {
