--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -619,3 +619,79 @@
 		t.Fatalf("afterwards: %d", s)
 	}
 }
+
+// client sends one request at a time on one connection, as an application does, until stop.
+type client struct {
+	addr string
+	c    net.Conn
+	br   *bufio.Reader
+	used bool
+}
+
+// call sends r and reads its answer; on a connection that was closed between requests it sends once more.
+func (k *client) call(r *http.Request) (int, error) {
+	for again := false; ; again = true {
+		if k.c == nil {
+			c, err := net.Dial("tcp", k.addr)
+			if err != nil {
+				return 0, err
+			}
+			c.SetDeadline(time.Now().Add(patience))
+			k.c, k.br, k.used = c, bufio.NewReader(c), false
+		}
+		r.Write(k.c)
+		resp, err := http.ReadResponse(k.br, r)
+		if err != nil {
+			k.c.Close()
+			k.c = nil
+			if k.used && !again {
+				continue
+			}
+			return 0, err
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		k.used = true
+		if resp.Close {
+			k.c.Close()
+			k.c = nil
+		}
+		return resp.StatusCode, err
+	}
+}
+
+// Clients that go on for a while after SIGTERM, on old connections and on new ones, lose nothing.
+func TestTermUnderTraffic(t *testing.T) {
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(3 * time.Millisecond)
+		io.WriteString(w, strings.Repeat("x", 5000))
+	})
+	var term atomic.Int64 // when SIGTERM was sent
+	var answered atomic.Int64
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			k := &client{addr: p.addr}
+			for {
+				at := term.Load()
+				if at != 0 && k.c == nil && time.Now().UnixMilli() > at+400 {
+					return // no new connection that late
+				}
+				if s, err := k.call(request(t, p.addr, "GET", "/look", "")); err != nil || s != 200 && s != 503 {
+					t.Errorf("client %d, %d ms after SIGTERM: %d %v", i, time.Now().UnixMilli()-at, s, err)
+					return
+				}
+				answered.Add(1)
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+			}
+		}()
+	}
+	eventually(t, "traffic", func() bool { return answered.Load() > 100 })
+	term.Store(time.Now().UnixMilli())
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	wg.Wait()
+	if err := <-p.done; err != nil {
+		t.Fatalf("exit: %v\n%s", err, p.log.String())
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,6 +27,15 @@
 	budget    *Budget
 }
 
+// abort closes the connection so that nothing still unsent goes out. Guards against a request that reaches a
+// server after its attempt was given up, when the server's machine can be reached again.
+func (c *conn) abort() {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.shut()
+}
+
 // shut closes the connection and gives its socket back.
 func (c *conn) shut() {
 	c.Close()
