--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log"
 	"net"
 	"net/http/httputil"
 	"strconv"
@@ -119,6 +120,7 @@
 	if round != c.round {
 		return
 	}
+	log.Printf("event=watch_ended err=%q", err)
 	if errors.Is(err, errGarbage) {
 		c.seq = -1 // what it meant to say is lost: ask for the whole list
 	}
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -2,6 +2,8 @@
 
 import (
 	"log"
+	"strconv"
+	"strings"
 	"time"
 
 	"damsonscale/decide"
@@ -88,5 +90,11 @@
 	})
 }
 
-// Log writes the module's line.
-func (x actions) Log(line string) { log.Printf("from=module %s", line) }
+// Log writes the module's line: its first word is the event, the rest is fields or plain words.
+func (x actions) Log(line string) {
+	event, rest, _ := strings.Cut(line, " ")
+	if !strings.Contains(rest, "=") {
+		rest = "detail=" + strconv.Quote(rest)
+	}
+	log.Printf("from=module event=%s %s", event, rest)
+}
