--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,16 +27,8 @@
 	budget    *Budget
 }
 
-// abort closes the connection so that nothing still unsent goes out. Guards against a request that reaches a
-// server after its attempt was given up, when the server's machine can be reached again.
-func (c *conn) abort() {
-	if t, ok := c.Conn.(*net.TCPConn); ok {
-		t.SetLinger(0)
-	}
-	c.shut()
-}
-
-// shut closes the connection and gives its socket back.
+// shut closes the connection and gives its socket back. Closing by a reset (no linger) was tried and cost more
+// than it saved: see the results.
 func (c *conn) shut() {
 	c.Close()
 	c.budget.give()
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -206,7 +206,7 @@
 			return ready && addr == c.addr
 		})
 		if !reuse {
-			c.abort()
+			c.shut()
 			c = nil
 		}
 	}
