--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -70,7 +70,6 @@
 // Report is what came of an attempt.
 type Report struct {
 	End         End
-	Status      int
 	At          time.Time
 	Fresh       bool // a new connection was opened for it
 	Body        []byte
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,7 +12,7 @@
 
 const (
 	maxBody    = 64 << 10 // of an answer
-	readBuffer = 4 << 10
+	readBuffer = 16 << 10 // holds the longest head of an answer
 	maxInterim = 8 // answers of the 100 kind before the real one
 )
 
@@ -105,7 +105,6 @@
 		}
 		return false
 	}
-	r.Status = resp.StatusCode()
 	r.End = end(resp)
 	r.Load = parseLoad(resp.Header.Peek("Srv-Load"))
 	if r.End == Answered {
