--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -13,7 +13,7 @@
 const (
 	maxBody    = 64 << 10 // of an answer
 	readBuffer = 16 << 10 // holds the longest head of an answer
-	maxInterim = 8 // answers of the 100 kind before the real one
+	maxInterim = 8        // answers of the 100 kind before the real one
 )
 
 var past = time.Unix(1, 0)
