--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -2,6 +2,7 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"log"
@@ -230,7 +231,7 @@
 	}
 	defer c.finished()
 	at := c.readAt
-	if string(ctx.Request.Header.RequestURI()) == "/health/ready" {
+	if path, _, _ := bytes.Cut(ctx.Request.Header.RequestURI(), []byte{'?'}); string(path) == "/health/ready" {
 		f.ready(ctx)
 	} else if call, bad := f.parse(ctx, at); bad != nil {
 		ctx.Error(bad.text, bad.status)
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -109,6 +109,20 @@
 	}
 }
 
+// A probe the module asks for ends with its word, and holds nothing afterwards.
+func TestProbeEnds(t *testing.T) {
+	asked := make(chan string, 1)
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { asked <- r.URL.Path }))
+	actions{s}.Probe("s1")
+	if path := <-asked; path != "/health/live" {
+		t.Errorf("asked %s", path)
+	}
+	(<-s.box)(s.now())
+	if out := s.peers["s1"].out; out != 0 {
+		t.Errorf("%d out", out)
+	}
+}
+
 // A server that is gone takes its actor with it, once nothing is out there.
 func TestGonePeerIsRetired(t *testing.T) {
 	came, finish := make(chan bool), make(chan bool)
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -378,6 +378,29 @@
 	}
 }
 
+// A probe asks for the state, or for the load report where there are reports, and carries no request's id.
+func TestProbe(t *testing.T) {
+	asked := make(chan string, 1)
+	s := listen(t, func(c net.Conn, br *bufio.Reader) {
+		for r, ok := take(br); ok; r, ok = take(br) {
+			asked <- string(r.RequestURI()) + string(r.Header.Peek("Req-Id"))
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\nTEXT inflight=4\n")
+		}
+	})
+	p, _ := peerOf(t, at(s.Addr().String()))
+	for load, path := range map[bool]string{true: "/stats", false: "/health/live"} {
+		done := make(chan Report, 1)
+		p.Offer(Probe("s1", load, time.Minute, func(_ *Attempt, r Report) { done <- r }))
+		r := <-done
+		if got := <-asked; got != path || r.End != Answered {
+			t.Errorf("asked %s: %v", got, r.End)
+		}
+		if load != (r.Load != nil && r.Load.InFlight == 4) {
+			t.Errorf("%s: load %+v", path, r.Load)
+		}
+	}
+}
+
 // Whatever a server sends, reading it ends without a panic.
 func FuzzAnswer(f *testing.F) {
 	for _, s := range []string{yes, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nyes\r\n0\r\nA: b\r\n\r\n",
