A client that leaves during a write is let go at once

Cause, seen by reading and by a test that fails without it: Do closed the gate, which waits for the write, before the module heard that the client left; a server that does not read held both until the attempt's time ended.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -97,8 +97,9 @@
 		left = true
 	case <-last.C:
 	}
-	c.gate.Close()
+	// The module calls back what is out; a write under way would hold the gate until its own time ends.
 	go func() { s.box <- func(now int64) { s.left(now, c) } }()
+	c.gate.Close()
 	return Answer{Verdict: Late}, left
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -84,6 +85,39 @@
 	}
 }
 
+// A client that leaves while its request is being written to a server that does not read is let go at once: the
+// write is called back first, as closing the gate waits for it.
+func TestClientLeavesDuringAWrite(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	s := sidecar(t, ln.Addr().String())
+	run(t, s)
+	c, gone, done := call("a", 0, time.Hour), make(chan struct{}), make(chan bool)
+	c.Message.Body = make([]byte, 64<<20) // more than any socket takes
+	go func() {
+		_, left := s.Do(c, gone)
+		done <- left
+	}()
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	peer.Read(make([]byte, 1)) // the write is under way
+	close(gone)
+	select {
+	case left := <-done:
+		if !left {
+			t.Fatal("not told that the client left")
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("held until the attempt's time ends")
+	}
+}
+
 // A full mailbox of the module holds nobody up past the request's time.
 func TestFullMailbox(t *testing.T) {
 	s := sidecar(t, "127.0.0.1:1")
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -16,7 +17,11 @@
 	maxInterim = 8        // answers of the 100 kind before the real one
 )
 
-var past = time.Unix(1, 0)
+var (
+	errNoAnswer = errors.New("no answer of HTTP/1.1")
+	errNoLength = errors.New("answer of no stated length")
+	past        = time.Unix(1, 0)
+)
 
 // conn is a connection that one attempt, or its peer's idle list, owns.
 type conn struct {
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -11,11 +11,6 @@
 	"time"
 )
 
-var (
-	errNoAnswer = errors.New("no answer of HTTP/1.1")
-	errNoLength = errors.New("answer of no stated length")
-)
-
 const (
 	mailbox    = 256
 	sweepEvery = time.Second
@@ -54,12 +49,11 @@
 		case <-time.After(time.Millisecond):
 		}
 	}
-	return ctx.Err() == nil || b.refund()
-}
-
-func (b *Budget) refund() bool {
-	b.give()
-	return false
+	if ctx.Err() != nil {
+		b.give()
+		return false
+	}
+	return true
 }
 
 // Shared is what all peers have in common.
