--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -556,6 +556,25 @@
 	p.ready(t)
 }
 
+// One that polls on new connections does not keep the program from ending.
+func TestTermWhilePolled(t *testing.T) {
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {})
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	for end := time.Now().Add(patience / 2); ; time.Sleep(20 * time.Millisecond) { // less than the longest deadline
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			break
+		}
+		c.Close()
+		if time.Now().After(end) {
+			t.Fatal("still accepting")
+		}
+	}
+	if err := <-p.done; err != nil {
+		t.Fatalf("exit: %v", err)
+	}
+}
+
 func TestFaultyConfigIsNamed(t *testing.T) {
 	p := start(t, "nowhere", nil, nil)
 	if err := <-p.done; err == nil {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -28,8 +28,9 @@
 	writeTimeout = 5 * time.Second
 	softPart     = 0.9 // of the sockets; connections past it are taken to be told no
 
-	acceptAfterTerm = 700 * time.Millisecond // clients go on coming for a while after SIGTERM
-	quietBefore     = 300 * time.Millisecond // without a new connection, before the listener is closed
+	acceptAfterTerm = 700 * time.Millisecond  // clients go on coming for a while after SIGTERM
+	acceptMost      = 1000 * time.Millisecond // whatever comes
+	quietBefore     = 300 * time.Millisecond  // without a new connection, before the listener is closed
 	drainStep       = 10 * time.Millisecond
 	unusedAfter     = time.Second           // a new connection that has sent nothing for so long counts as idle
 	graceIdle       = 50 * time.Millisecond // a connection idle for this long has no request on its way
@@ -202,7 +203,7 @@
 		time.Sleep(drainStep)
 		conns, quiet := f.open()
 		switch {
-		case listening && time.Since(began) > acceptAfterTerm && quiet > quietBefore:
+		case listening && stopsAccepting(time.Since(began), quiet):
 			ln.Close()
 			listening = false
 		case listening:
@@ -216,6 +217,12 @@
 	}
 }
 
+// stopsAccepting tells when the listener is closed: after a while, once clients have stopped coming, and soon
+// after in any case. Guards against one that polls and so keeps the program until it is killed.
+func stopsAccepting(sinceTerm, quiet time.Duration) bool {
+	return sinceTerm > acceptAfterTerm && quiet > quietBefore || sinceTerm > acceptMost
+}
+
 // overfull tells whether more connections are open than the sockets allow.
 func (f *Frontend) overfull() bool {
 	conns, _ := f.open()
