--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -32,8 +32,8 @@
 	budget    *Budget
 }
 
-// shut closes the connection and gives its socket back. Closing by a reset (no linger) was tried and cost more
-// than it saved: see the results.
+// shut closes the connection and gives its socket back. Closing by a reset (no linger) was tried and
+// gained nothing: see the results.
 func (c *conn) shut() {
 	c.Close()
 	c.budget.give()
