--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -230,10 +230,13 @@
 }
 
 // one starts a sidecar with one known server.
-func one(t *testing.T, h http.HandlerFunc) (*program, *discovery) {
+func one(t *testing.T, h http.HandlerFunc) (*program, *discovery) { return oneWith(t, h, nil) }
+
+// oneWith does so after a change to the configuration.
+func oneWith(t *testing.T, h http.HandlerFunc, change func(map[string]any)) (*program, *discovery) {
 	d := startDiscovery(t)
 	addr := serveHTTP(t, h)
-	p := start(t, d.addr, &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", addr, "Ready")}}, nil)
+	p := start(t, d.addr, &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", addr, "Ready")}}, change)
 	p.ready(t)
 	return p, d
 }
@@ -587,12 +590,9 @@
 
 // More clients than sockets: idle ones make room, and everyone is answered.
 func TestMoreClientsThanSockets(t *testing.T) {
-	d := startDiscovery(t)
-	server := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") })
-	p := start(t, d.addr, &list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", server, "Ready")}}, func(c map[string]any) {
+	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }, func(c map[string]any) {
 		c["limits"] = map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": 48}
 	})
-	p.ready(t)
 	var kept []net.Conn
 	for range 100 {
 		c, err := net.Dial("tcp", p.addr)
@@ -612,12 +612,9 @@
 
 // A process that may hold fewer descriptors than it was told stays up, and serves once there is room.
 func TestOutOfDescriptors(t *testing.T) {
-	d := startDiscovery(t)
-	server := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {})
-	p := start(t, d.addr, &list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", server, "Ready")}}, func(c map[string]any) {
+	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) {}, func(c map[string]any) {
 		c["descriptors"] = 24
 	})
-	p.ready(t)
 	var held []net.Conn
 	for range 40 {
 		c, err := net.Dial("tcp", p.addr)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -11,13 +11,13 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
 	"damsonscale/internal/sidecar"
+	"damsonscale/internal/upstream"
 )
 
 const (
@@ -76,7 +76,6 @@
 		DisablePreParseMultipartForm: true,    // the body goes on as it came
 		NoDefaultServerHeader:        true,
 		NoDefaultDate:                true,
-		CloseOnShutdown:              true,
 		Logger:                       quiet{},
 	}
 	return f
@@ -119,7 +118,7 @@
 	f := l.front
 	f.room <- struct{}{}
 	nc, err := l.Listener.Accept()
-	for ; outOfSockets(err); nc, err = l.Listener.Accept() {
+	for ; upstream.OutOfSockets(err); nc, err = l.Listener.Accept() { // fasthttp's Serve would end on it
 		f.closeIdlest()
 		time.Sleep(drainStep)
 	}
@@ -141,12 +140,6 @@
 	return c, nil
 }
 
-// outOfSockets tells of errors that pass. Guards against fasthttp's Serve, which ends on them.
-func outOfSockets(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS) ||
-		errors.Is(err, syscall.ENOMEM)
-}
-
 func (f *Frontend) dropped(c *clientConn) {
 	f.mu.Lock()
 	delete(f.conns, c)
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -123,10 +123,13 @@
 	return ""
 }
 
-// hopByHop are the headers that end here, and the two that the sidecar writes itself.
-var hopByHop = map[string]bool{
-	"connection": true, "keep-alive": true, "proxy-connection": true, "te": true, "trailer": true,
-	"transfer-encoding": true, "upgrade": true, "expect": true, "content-length": true, "req-deadline-ms": true,
+// endsHere tells of the headers that are for one hop alone, and of the two that the sidecar writes itself.
+func endsHere(header string) bool {
+	switch header {
+	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect":
+		return true
+	}
+	return header == "content-length" || strings.EqualFold(header, upstream.DeadlineHeader)
 }
 
 // head makes the bytes that go on: request line and headers as they came, but for those that end here.
@@ -140,7 +143,7 @@
 		line = bytes.TrimSuffix(line, []byte{'\r'})
 		name, _, ok := bytes.Cut(line, []byte{':'})
 		low := strings.ToLower(string(name))
-		if !ok || hopByHop[low] || named(drop, low) {
+		if !ok || endsHere(low) || named(drop, low) {
 			continue
 		}
 		b = append(append(b, line...), "\r\n"...)
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -68,7 +68,7 @@
 // Peer is a server's actor: it owns the idle connections and starts attempts on them.
 //
 // The module posts attempts with Offer, which never blocks: a full mailbox turns the attempt down. Attempts
-// and the sweep post their ends and wait for room; the actor itself waits only on what Done waits on.
+// post their ends and wait for room; the actor itself waits only on what Done waits on.
 type Peer struct {
 	Host string
 
@@ -211,8 +211,8 @@
 	p.box <- ended{a: a, c: c, r: r}
 }
 
-// ownFault tells of a lack on this side. Guards against servers suspended for it.
-func ownFault(err error) bool {
+// OutOfSockets tells of a lack on this side that passes. Guards against servers suspended for it.
+func OutOfSockets(err error) bool {
 	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) ||
 		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
@@ -229,7 +229,7 @@
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.shared.Budget.give()
-		if a.ctx.Err() == context.Canceled || ownFault(err) {
+		if a.ctx.Err() == context.Canceled || OutOfSockets(err) {
 			return nil, Unwritten
 		}
 		return nil, Unreachable
