--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strings"
 	"syscall"
 	"time"
 
@@ -37,6 +38,8 @@
 }
 
 func run() error {
+	hup := make(chan os.Signal, 1) // one that comes while the file is read makes it be read again
+	signal.Notify(hup, syscall.SIGHUP)
 	conf, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -57,6 +60,7 @@
 	front := frontend.New(side, &conf.Settings, clients)
 	failed := make(chan error, 1)
 	go func() { failed <- front.Serve(ln) }()
+	go reload(hup, conf, side)
 	log.Printf("event=start name=%s listen=%s discovery=%s", conf.Name, conf.Listen, conf.Discovery)
 	select {
 	case err := <-failed:
@@ -70,6 +74,20 @@
 	return nil
 }
 
+// reload reads the configuration again at each SIGHUP, also while draining. A faulty file changes nothing.
+func reload(hup <-chan os.Signal, conf *config.Config, side *sidecar.Sidecar) {
+	for range hup {
+		next, restart, err := conf.Reload(os.Getenv)
+		if err != nil {
+			log.Printf("event=reload_failed err=%q", err)
+			continue
+		}
+		log.Printf("event=reload discovery=%s was=%s needs_restart=%q", next.Discovery, conf.Discovery, strings.Join(restart, ","))
+		side.Discover(next.Discovery)
+		conf = next
+	}
+}
+
 // listen waits for the address where another still holds it. Guards against a restart that ends in a crash
 // because the one before it is still answering.
 func listen(ctx context.Context, addr string) (net.Listener, error) {
--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -123,11 +123,37 @@
 // program is a started sidecar.
 type program struct {
 	cmd  *exec.Cmd
+	conf map[string]any
+	path string // of the configuration
 	addr string
-	log  bytes.Buffer
+	log  journal
 	done chan error
 }
 
+// journal is the program's log, readable while it runs.
+type journal struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (j *journal) Write(b []byte) (int, error) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.text.Write(b)
+}
+
+func (j *journal) String() string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.text.String()
+}
+
+// expect waits for a piece of the program's log.
+func (p *program) expect(t *testing.T, piece string) {
+	t.Helper()
+	eventually(t, piece, func() bool { return strings.Contains(p.log.String(), piece) })
+}
+
 func freeAddr(t *testing.T) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -156,13 +182,13 @@
 		limit = fmt.Sprint(n)
 		delete(conf, "descriptors")
 	}
-	text, _ := json.Marshal(conf)
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
+	p.conf, p.path = conf, filepath.Join(t.TempDir(), "config.json")
+	p.configure(t)
 	p.cmd = exec.Command("/bin/sh", "-c", "ulimit -n "+limit+"; exec "+os.Args[0])
-	p.cmd.Env = append(os.Environ(), "DAMSONSCALE_RUN_MAIN=1", "PROXY_CONFIG="+path)
+	p.cmd.Env = append(os.Environ(), "DAMSONSCALE_RUN_MAIN=1", "PROXY_CONFIG="+p.path)
+	if e, ok := conf["environment"]; ok {
+		p.cmd.Env = append(p.cmd.Env, e.(string))
+	}
 	p.cmd.Stderr = &p.log
 	if err := p.cmd.Start(); err != nil {
 		t.Fatal(err)
@@ -172,6 +198,25 @@
 	return p
 }
 
+// configure writes the configuration's file.
+func (p *program) configure(t *testing.T) {
+	t.Helper()
+	text, _ := json.Marshal(p.conf)
+	if err := os.WriteFile(p.path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// reload names another discovery in the file and tells the program.
+func (p *program) reload(t *testing.T, discovery string) {
+	t.Helper()
+	p.conf["discovery"] = discovery
+	p.configure(t)
+	if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // status returns the answer's status to a GET, 0 where there is none.
 func (p *program) status(path string) int {
 	resp, err := http.Get("http://" + p.addr + path)
@@ -559,6 +604,86 @@
 	p.ready(t)
 }
 
+// SIGHUP moves the watch to the address that the file then names, also where PROXY_DISCOVERY named the first one;
+// the old list counts until the new address speaks. A faulty file changes nothing.
+func TestReload(t *testing.T) {
+	yes := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") })
+	other := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "other") })
+	first, second := startDiscovery(t), startDiscovery(t)
+	p := start(t, first.addr, &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", yes, "Ready")}},
+		func(c map[string]any) { c["environment"] = "PROXY_DISCOVERY=" + first.addr })
+	p.ready(t)
+	if q := <-first.watches; q != "watch=1&from=41" {
+		t.Fatalf("asked with %q", q)
+	}
+	look := func() string {
+		_, body := do(t, request(t, p.addr, "GET", "/look", ""))
+		return body
+	}
+	p.reload(t, "nowhere")
+	p.reload(t, second.addr)
+	if q := <-second.watches; q != "watch=1" { // the versions of one service mean nothing to another
+		t.Fatalf("asked the new address with %q", q)
+	}
+	if got := look(); got != "yes" {
+		t.Fatalf("the old list is lost: %q", got)
+	}
+	second.tell(t, list{Seq: 3, Whole: true, Hosts: []host{hostAt("s2", other, "Ready")}})
+	eventually(t, "the new list", func() bool { return look() == "other" })
+	third := startDiscovery(t)
+	p.reload(t, third.addr)
+	<-third.watches
+	third.tell(t, list{Seq: 9, Whole: true, Hosts: []host{hostAt("s1", yes, "Ready")}})
+	eventually(t, "the list of a second reload", func() bool { return look() == "yes" })
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if err := <-p.done; err != nil {
+		t.Fatalf("exit: %v", err)
+	}
+}
+
+// A faulty file is logged by its key, and so are changed keys that count from the next start on.
+func TestReloadNamesKeys(t *testing.T) {
+	p, d := one(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") })
+	<-d.watches
+	p.reload(t, "nowhere")
+	p.expect(t, "event=reload_failed err=\"config: discovery: expected address:port")
+	p.conf["limits"] = map[string]any{"cores": 2.0, "memory_mb": 192, "sockets": 256}
+	p.reload(t, d.addr)
+	p.expect(t, "needs_restart=\"limits\"")
+	if s, body := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 || body != "yes" {
+		t.Fatal(s, body)
+	}
+}
+
+// A reload in a drain ends nothing: what is taken is still answered.
+func TestReloadWhileDraining(t *testing.T) {
+	came, finish := make(chan bool, 1), make(chan bool)
+	p, d := one(t, func(w http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-finish
+		io.WriteString(w, "yes")
+	})
+	<-d.watches
+	answered := make(chan string, 1)
+	go func() {
+		_, body := do(t, request(t, p.addr, "GET", "/look", ""))
+		answered <- body
+	}()
+	<-came
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.expect(t, "event=term")
+	second := startDiscovery(t)
+	p.reload(t, second.addr)
+	<-second.watches
+	close(finish)
+	if body := <-answered; body != "yes" {
+		t.Fatalf("answered %q", body)
+	}
+	if err := <-p.done; err != nil {
+		t.Fatalf("exit: %v", err)
+	}
+}
+
 // One that polls on new connections does not keep the program from ending.
 func TestTermWhilePolled(t *testing.T) {
 	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {})
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 
 	"damsonscale/decide"
@@ -37,6 +38,8 @@
 	Known     *discovery.List // the list as last known; nil: none
 	Settings  decide.Settings
 	Transport Transport
+
+	listedAt string // discovery as the file itself has it
 }
 
 // file is the configuration file's form.
@@ -69,10 +72,11 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	c := &Config{listedAt: in.Discovery}
 	override(&in.Name, env("PROXY_NAME"))
 	override(&in.Listen, env("PROXY_LISTEN"))
 	override(&in.Discovery, env("PROXY_DISCOVERY"))
-	c := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known}
+	c.Name, c.Listen, c.Discovery, c.Limits, c.Known = in.Name, in.Listen, in.Discovery, in.Limits, in.Known
 	if err := c.check(in.Seed); err != nil {
 		return nil, err
 	}
@@ -86,6 +90,39 @@
 	return c, nil
 }
 
+// Reload reads the file again and names the keys that changed and count from the next start on. A discovery that
+// the file did not name before goes before PROXY_DISCOVERY: that variable is as old as the program's start.
+func (c *Config) Reload(env func(string) string) (next *Config, restart []string, err error) {
+	if next, err = Load(env); err != nil {
+		return nil, nil, err
+	}
+	if next.listedAt == "" || next.listedAt == c.listedAt {
+		next.Discovery = c.Discovery
+	} else if next.Discovery = next.listedAt; next.checkDiscovery() != nil {
+		return nil, nil, next.checkDiscovery()
+	}
+	for _, k := range []struct {
+		key  string
+		same bool
+	}{
+		{"name", next.Name == c.Name}, {"listen", next.Listen == c.Listen}, {"seed", next.Seed == c.Seed},
+		{"limits", next.Limits == c.Limits},
+		{"settings", reflect.DeepEqual(next.Settings, c.Settings) && next.Transport == c.Transport},
+	} {
+		if !k.same {
+			restart = append(restart, k.key)
+		}
+	}
+	return next, restart, nil
+}
+
+func (c *Config) checkDiscovery() error {
+	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
+		return fmt.Errorf("config: discovery: expected address:port, got %q", c.Discovery)
+	}
+	return nil
+}
+
 func override(s *string, with string) {
 	if with != "" {
 		*s = with
@@ -100,8 +137,8 @@
 	if _, err := netip.ParseAddrPort(c.Listen); err != nil {
 		return fmt.Errorf("config: listen: expected address:port, got %q", c.Listen)
 	}
-	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
-		return fmt.Errorf("config: discovery: expected address:port, got %q", c.Discovery)
+	if err := c.checkDiscovery(); err != nil {
+		return err
 	}
 	if seed != "" {
 		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -35,18 +35,28 @@
 type Client struct {
 	Roster *Roster
 
-	addr   string
-	to     Listener
-	box    chan func()
-	asks   chan bool
-	seq    int64
-	round  int // numbers the watches, so that a late word of an old one is known
-	cancel context.CancelFunc
+	addr  string
+	to    Listener
+	box   chan func()
+	asks  chan bool
+	moves chan string
+	seq   int64
+	now   *subscription // the watch at addr; nil: none
+	left  *subscription // one at the address before, until the new one speaks; nil: none
+}
+
+// subscription is one watch; a word of one that has been stopped is not taken.
+type subscription struct {
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 // New makes the actor with the list as last known, which may be nil.
 func New(addr string, known *List, to Listener) *Client {
-	c := &Client{Roster: &Roster{}, addr: addr, to: to, box: make(chan func(), mailbox), asks: make(chan bool, 1), seq: -1}
+	c := &Client{
+		Roster: &Roster{}, addr: addr, to: to, seq: -1,
+		box: make(chan func(), mailbox), asks: make(chan bool, 1), moves: make(chan string, mailbox),
+	}
 	if known != nil && len(known.Hosts) > 0 {
 		c.seq = known.Seq
 		c.Roster.Replace(known)
@@ -63,9 +73,12 @@
 			return
 		case f := <-c.box:
 			f()
+		case addr := <-c.moves:
+			c.move(addr)
 		case on := <-c.asks:
-			c.stop()
-			if on {
+			if !on {
+				c.stop()
+			} else if c.now == nil { // guards against an ask that was due when the address changed
 				c.start()
 			}
 		}
@@ -81,51 +94,80 @@
 	c.asks <- on
 }
 
+// Move goes on with the list at another address. The list stays as it is until that one speaks.
+func (c *Client) Move(addr string) { c.moves <- addr }
+
+// move asks at the new address at once and listens to the old one until it ends or the new one speaks. Version
+// numbers of one service mean nothing to another, so the whole list is asked for.
+func (c *Client) move(addr string) {
+	if addr == c.addr {
+		return
+	}
+	c.addr, c.seq = addr, -1
+	if c.now != nil {
+		c.left.end()
+		c.left = c.now
+	}
+	c.start()
+}
+
 func (c *Client) stop() {
-	if c.cancel != nil {
-		c.cancel()
-		c.cancel = nil
+	c.now.end()
+	c.left.end()
+	c.now, c.left = nil, nil
+}
+
+func (s *subscription) end() {
+	if s != nil {
+		s.stop()
 	}
-	c.round++
 }
 
 func (c *Client) start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	c.cancel = cancel
-	round, from := c.round, c.seq
+	s := &subscription{}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	c.now = s
+	addr, from := c.addr, c.seq
 	go func() {
-		err := watch(ctx, c.addr, from, func(l *List) { c.post(ctx, func() { c.take(round, l) }) })
-		c.post(ctx, func() { c.failed(round, err) })
+		err := watch(s.ctx, addr, from, func(l *List) { c.post(s, func() { c.take(s, l) }) })
+		c.post(s, func() { c.failed(s, err) })
 	}()
 }
 
 // post hands the actor a word of a watch, unless that watch has been stopped.
-func (c *Client) post(ctx context.Context, f func()) {
+func (c *Client) post(s *subscription, f func()) {
 	select {
 	case c.box <- f:
-	case <-ctx.Done():
+	case <-s.ctx.Done():
 	}
 }
 
-func (c *Client) take(round int, l *List) {
-	if round != c.round {
+func (c *Client) take(s *subscription, l *List) {
+	switch s {
+	case c.now:
+		c.left.end()
+		c.left, c.seq = nil, l.Seq
+	case c.left:
+	default:
 		return
 	}
-	c.seq = l.Seq
 	c.Roster.apply(l)
 	c.to.Listed(l)
 }
 
-func (c *Client) failed(round int, err error) {
-	if round != c.round {
-		return
-	}
-	log.Printf("event=watch_ended err=%q", err)
-	if errors.Is(err, errGarbage) {
-		c.seq = -1 // what it meant to say is lost: ask for the whole list
+func (c *Client) failed(s *subscription, err error) {
+	s.end()
+	switch s {
+	case c.left:
+		c.left = nil
+	case c.now:
+		log.Printf("event=watch_ended discovery=%s err=%q", c.addr, err)
+		c.now = nil
+		if errors.Is(err, errGarbage) {
+			c.seq = -1 // what it meant to say is lost: ask for the whole list
+		}
+		c.to.ListFailed()
 	}
-	c.stop()
-	c.to.ListFailed()
 }
 
 var errGarbage = errors.New("discovery sent what is no list")
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -173,6 +173,36 @@
 	}
 }
 
+// The old address is listened to until the new one speaks, and no longer; an ask that was due does not begin
+// the new watch again.
+func TestMoveKeepsTheOldListUntilTheNewOneSpeaks(t *testing.T) {
+	c := New("old", nil, make(told, 16))
+	c.Watch(true)
+	c.now = &subscription{}
+	c.now.ctx, c.now.stop = context.WithCancel(context.Background())
+	old := c.now
+	addr, asked := talk(t, ok, true)
+	c.move(addr)
+	if got := <-asked; strings.Contains(got, "from") {
+		t.Fatalf("asked %q", got)
+	}
+	c.take(old, &List{Seq: 90, Hosts: []Entry{entry("a", "1", Ready)}})
+	if !c.Roster.Known() || c.seq != -1 {
+		t.Fatalf("the old address is not heard, or its version %d kept", c.seq)
+	}
+	c.take(c.now, &List{Seq: 2, Whole: true, Hosts: []Entry{entry("b", "2", Ready)}})
+	c.take(old, &List{Seq: 91, Hosts: []Entry{entry("c", "3", Ready)}})
+	if _, stale := c.Roster.Find("c"); stale || old.ctx.Err() == nil || c.seq != 2 {
+		t.Fatalf("the old address is still heard: %v %d", stale, c.seq)
+	}
+	now := c.now
+	c.move(addr)
+	if c.now != now {
+		t.Fatal("a move to the same address began a watch anew")
+	}
+	c.stop()
+}
+
 func FuzzList(f *testing.F) {
 	f.Add([]byte(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"b","block":null,"share":1e309}]}`))
 	f.Add([]byte(`{"hosts":[{"host":"a","dial":"b","block":-1,"born_ms":99999999999}]}`))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -141,6 +141,9 @@
 	}
 }
 
+// Discover goes on with the list at another address.
+func (s *Sidecar) Discover(addr string) { s.list.Move(addr) }
+
 // ListFailed takes word that an ask failed or the watch broke.
 func (s *Sidecar) ListFailed() {
 	s.box <- func(now int64) { s.balancer.ListFailed(now) }
