--- a/decide/decide.go
+++ b/decide/decide.go
@@ -48,7 +48,7 @@
 	worthlessCut = 0.95 // the same besides, where a late answer earns nothing
 	failCut      = 0.6  // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare   = 0.75 // of the aim: later answers warn of a crowd while there is time to act
-	crowdedBase  = 1.2  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
+	crowdedBase  = 1.6  // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	queueShare   = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast   = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -148,12 +148,13 @@
 	}
 }
 
-// takeIdle returns the latest used idle connection that is fit to be written to, or nil.
+// takeIdle returns the idle connection that is fit to be written to and has been idle longest, or nil. Guards
+// against writing to one that its server closes right after an answer: the latest used may not show it yet.
 func (p *Peer) takeIdle() *conn {
 	addr, _ := p.shared.Find(p.Host)
 	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+		c := p.idle[0]
+		p.idle = slices.Delete(p.idle, 0, 1)
 		if c.addr == addr && p.young(c) && c.quiet() {
 			return c
 		}
