Errors suspend a server for their class alone; servers long gone are forgotten

Cause: judge in decide.go counted failures in a row whatever their class. Ruled out: connects, resets, time-outs (cause=error). Now an error counts for its class alone, all other failures for all classes; a suspension's jitter comes from hash and time, one for all classes. Also seen by reading: Balancer.known kept every server id for good; those gone for 60 s are forgotten now (test).

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -8,7 +8,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -230,6 +229,7 @@
 func (b *Balancer) send(now int64, r *request, s *server, p float64) {
 	r.tries = append(r.tries, attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p})
 	s.inFlight++
+	s.health[r.Class].out++
 	r.out++
 	b.out++
 	b.tally.tries++
@@ -259,6 +259,7 @@
 	a := &r.tries[o.Attempt]
 	a.done, a.neverRan = true, o.Result.NeverRan()
 	a.server.inFlight--
+	a.server.health[r.Class].out--
 	r.out--
 	b.out--
 	b.observe(now, r, a, o)
@@ -380,7 +381,7 @@
 
 // draw picks a server for r by EXP3 and returns it with its probability, or nil when none has room.
 func (b *Balancer) draw(now int64, r *request) (*server, float64) {
-	home := b.home(r.home)
+	home := b.home(r)
 	if !b.candidates(now, r, home) {
 		return nil, 0
 	}
@@ -425,8 +426,9 @@
 
 // eligible tells whether an attempt of r may go to s now.
 func (b *Balancer) eligible(now int64, r *request, s *server) bool {
+	h := &s.health[r.Class]
 	if s.Phase != InService || float64(s.inFlight) >= s.limit ||
-		s.suspended && (now < s.until || s.inFlight > 0) {
+		h.suspended && (now < h.until || h.out > 0 || s.suspended && s.inFlight > 0) {
 		return false
 	}
 	return b.allowance(now, s) && r.mayRepeat(now, s)
@@ -460,16 +462,6 @@
 	return w
 }
 
-// crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
-// Own attempts that pile up show a paused or slow server before its first answer does.
-func (b *Balancer) crowd() float64 {
-	size := 0.0
-	for _, s := range b.arms {
-		size += s.Size
-	}
-	return float64(b.out) / size
-}
-
 // replica counts a request for a key and picks one of its homes, more for a key that is a large part of the
 // requests seen here; 0: none. Guards against hot keys that flood one server from every balancer.
 func (b *Balancer) replica(name string) uint64 {
@@ -486,15 +478,14 @@
 
 // home is the server that all balancers with this list pick for a replica of a key, by rendezvous hashing
 // over sizes: where servers do known keys faster, a key that all send to one server is warm for all.
-func (b *Balancer) home(key uint64) (best *server) {
-	if key == 0 {
+func (b *Balancer) home(r *request) (best *server) {
+	if r.home == 0 {
 		return nil
 	}
 	least := math.Inf(1)
 	for _, s := range b.servers {
-		if s.Phase == InService && !s.suspended {
-			u := float64(mix(key^s.hash)>>11+1) / (1 << 53)
-			if far := -math.Log(u) / s.Size; far < least {
+		if s.Phase == InService && !s.health[r.Class].suspended {
+			if far := -math.Log(unit(r.home^s.hash)) / s.Size; far < least {
 				best, least = s, far
 			}
 		}
@@ -541,7 +532,7 @@
 	if o.Result == Served || o.Result == TimedOut {
 		r.class.sample(float64(o.Latency))
 	}
-	b.judge(now, a.server, o.Result)
+	b.judge(now, r.Class, a.server, o.Result)
 	b.adapt(now, r.class, a, o)
 	b.learn(a, r.payoff(o))
 }
@@ -559,14 +550,6 @@
 	return min(1, float64(r.aim)/float64(max(1, o.Latency)))
 }
 
-// sample moves the latency marks; a time-out counts as an answer at least that late.
-func (c *classState) sample(latency float64) {
-	c.mark = step(c.mark, latency, markShare, markStep)
-	c.half = step(c.half, latency, 0.5, halfStep)
-	c.calm = step(c.calm, latency, calmShare, calmStep)
-	c.base = min(c.base, c.calm)
-}
-
 // ---- Limits of what is out
 
 // adapt moves the limit of the server that answered.
@@ -620,56 +603,67 @@
 // ---- Health, from own outcomes
 
 // judge suspends a server after failures in a row and brings it back after a good trial. Guards against
-// the black hole: a dead process turns attempts away at once, holds nothing, and always has room.
-func (b *Balancer) judge(now int64, s *server, result Result) {
-	if result == Served {
-		if s.suspended {
-			b.bringBack(now, s)
-		}
-		s.bad, s.lastServed = 0, now
-		return
-	}
+// the black hole: a dead process turns attempts away at once, holds nothing, and always has room. An error
+// tells of its class alone: a server can fail one and serve the others.
+func (b *Balancer) judge(now int64, class int, s *server, result Result) {
 	if result == Full {
 		return
 	}
-	s.bad++
-	if s.bad >= sickAfter && !(s.suspended && now < s.until) {
-		b.suspend(now, s, result)
+	for i := range s.health {
+		h := &s.health[i]
+		switch {
+		case i != class && (result == Errored || result == Served && h.cause == Errored):
+		case result == Served:
+			if h.suspended {
+				b.bringBack(now, s, i)
+			}
+			h.bad = 0
+		default:
+			h.bad, h.cause = h.bad+1, result
+			if h.bad >= sickAfter && !(h.suspended && now < h.until) {
+				b.suspend(now, s, i)
+			}
+		}
+	}
+	if result == Served {
+		s.lastServed = now
 	}
 }
 
-// suspend takes s out of the draw for a while, longer each time a trial fails.
-func (b *Balancer) suspend(now int64, s *server, last Result) {
-	if !s.suspended && !b.maySuspend(now, s) {
+// suspend takes s out of the draw of a class for a while, longer each time a trial fails.
+func (b *Balancer) suspend(now int64, s *server, class int) {
+	h := &s.health[class]
+	if !h.suspended && !b.maySuspend(now, s, class) {
 		return
 	}
-	pause := min(suspendFirst*math.Exp2(float64(s.trips)), suspendMost) * (0.75 + b.rng.Float64()/2)
-	s.suspended, s.until = true, now+int64(pause)
+	pause := min(suspendFirst*math.Exp2(float64(h.trips)), suspendMost) * (0.75 + unit(s.rank^uint64(now))/2)
+	h.suspended, h.until = true, now+int64(pause)
+	s.suspended = !slices.ContainsFunc(s.health, func(h health) bool { return !h.suspended })
 	b.takeArms(now)
-	if s.trips++; s.trips == 1 {
-		b.act.Log(fmt.Sprintf("suspend server=%s cause=%s held=%d", s.ID, last, s.inFlight))
+	if h.trips++; h.trips == 1 {
+		b.tell("suspend", s, class, "cause=%s held=%d", h.cause, s.inFlight)
 	}
 }
 
-func (b *Balancer) bringBack(now int64, s *server) {
-	quiet := now - s.lastServed
-	if quiet >= silentIsCold { // it may have started anew, which the list tells seconds late
+func (b *Balancer) bringBack(now int64, s *server, class int) {
+	h, quiet := &s.health[class], now-s.lastServed
+	if s.suspended && quiet >= silentIsCold { // it may have started anew, which the list tells seconds late
 		b.chill(now, s, now)
 		b.startLimit(s)
 	}
-	b.act.Log(fmt.Sprintf("return server=%s quiet_ms=%d trials=%d", s.ID, quiet/1000, s.trips))
-	s.suspended, s.trips = false, 0
+	b.tell("return", s, class, "quiet_ms=%d trials=%d", quiet/1000, h.trips)
+	h.suspended, h.trips, s.suspended = false, 0, false
 	b.takeArms(now)
 }
 
 // maySuspend keeps a part of the arms in the draw: when most look ill the cause is shared. It is not while
 // another answers well: a lost zone can be most of a fleet, and a dead server in the draw takes all retries.
-func (b *Balancer) maySuspend(now int64, s *server) bool {
+func (b *Balancer) maySuspend(now int64, s *server, class int) bool {
 	well := 0
 	for _, o := range b.arms {
-		if o != s && !o.suspended {
+		if h := &o.health[class]; o != s && !h.suspended {
 			well++
-			if o.answered > 0 && o.bad == 0 && now-o.lastServed < second/2 {
+			if o.answered > 0 && h.bad == 0 && now-o.lastServed < second/2 {
 				return true
 			}
 		}
@@ -729,6 +723,7 @@
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
 	b.forgetService()
+	b.forgetGone(now)
 	b.valueClasses()
 	mean, answered, size := b.meanLog(), 0, 0.0
 	keep := max(keepLog, math.Pow(keepAnswer, float64(b.answers)/float64(max(1, len(b.arms)))))
@@ -761,7 +756,7 @@
 	for _, in := range list {
 		s := b.meet(now, in)
 		if s.listed == 0 || in.UpSince > s.UpSince { // a new process: cold, and no old failure counts
-			s.suspended, s.trips, s.bad = false, 0, 0
+			s.heal()
 			b.chill(now, s, max(in.UpSince, 0))
 			fresh = append(fresh, s)
 		}
@@ -770,7 +765,7 @@
 			s.held, b.servers = true, append(b.servers, s)
 		}
 	}
-	b.drop()
+	b.drop(now)
 	slices.SortFunc(b.servers, func(a, c *server) int { return cmp.Compare(a.rank, c.rank) })
 	b.scaleSizes()
 	b.takeArms(now)
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -78,8 +78,8 @@
 		w := newWorld(t, testSettings(), fleet(1)...)
 		w.request("a", 0, second)
 		w.settle(w.pending[0], result)
-		if s := w.b.servers[0]; s.log != 0 || s.bad != 0 {
-			t.Errorf("result %d moved log %v, failures %d", result, s.log, s.bad)
+		if s := w.b.servers[0]; s.log != 0 || s.health[0].bad != 0 {
+			t.Errorf("result %d moved log %v, failures %d", result, s.log, s.health[0].bad)
 		}
 	}
 }
@@ -312,13 +312,63 @@
 	}
 }
 
+// The failure: servers that fail one class were suspended for all, and the other class lost them too.
+func TestErrorsOfOneClassLeaveTheOthers(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(4)...)
+	failed, served := 0, 0
+	for i := range 600 {
+		class := i % 2
+		w.request(fmt.Sprint("r", i), class, 2*second)
+		for len(w.pending) > 0 {
+			f := w.pending[0]
+			if f.server.ID < "s2" && class == 1 {
+				failed++
+				w.settle(f, Errored)
+			} else {
+				if f.server.ID < "s2" {
+					served++
+				}
+				w.settle(f, Served)
+			}
+		}
+		w.advance(20_000)
+	}
+	if served < 36 {
+		t.Errorf("two of four servers fail one class and got %d of 300 requests of the other", served)
+	}
+	if failed > 60 {
+		t.Errorf("%d of 300 requests met servers that fail their class", failed)
+	}
+}
+
+// The failure: what was known of servers that are gone was kept for good.
+func TestServersLongGoneAreForgotten(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(3)...)
+	for i := range 50 {
+		w.b.Listed(w.now, []Server{{ID: fmt.Sprint("new", i), Size: 1}}, true)
+		w.b.Timer(w.now, tokenSecond)
+		w.now += 2 * second
+	}
+	if n := len(w.b.known); n > int(keepGone/(2*second))+2 {
+		t.Errorf("%d servers remembered of 53, one of them listed", n)
+	}
+}
+
+// fallIll suspends a server for every class.
+func fallIll(b *Balancer, now int64, s *server, cause Result) {
+	for i := range s.health {
+		s.health[i].cause = cause
+		b.suspend(now, s, i)
+	}
+}
+
 // When nearly all look ill the cause is shared: a quarter of the servers stays in the draw.
 func TestASharedCauseSuspendsNotAll(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(8)...)
 	w.traffic(200, func(*flight) (Result, bool) { return Errored, true })
 	well := 0
 	for _, s := range w.b.servers {
-		if !s.suspended {
+		if !s.health[0].suspended {
 			well++
 		}
 	}
@@ -376,7 +426,7 @@
 	seen := map[string]bool{}
 	for i := range 200 {
 		key := fmt.Sprint("key", i)
-		a, b := w.b.home(hash(key)|1), other.b.home(hash(key)|1)
+		a, b := w.b.home(&request{home: hash(key) | 1}), other.b.home(&request{home: hash(key) | 1})
 		if a.ID != b.ID {
 			t.Fatalf("%s is at home at %s and at %s", key, a.ID, b.ID)
 		}
@@ -475,9 +525,9 @@
 func TestAServerNeverAskedIsNotSilent(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(3)...)
 	s := w.b.servers[0]
-	w.b.judge(w.now, s, ConnectFailed)
-	w.b.suspend(w.now, s, ConnectFailed)
-	w.b.judge(w.now+second, s, Served)
+	w.b.judge(w.now, 0, s, ConnectFailed)
+	fallIll(w.b, w.now, s, ConnectFailed)
+	w.b.judge(w.now+second, 0, s, Served)
 	if s.suspended || s.coldSince != 0 {
 		t.Errorf("suspended %v, cold since %d, want neither", s.suspended, s.coldSince)
 	}
@@ -576,8 +626,8 @@
 	w := newWorld(t, testSettings(), fleet(3)...)
 	s := w.b.servers[0]
 	s.limit = 0.1
-	w.b.suspend(w.now, s, TimedOut)
-	w.b.judge(w.now+3*second, s, Served)
+	fallIll(w.b, w.now, s, TimedOut)
+	w.b.judge(w.now+3*second, 0, s, Served)
 	near(t, "limit after silence", s.limit, 4, 1e-9)
 	again := Server{ID: "s1", Size: 1, Zone: "z1", UpSince: w.now}
 	w.b.servers[1].limit = 0.1
@@ -622,7 +672,7 @@
 	set.WarmKeys = true
 	w := newWorld(t, set, fleet(10)...)
 	r := &request{class: &w.b.classes[0], home: hash("key") | 1}
-	home := w.b.home(r.home)
+	home := w.b.home(r)
 	for range 100 {
 		if s, p := w.b.draw(w.now, r); s == home {
 			near(t, "p of the home", p, 0.93*20/29+0.07/10, 1e-9)
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -198,11 +198,11 @@
 	for _, s := range before[1:] {
 		s.answered, s.lastServed = 1, now
 	}
-	b.suspend(now, before[0], TimedOut)
+	fallIll(b, now, before[0], TimedOut)
 	if n := len(b.arms); n != len(before)+1 || !slices.Equal(b.arms[:len(before)], before) {
 		t.Errorf("%d arms after one fell ill, want the same and one more", n)
 	}
-	b.bringBack(now, before[0])
+	b.bringBack(now, before[0], 0)
 	b.Listed(now, []Server{{ID: b.servers[100].ID, Size: 1, Phase: Removed}}, false)
 	if !slices.Equal(b.arms, before) {
 		t.Error("the arms are not the same after the return and a change elsewhere")
@@ -223,7 +223,7 @@
 			if i%10 == 0 {
 				key = "hot"
 			}
-			if s := b.home(b.replica(key)); key == "hot" && i >= 1000 {
+			if s := b.home(&request{home: b.replica(key)}); key == "hot" && i >= 1000 {
 				homes[j][s.ID] = true
 			}
 		}
--- a/decide/state.go
+++ b/decide/state.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	logMost  = 30.0       // log-weights stay within this of zero: beyond it a sum of floats loses the small ones
-	logEvery = 5 * second // between two summary lines
-	sizeMost = 1e9        // of a listed size: a sum of a fleet of them stays exact enough
+	logMost  = 30.0        // log-weights stay within this of zero: beyond it a sum of floats loses the small ones
+	logEvery = 5 * second  // between two summary lines
+	keepGone = 60 * second // a list may be stale by tens of seconds
+	sizeMost = 1e9         // of a listed size: a sum of a fleet of them stays exact enough
 )
 
 // Balancer decides for one sidecar. It knows only what its events told it.
@@ -50,27 +51,36 @@
 
 // server is what this balancer knows of one server.
 type server struct {
-	Server             // Size is scaled to a mean of one
-	listed     float64 // size as listed
-	hash       uint64  // of its ID
-	rank       uint64  // place in this balancer's order
-	arm, held  bool    // drawn from; in the list of servers
-	log        float64 // EXP3's log-weight
-	weight     float64 // exp(log)
-	inFlight   int     // own attempts out
-	limit      float64 // own attempts it may hold
-	cutAt      int64   // when the limit was last cut; 0 before its first late answer
-	bad        int     // failures in a row
-	trips      int     // suspensions in a row
-	suspended  bool    // out of the draw until the time below, then on trial: one attempt at a time
-	until      int64
+	Server              // Size is scaled to a mean of one
+	listed     float64  // size as listed
+	hash       uint64   // of its ID
+	rank       uint64   // place in this balancer's order
+	arm, held  bool     // drawn from; in the list of servers
+	log        float64  // EXP3's log-weight
+	weight     float64  // exp(log)
+	inFlight   int      // own attempts out
+	limit      float64  // own attempts it may hold
+	cutAt      int64    // when the limit was last cut; 0 before its first late answer
+	health     []health // by class
+	suspended  bool     // for every class
 	lastServed int64
+	leftAt     int64   // when it left the list, where it is not held
 	coldSince  int64   // start of its latest warm-up; 0: warm
 	credit     float64 // while cold: sends that it may get, as of the time below
 	creditAt   int64
 	answered   int // own answers this second
 }
 
+// health is what a server's answers tell of it for one class.
+type health struct {
+	bad       int    // failures in a row
+	cause     Result // of the last one
+	trips     int    // suspensions in a row
+	suspended bool   // out of the draw until the time below, then on trial: one attempt at a time
+	until     int64
+	out       int // own attempts out
+}
+
 // classState is a class with the latencies seen of it, in µs.
 type classState struct {
 	Class
@@ -113,7 +123,7 @@
 func (b *Balancer) meet(now int64, in Server) *server {
 	s, met := b.known[in.ID]
 	if !met {
-		s = &server{hash: hash(in.ID), lastServed: now}
+		s = &server{hash: hash(in.ID), lastServed: now, health: make([]health, len(b.classes))}
 		s.rank = mix(s.hash ^ b.salt)
 		s.setLog(b.meanLog())
 		b.known[in.ID] = s
@@ -121,6 +131,14 @@
 	return s
 }
 
+// heal forgets failures.
+func (s *server) heal() {
+	s.suspended = false
+	for i := range s.health {
+		s.health[i] = health{out: s.health[i].out}
+	}
+}
+
 // list takes over an entry; a size that says nothing, or is past all measure, counts as one.
 func (s *server) list(in Server, sized bool) {
 	if !sized || !(in.Size > 0 && in.Size <= sizeMost) {
@@ -149,13 +167,25 @@
 }
 
 // drop forgets the place of servers that left the list.
-func (b *Balancer) drop() {
+func (b *Balancer) drop(now int64) {
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
-		s.held = s.held && s.Phase != Removed
+		if s.Phase == Removed {
+			s.held, s.leftAt = false, now
+		}
 		return !s.held
 	})
 }
 
+// forgetGone forgets servers that left the list long ago; one that a stale list brings back is remembered till then.
+// Guards against a fleet whose servers are replaced all day: each new id stayed for good.
+func (b *Balancer) forgetGone(now int64) {
+	for id, s := range b.known {
+		if !s.held && now-s.leftAt > keepGone {
+			delete(b.known, id)
+		}
+	}
+}
+
 // setLog keeps the weight beside its logarithm.
 func (s *server) setLog(l float64) {
 	s.log = min(max(l, -logMost), logMost)
@@ -170,6 +200,29 @@
 	return max(1, mark*math.Exp(-size*(1-share)))
 }
 
+// sample moves the latency marks; a time-out counts as an answer at least that late.
+func (c *classState) sample(latency float64) {
+	c.mark = step(c.mark, latency, markShare, markStep)
+	c.half = step(c.half, latency, 0.5, halfStep)
+	c.calm = step(c.calm, latency, calmShare, calmStep)
+	c.base = min(c.base, c.calm)
+}
+
+// crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
+// Own attempts that pile up show a paused or slow server before its first answer does.
+func (b *Balancer) crowd() float64 {
+	size := 0.0
+	for _, s := range b.arms {
+		size += s.Size
+	}
+	return float64(b.out) / size
+}
+
+// tell logs what befell a server.
+func (b *Balancer) tell(event string, s *server, class int, format string, args ...any) {
+	b.act.Log(fmt.Sprintf("%s server=%s class=%s "+format, append([]any{event, s.ID, b.classes[class].Name}, args...)...))
+}
+
 // forgetService lets old counts of requests fade, and the uncrowded mark rise.
 func (b *Balancer) forgetService() {
 	for i := range b.classes {
@@ -200,6 +253,9 @@
 	return h ^ h>>33
 }
 
+// unit makes a hash a number over 0 and up to 1.
+func unit(h uint64) float64 { return float64(mix(h)>>11+1) / (1 << 53) }
+
 // summary logs the last seconds in figures when something was refused in them.
 func (b *Balancer) summary(now int64) {
 	t := &b.tally
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -22,7 +22,7 @@
 
 const (
 	maxBody      = 64 << 10
-	readBuffer   = 8 << 10          // holds the longest head taken
+	readBuffer   = 8 << 10                 // holds the longest head taken
 	readTimeout  = 2500 * time.Millisecond // for a whole request, from its connection's start or its first byte
 	idleTimeout  = 2200 * time.Millisecond // clients may count on 2 s; past that a kept socket is one that another lacks
 	writeTimeout = 5 * time.Second
