--- a/decide/api.go
+++ b/decide/api.go
@@ -79,6 +79,7 @@
 	SizesListed    bool    // Server.Size means something
 	WarmKeys       bool    // a server that served a key lately needs less work for it
 	OverShareWorth float64 // worth of what a tenant sends over its share
+	ZonePrice      float64 // points for an attempt to another zone, as a part of the first tries
 }
 
 // Validate names the first setting that makes no sense.
@@ -113,6 +114,8 @@
 		return fmt.Errorf("settings: negative overload factor")
 	case l.MaxAttempts < 0 || l.MaxRetryAfter < 0 || l.Tick < 0:
 		return fmt.Errorf("settings: negative limit")
+	case !(s.ZonePrice >= 0):
+		return fmt.Errorf("settings: negative price for crossing zones")
 	case s.Balancers < 0 || s.Me < 0:
 		return fmt.Errorf("settings: negative number of balancers")
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -22,6 +22,7 @@
 	redraws      = 8     // per draw: past that many crowded servers all are crowded, and the draw stands
 	homesPerPart = 2.0   // homes of a key for each mean server's part of the requests that ask for it
 	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
+	nearBoost    = 5.0   // times another weighs a server of the own zone, where crossing zones has a price
 	warmBoost    = 2.0   // times all arms together weighs a key's home: with more, slow homes keep their keys
 
 	armsLeast = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
@@ -342,16 +343,6 @@
 
 // ---- Rule 2: no effect twice
 
-// effect returns the first attempt that may have run, or nil.
-func (r *request) effect() *attempt {
-	for i := range r.tries {
-		if !r.tries[i].neverRan {
-			return &r.tries[i]
-		}
-	}
-	return nil
-}
-
 // mayRepeat is rule 2 for a send: it tells whether s cannot cause the effect a second time.
 func (r *request) mayRepeat(now int64, s *server) bool {
 	first := r.effect()
@@ -393,8 +384,8 @@
 	for n, crowd := 0, b.crowd(); ; n++ {
 		s, p := b.pick(sum, size, home)
 		bound := crowd * s.Size
-		if s == home {
-			bound = 1 + 2*bound // the design's bound: a home may hold more
+		if s == home || b.near(s) > 1 {
+			bound = 1 + 2*bound // the design's bound: a home or a near one may hold more
 		}
 		if n == redraws || float64(s.inFlight) <= bound {
 			return s, p
@@ -434,10 +425,6 @@
 	return b.allowance(now, s) && r.mayRepeat(now, s)
 }
 
-func (r *request) tried(s *server) bool {
-	return slices.ContainsFunc(r.tries, func(a attempt) bool { return a.server == s })
-}
-
 // pick draws one of the candidates at random. A server of listed size z counts as z equal arms, so the
 // design's p = (1-gamma)*w/sum + gamma/M becomes p = (1-gamma)*z*w/sum + gamma*z/size.
 func (b *Balancer) pick(sum, size float64, home *server) (*server, float64) {
@@ -455,13 +442,21 @@
 // under one counts as that part of it. Guards against many balancers that take turns at a jammed server and
 // keep it so: work they gave up on still goes on there.
 func (b *Balancer) armWeight(s, home *server) float64 {
-	w := s.Size * s.weight * min(1, s.limit)
+	w := s.Size * s.weight * min(1, s.limit) * b.near(s)
 	if s == home {
 		return warmBoost * float64(len(b.arms)) * w
 	}
 	return w
 }
 
+// near is how much more a server of the own zone weighs, where attempts to other zones have a price.
+func (b *Balancer) near(s *server) float64 {
+	if b.set.ZonePrice > 0 && s.Zone == b.set.Zone {
+		return nearBoost
+	}
+	return 1
+}
+
 // replica counts a request for a key and picks one of its homes, more for a key that is a large part of the
 // requests seen here; 0: none. Guards against hot keys that flood one server from every balancer.
 func (b *Balancer) replica(name string) uint64 {
@@ -485,7 +480,7 @@
 	least := math.Inf(1)
 	for _, s := range b.servers {
 		if s.Phase == InService && !s.health[r.Class].suspended {
-			if far := -math.Log(unit(r.home^s.hash)) / s.Size; far < least {
+			if far := -math.Log(unit(r.home^s.hash)) / (s.Size * b.near(s)); far < least {
 				best, least = s, far
 			}
 		}
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -362,6 +362,32 @@
 	}
 }
 
+// By hand: of four equal servers in four zones, where crossing has a price, the own one weighs 5 beside 3:
+// p = 0.93*5/8 + 0.07/4 = 0.59875. Without a price all are equal.
+func TestOwnZoneWeighsMoreWhereCrossingHasAPrice(t *testing.T) {
+	for price, want := range map[float64]float64{0: 0.25, 0.03: 0.93*5/8 + 0.07/4} {
+		set := testSettings()
+		set.Zone, set.ZonePrice = "home", price
+		list := fleet(4)
+		for i := range list {
+			list[i].Zone = fmt.Sprint("z", i)
+		}
+		list[2].Zone = "home"
+		w := newWorld(t, set, list...)
+		r := &request{class: &w.b.classes[0]}
+		met := false
+		for range 200 {
+			if s, p := w.b.draw(w.now, r); s.Zone == "home" {
+				met = true
+				near(t, fmt.Sprint("p of the own zone at price ", price), p, want, 1e-9)
+			}
+		}
+		if !met {
+			t.Error("the own zone was never drawn")
+		}
+	}
+}
+
 // When nearly all look ill the cause is shared: a quarter of the servers stays in the draw.
 func TestASharedCauseSuspendsNotAll(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(8)...)
--- a/decide/state.go
+++ b/decide/state.go
@@ -218,6 +218,20 @@
 	return float64(b.out) / size
 }
 
+// effect returns the first attempt that may have run, or nil.
+func (r *request) effect() *attempt {
+	for i := range r.tries {
+		if !r.tries[i].neverRan {
+			return &r.tries[i]
+		}
+	}
+	return nil
+}
+
+func (r *request) tried(s *server) bool {
+	return slices.ContainsFunc(r.tries, func(a attempt) bool { return a.server == s })
+}
+
 // tell logs what befell a server.
 func (b *Balancer) tell(event string, s *server, class int, format string, args ...any) {
 	b.act.Log(fmt.Sprintf("%s server=%s class=%s "+format, append([]any{event, s.ID, b.classes[class].Name}, args...)...))
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -34,6 +34,7 @@
 	}
 	Report     struct{ Via string }
 	ScoringMix decide.Goal
+	Prices     struct{ CrossZone float64 }
 	FamilyInfo struct{ WarmKeys bool }
 	Guarantees struct {
 		AnswerSlackUs, AskEveryUs, ColdUs, FallUs, StopSendingWithinUs int64
@@ -100,6 +101,7 @@
 	set = decide.Settings{
 		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
 		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
+		ZonePrice:   in.Prices.CrossZone,
 		SizesListed: in.WeightSource == "nominal" || in.WeightSource == "rough",
 		WarmKeys:    in.FamilyInfo.WarmKeys, Goal: in.ScoringMix,
 		Limits: decide.Limits{
