Rejected requests fail at once, spoilt answers blame a class alone, silent clients make room

Now 4xx (but 408, 429) is Rejected: failed at once, no server blamed, no retry spent; Spoilt maps to an error of the class; silent connections make room after 0.3 s, before those that have served; a bad request's connection is closed. Tests for each part.

--- a/decide/api.go
+++ b/decide/api.go
@@ -164,11 +164,12 @@
 	Reset                // may have run
 	Cancelled            // may have run
 	Moot                 // never sent
+	Rejected             // may have run; the server finds the request itself at fault
 )
 
 // String names the result as log lines do.
 func (r Result) String() string {
-	names := [...]string{"served", "error", "full", "timeout", "connect", "reset", "cancelled", "moot"}
+	names := [...]string{"served", "error", "full", "timeout", "connect", "reset", "cancelled", "moot", "rejected"}
 	if int(r) < len(names) {
 		return names[r]
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -271,6 +271,9 @@
 	case o.Closed:
 		b.end(r)
 	case r.out > 0:
+	case o.Result == Rejected: // others would too: guards against bad requests that use up the retries
+		b.act.Fail(r.ID)
+		b.end(r)
 	case now < r.deadline && b.affordRetry(a):
 		b.try(now, r, false)
 	default:
@@ -511,9 +514,9 @@
 	}
 }
 
-// observe takes in all that an outcome tells, but for a cancelled or unsent attempt, which tells nothing.
+// observe takes in all that an outcome tells of its server: a cancelled, unsent or rejected attempt tells nothing.
 func (b *Balancer) observe(now int64, r *request, a *attempt, o Outcome) {
-	if o.Result == Cancelled || o.Result == Moot {
+	if o.Result == Cancelled || o.Result == Moot || o.Result == Rejected {
 		return
 	}
 	if o.Result == Served {
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -388,6 +388,22 @@
 	}
 }
 
+// What servers find faulty fails at once: no server is blamed, and no retry is spent on it.
+func TestARejectedRequestFailsAtOnce(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(2)...)
+	before := w.b.retries
+	for i := range 6 {
+		r := w.request(fmt.Sprint("bad", i), 0, 2*second)
+		w.settle(w.pending[0], Rejected)
+		if r.answered != "fail" || len(r.tries) != 1 {
+			t.Fatalf("answered %q after %d tries", r.answered, len(r.tries))
+		}
+	}
+	if w.b.retries != before || w.count("log suspend") != 0 || w.b.servers[0].log != 0 {
+		t.Errorf("%v retries of %v left, %d suspensions", w.b.retries, before, w.count("log suspend"))
+	}
+}
+
 // When nearly all look ill the cause is shared: a quarter of the servers stays in the draw.
 func TestASharedCauseSuspendsNotAll(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(8)...)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -32,8 +32,8 @@
 	acceptMost      = 1000 * time.Millisecond // whatever comes
 	quietBefore     = 300 * time.Millisecond  // without a new connection, before the listener is closed
 	drainStep       = 10 * time.Millisecond
-	unusedAfter     = time.Second           // a new connection that has sent nothing for so long counts as idle
-	graceIdle       = 50 * time.Millisecond // a connection idle for this long has no request on its way
+	unusedAfter     = 300 * time.Millisecond // a new connection that has sent nothing for so long counts as idle
+	graceIdle       = 50 * time.Millisecond  // a connection idle for this long has no request on its way
 )
 
 // Frontend is the sidecar's side towards its client.
@@ -116,7 +116,14 @@
 // Accept takes the next connection.
 func (l *listener) Accept() (net.Conn, error) {
 	f := l.front
-	f.room <- struct{}{}
+	for full := true; full; { // guards against silent clients that hold all sockets while usual ones wait
+		select {
+		case f.room <- struct{}{}:
+			full = false
+		case <-time.After(drainStep):
+			f.closeIdlest()
+		}
+	}
 	nc, err := l.Listener.Accept()
 	for ; upstream.OutOfSockets(err); nc, err = l.Listener.Accept() { // fasthttp's Serve would end on it
 		f.closeIdlest()
@@ -147,15 +154,20 @@
 	<-f.room
 }
 
-// closeIdlest closes the connection that has been idle longest, if any is. One that has carried nothing yet
-// is idle only after a while: its first request is likely on its way.
+// closeIdlest closes the connection that has been idle longest, if any is: first of those that have carried
+// nothing, whose clients are silent, then of the others. One that has carried nothing yet is idle only after a while:
+// its first request is likely on its way.
 func (f *Frontend) closeIdlest() {
 	var idlest *clientConn
-	least, fresh := int64(math.MaxInt64), time.Now().Add(-unusedAfter).UnixMicro()
+	least, silent, fresh := int64(math.MaxInt64), false, time.Now().Add(-unusedAfter).UnixMicro()
 	f.mu.Lock()
 	for c := range f.conns {
-		if at := c.idleSince.Load(); at > busy && at < least && (c.served.Load() || at < fresh) {
-			idlest, least = c, at
+		at, unused := c.idleSince.Load(), !c.served.Load()
+		if at <= busy || unused && at >= fresh || silent && !unused {
+			continue
+		}
+		if at < least || unused && !silent {
+			idlest, least, silent = c, at, unused
 		}
 	}
 	f.mu.Unlock()
@@ -235,6 +247,7 @@
 		f.ready(ctx)
 	} else if call, bad := f.parse(ctx, at); bad != nil {
 		ctx.Error(bad.text, bad.status)
+		ctx.SetConnectionClose() // one that sends this is of no more use, and its socket is
 	} else if f.overfull() {
 		refuse(ctx, sidecar.Answer{})
 		ctx.SetConnectionClose()
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -95,6 +95,93 @@
 	}
 }
 
+// Silent clients hold all sockets: they make room, and a usual client is answered.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	_, ln := serving(t, func(f *Frontend) { f.server.ReadTimeout, f.server.IdleTimeout = time.Hour, time.Hour })
+	for range 20 {
+		dial(t, ln)
+	}
+	c := dial(t, ln)
+	io.WriteString(c, look)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != 503 {
+		t.Fatalf("%v %v", resp, err)
+	}
+}
+
+// Of idle connections a silent one goes before one that has served, however long that one has been idle.
+func TestSilentOnesGoFirst(t *testing.T) {
+	f, ln := serving(t, nil)
+	used, silent := dial(t, ln), dial(t, ln)
+	io.WriteString(used, look)
+	br := bufio.NewReader(used)
+	if resp, err := http.ReadResponse(br, nil); err != nil {
+		t.Fatal(err)
+	} else {
+		io.Copy(io.Discard, resp.Body)
+	}
+	eventually(t, "two idle connections", func() bool { return f.idle() == 2 })
+	f.mu.Lock()
+	for c := range f.conns {
+		if at := c.idleSince.Load(); at > busy { // both idle for long, the used one longer
+			since := at - time.Minute.Microseconds()
+			if c.served.Load() {
+				since -= time.Minute.Microseconds()
+			}
+			c.idleSince.Store(since)
+		}
+	}
+	f.mu.Unlock()
+	f.closeIdlest()
+	if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
+		t.Fatalf("the silent one is open: %v", err)
+	}
+	if n := f.count(); n != 1 {
+		t.Fatalf("%d connections left, want the used one", n)
+	}
+}
+
+// A client that sends half a request is told so, on a new connection and on one that has served; what it is owed
+// within 3 s comes with room to spare.
+func TestHalfARequestIsEnded(t *testing.T) {
+	if readTimeout > 2800*time.Millisecond || idleTimeout < 2*time.Second {
+		t.Error("an error or a close is owed within 3 s; an idle connection may be closed after 2 s")
+	}
+	_, ln := serving(t, func(f *Frontend) { f.server.ReadTimeout = 300 * time.Millisecond })
+	for _, first := range []string{"", look} {
+		c := dial(t, ln)
+		br := bufio.NewReader(c)
+		if first != "" {
+			io.WriteString(c, first)
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+		}
+		io.WriteString(c, look[:30])
+		if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != 408 {
+			t.Fatalf("%v %v", resp, err)
+		}
+	}
+}
+
+// A bad request is answered and its connection closed.
+func TestBadRequestIsClosed(t *testing.T) {
+	_, ln := serving(t, nil)
+	c := dial(t, ln)
+	io.WriteString(c, "GET /nope HTTP/1.1\r\nHost: h\r\n\r\n")
+	br := bufio.NewReader(c)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil || resp.StatusCode != 404 {
+		t.Fatalf("%v %v", resp, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+	if _, err := br.ReadByte(); err != io.EOF {
+		t.Fatalf("still open: %v", err)
+	}
+}
+
 func (f *Frontend) count() int {
 	n, _ := f.open()
 	return n
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -97,16 +98,18 @@
 	return end
 }
 
-// read reads one whole answer; anything short of one is a reset.
+// read reads one whole answer; anything short of one may have run.
 func (c *conn) read(a *Attempt, r *Report) (reuse bool) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
 	err := readAnswer(c.br, resp)
 	r.At = time.Now()
 	if err != nil {
-		r.End = Broken
+		r.End = Spoilt
 		if a.ctx.Err() != nil {
 			r.End = a.interrupted()
+		} else if brokeOff(err) {
+			r.End = Broken
 		}
 		return false
 	}
@@ -119,6 +122,13 @@
 	return !resp.ConnectionClose() && c.br.Buffered() == 0
 }
 
+// brokeOff tells whether a read ended because the connection did.
+func brokeOff(err error) bool {
+	var nothing fasthttp.ErrNothingRead
+	var op *net.OpError
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &nothing) || errors.As(err, &op)
+}
+
 // end tells what a whole answer means.
 func end(resp *fasthttp.Response) End {
 	switch status := resp.StatusCode(); {
@@ -127,6 +137,10 @@
 	case (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout) &&
 		string(resp.Header.Peek("Srv-Declined")) == "1":
 		return Declined
+	case status == fasthttp.StatusRequestTimeout || status == fasthttp.StatusTooManyRequests:
+		return Failed // of the server's state, not of the request
+	case status >= 400 && status < 500:
+		return Rejected
 	}
 	return Failed
 }
--- a/internal/upstream/end.go
+++ b/internal/upstream/end.go
@@ -9,10 +9,12 @@
 
 const (
 	Answered    End = iota // 200 and its whole body
-	Failed                 // an answer that is neither 200 nor a refusal of work
+	Failed                 // an answer that is none of the others
+	Rejected               // the server finds the request itself at fault
 	Declined               // the server says that it never ran
 	Unreachable            // no connection, or it broke before the last byte was written
-	Broken                 // it broke, or what came was no whole answer, after the last byte was written
+	Spoilt                 // what came after the last byte was written can't be read as an answer
+	Broken                 // it broke after the last byte was written, before a whole answer
 	Expired                // the time was up after the last byte was written
 	Withdrawn              // called back after the last byte was written
 	Unwritten              // never written: called back, over, or the server wants nothing new
@@ -20,7 +22,8 @@
 
 // String names the end as log lines do.
 func (e End) String() string {
-	names := [...]string{"answered", "failed", "declined", "unreachable", "broken", "expired", "withdrawn", "unwritten"}
+	names := [...]string{"answered", "failed", "rejected", "declined", "unreachable", "spoilt", "broken", "expired",
+		"withdrawn", "unwritten"}
 	if int(e) < len(names) {
 		return names[e]
 	}
@@ -32,8 +35,10 @@
 	switch e {
 	case Answered:
 		return decide.Served
-	case Failed:
+	case Failed, Spoilt: // a server that answers is up, whatever it says
 		return decide.Errored
+	case Rejected:
+		return decide.Rejected
 	case Declined:
 		return decide.Full
 	case Unreachable:
