--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -15,7 +15,7 @@
 	net.Conn
 	front     *Frontend
 	readAt    time.Time     // when the last bytes came
-	idleSince atomic.Int64  // Unix µs; busy or taken where it is not idle
+	idleSince atomic.Int64  // Unix µs; busy, taken, or what reading makes where it is not idle
 	between   bool          // the next byte begins a request
 	served    atomic.Bool   // it has carried a request
 	done      chan struct{} // closed when the background read has ended
@@ -31,6 +31,9 @@
 	taken = -1 // chosen to be closed
 )
 
+// reading is what idleSince holds while the first request of a connection comes in pieces, since a time.
+func reading(since int64) int64 { return -since }
+
 // Read returns what the background read got first. A connection is idle only while it waits here for the
 // first byte of a request. Guards against closing one that carries a request which has been read.
 func (c *clientConn) Read(p []byte) (n int, err error) {
@@ -51,8 +54,12 @@
 	if c.between && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, io.EOF // Guards against the 408 of fasthttp on a new connection: the next request would read it
 	}
+	now := time.Now()
+	if c.between && n > 0 && !c.served.Load() {
+		c.idleSince.Store(reading(now.UnixMicro()))
+	}
 	c.between = c.between && n == 0
-	c.readAt = time.Now()
+	c.readAt = now
 	return n, err
 }
 
@@ -62,6 +69,9 @@
 	return at > busy && at <= before && c.idleSince.CompareAndSwap(at, taken)
 }
 
+// begin tells that a whole request has come; false: the connection has been chosen to be closed before.
+func (c *clientConn) begin() bool { return c.idleSince.Swap(busy) != taken }
+
 // finished tells that the request read last has been handled.
 func (c *clientConn) finished() {
 	c.between = true
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"log"
-	"math"
 	"net"
 	"strconv"
 	"sync"
@@ -26,7 +25,8 @@
 	readTimeout  = 2500 * time.Millisecond // for a whole request, from its connection's start or its first byte
 	idleTimeout  = 2200 * time.Millisecond // clients may count on 2 s; past that a kept socket is one that another lacks
 	writeTimeout = 5 * time.Second
-	softPart     = 0.9 // of the sockets; connections past it are taken to be told no
+	softPart     = 0.5 // of the sockets; past it a new connection takes the place of one that is idle. Guards against
+	// clients that reach their own limit first, with connections that have asked once, and then ask no more
 
 	acceptAfterTerm = 700 * time.Millisecond  // clients go on coming for a while after SIGTERM
 	acceptMost      = 1000 * time.Millisecond // whatever comes
@@ -154,25 +154,42 @@
 	<-f.room
 }
 
-// closeIdlest closes the connection that has been idle longest, if any is: first of those that have carried
-// nothing, whose clients are silent, then of the others. One that has carried nothing yet is idle only after a while:
-// its first request is likely on its way.
+// closeIdlest closes one connection that is of least use, if any is: a silent one first, one that has carried nothing;
+// then an idle one; last one whose first request has been coming in pieces. Of each kind it is the one that has been
+// so longest. A new connection is spared for a while: its first request is likely on its way.
 func (f *Frontend) closeIdlest() {
-	var idlest *clientConn
-	least, silent, fresh := int64(math.MaxInt64), false, time.Now().Add(-unusedAfter).UnixMicro()
+	const silent, idle, halfway = 0, 1, 2
+	var of [3]*clientConn
+	var since [3]int64
+	fresh := time.Now().Add(-unusedAfter).UnixMicro()
 	f.mu.Lock()
 	for c := range f.conns {
-		at, unused := c.idleSince.Load(), !c.served.Load()
-		if at <= busy || unused && at >= fresh || silent && !unused {
+		at, kind := c.idleSince.Load(), idle
+		switch {
+		case at == busy || at == taken:
 			continue
+		case at < taken:
+			at, kind = reading(at), halfway
+		case !c.served.Load():
+			kind = silent
 		}
-		if at < least || unused && !silent {
-			idlest, least, silent = c, at, unused
+		if (kind == idle || at < fresh) && (of[kind] == nil || at < since[kind]) {
+			of[kind], since[kind] = c, at
 		}
 	}
 	f.mu.Unlock()
-	if idlest != nil && idlest.takeIdle(least) {
-		idlest.Close()
+	for kind, c := range of {
+		if c == nil {
+			continue
+		}
+		was := since[kind]
+		if kind == halfway {
+			was = reading(was)
+		}
+		if c.idleSince.CompareAndSwap(was, taken) {
+			c.Close()
+			return
+		}
 	}
 }
 
@@ -228,12 +245,6 @@
 	return sinceTerm > acceptAfterTerm && quiet > quietBefore || sinceTerm > acceptMost
 }
 
-// overfull tells whether more connections are open than the sockets allow.
-func (f *Frontend) overfull() bool {
-	conns, _ := f.open()
-	return conns > f.sockets
-}
-
 // handle answers one request.
 func (f *Frontend) handle(ctx *fasthttp.RequestCtx) {
 	c, ok := ctx.Conn().(*clientConn)
@@ -241,6 +252,10 @@
 		ctx.Error("not a connection of this server", fasthttp.StatusInternalServerError)
 		return
 	}
+	if !c.begin() {
+		ctx.SetConnectionClose()
+		return
+	}
 	defer c.finished()
 	at := c.readAt
 	if path, _, _ := bytes.Cut(ctx.Request.Header.RequestURI(), []byte{'?'}); string(path) == "/health/ready" {
@@ -248,9 +263,6 @@
 	} else if call, bad := f.parse(ctx, at); bad != nil {
 		ctx.Error(bad.text, bad.status)
 		ctx.SetConnectionClose() // one that sends this is of no more use, and its socket is
-	} else if f.overfull() {
-		refuse(ctx, sidecar.Answer{})
-		ctx.SetConnectionClose()
 	} else {
 		gone := c.watch()
 		a, left := f.side.Do(call, gone)
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -109,6 +109,25 @@
 	}
 }
 
+// The failure: clients that keep a connection after one request reached their own limit before ours, so that no new
+// connection came, none was closed, and most requests were never sent. From half of the sockets on idle ones make room.
+func TestKeptConnectionsMakeRoomFromHalfOn(t *testing.T) {
+	f, ln := serving(t, func(f *Frontend) { f.server.IdleTimeout = time.Hour })
+	for range 7 { // of 8 sockets
+		c := dial(t, ln)
+		io.WriteString(c, look)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.Copy(io.Discard, resp.Body)
+		eventually(t, "all idle", func() bool { return f.idle() == f.count() })
+	}
+	if n := f.count(); n > 4 {
+		t.Errorf("%d connections kept, want 4 at most", n)
+	}
+}
+
 // Of idle connections a silent one goes before one that has served, however long that one has been idle.
 func TestSilentOnesGoFirst(t *testing.T) {
 	f, ln := serving(t, nil)
