--- a/decide/decide.go
+++ b/decide/decide.go
@@ -514,7 +514,7 @@
 	}
 }
 
-// observe takes in all that an outcome tells of its server: a cancelled, unsent or rejected one tells nothing.
+// observe takes in what an outcome tells of its server: a cancelled, unsent or rejected one tells nothing.
 func (b *Balancer) observe(now int64, r *request, a *attempt, o Outcome) {
 	if o.Result == Cancelled || o.Result == Moot || o.Result == Rejected {
 		return
