--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -404,6 +404,27 @@
 	}
 }
 
+// The failure: attempts that fell silent one by one at all servers cut every limit, though all else was answered early, and
+// a third of the requests was refused. In a jam answers are late as well: there a time-out still cuts.
+func TestALoneTimeOutCutsNoLimit(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(1)...)
+	s, c := w.b.servers[0], &w.b.classes[0]
+	end := func(result Result, latency int64) float64 {
+		before := s.limit
+		w.now += second
+		w.b.adapt(w.now, c, &attempt{server: s, sentAt: w.now - latency}, Outcome{Result: result, Latency: latency})
+		return s.limit / before
+	}
+	end(Served, 1000)
+	if f := end(TimedOut, c.Deadline); f != 1 {
+		t.Errorf("a time-out after an early answer moved the limit by %v", f)
+	}
+	end(Served, c.Aim)
+	if f := end(TimedOut, c.Deadline); f >= 1 {
+		t.Errorf("a time-out after a late answer moved the limit by %v", f)
+	}
+}
+
 // When nearly all look ill the cause is shared: a quarter of the servers stays in the draw.
 func TestASharedCauseSuspendsNotAll(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(8)...)
--- a/decide/state.go
+++ b/decide/state.go
@@ -60,6 +60,7 @@
 	weight     float64  // exp(log)
 	inFlight   int      // own attempts out
 	limit      float64  // own attempts it may hold
+	early      bool     // its latest answer was
 	cutAt      int64    // when the limit was last cut; 0 before its first late answer
 	health     []health // by class
 	suspended  bool     // for every class
