--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -56,6 +56,19 @@
 	return Parse(text, none)
 }
 
+// What crossing zones costs is told to the decisions; without a price it is free.
+func TestZonePrice(t *testing.T) {
+	for value, want := range map[any]float64{nil: 0, 0.03: 0.03} {
+		prices := map[string]any{}
+		if value != nil {
+			prices["CrossZone"] = value
+		}
+		if c, err := change(t, "settings.Prices", prices); err != nil || c.Settings.ZonePrice != want {
+			t.Errorf("%v: %v %v", value, c, err)
+		}
+	}
+}
+
 // A message names the faulty key.
 func TestFaultyKeys(t *testing.T) {
 	class := func(semantics, group string) []any {
