--- a/decide/decide.go
+++ b/decide/decide.go
@@ -483,7 +483,7 @@
 	least := math.Inf(1)
 	for _, s := range b.servers {
 		if s.Phase == InService && !s.health[r.Class].suspended {
-			if far := -math.Log(unit(r.home^s.hash)) / (s.Size * b.near(s)); far < least {
+			if far := -math.Log(unit(r.home^s.hash)) / s.Size; far < least {
 				best, least = s, far
 			}
 		}
