--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -274,6 +274,12 @@
 	return resp.StatusCode, string(body)
 }
 
+// look makes a safe request and returns what came of it.
+func (p *program) look(t *testing.T) (status int, body string) {
+	t.Helper()
+	return do(t, request(t, p.addr, "GET", "/look", ""))
+}
+
 // one starts a sidecar with one known server.
 func one(t *testing.T, h http.HandlerFunc) (*program, *discovery) { return oneWith(t, h, nil) }
 
@@ -299,7 +305,7 @@
 	}
 	d.tell(t, list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", server, "Ready")}})
 	p.ready(t)
-	if s, body := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 || body != "yes" {
+	if s, body := p.look(t); s != 200 || body != "yes" {
 		t.Fatal(s, body)
 	}
 }
@@ -412,7 +418,7 @@
 	if n := attempts.Load(); n != 0 {
 		t.Fatalf("%d attempts", n)
 	}
-	if s, _ := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 {
+	if s, _ := p.look(t); s != 200 {
 		t.Fatalf("a good request afterwards: %d", s)
 	}
 }
@@ -499,18 +505,18 @@
 	p.ready(t)
 	first := make(chan string)
 	go func() {
-		_, body := do(t, request(t, p.addr, "GET", "/look", ""))
+		_, body := p.look(t)
 		first <- body
 	}()
 	<-came
 	d.tell(t, list{Seq: 2, Hosts: []host{hostAt("s2", other, "Ready"), hostAt("s1", old, "Terminating")}})
 	eventually(t, "answers of the other alone", func() bool {
-		s, body := do(t, request(t, p.addr, "GET", "/look", ""))
+		s, body := p.look(t)
 		return s == 200 && body == "new"
 	})
 	drained.Store(true)
 	for range 50 {
-		if s, body := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 || body != "new" {
+		if s, body := p.look(t); s != 200 || body != "new" {
 			t.Fatal(s, body)
 		}
 	}
@@ -539,7 +545,7 @@
 			t.Fatalf("asked after garbage with %q", q)
 		}
 	}
-	if s, _ := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 {
+	if s, _ := p.look(t); s != 200 {
 		t.Fatalf("the list held is lost: %d", s)
 	}
 }
@@ -616,8 +622,8 @@
 	if q := <-first.watches; q != "watch=1&from=41" {
 		t.Fatalf("asked with %q", q)
 	}
-	look := func() string {
-		_, body := do(t, request(t, p.addr, "GET", "/look", ""))
+	served := func() string {
+		_, body := p.look(t)
 		return body
 	}
 	p.reload(t, "nowhere")
@@ -625,16 +631,16 @@
 	if q := <-second.watches; q != "watch=1" { // the versions of one service mean nothing to another
 		t.Fatalf("asked the new address with %q", q)
 	}
-	if got := look(); got != "yes" {
+	if got := served(); got != "yes" {
 		t.Fatalf("the old list is lost: %q", got)
 	}
 	second.tell(t, list{Seq: 3, Whole: true, Hosts: []host{hostAt("s2", other, "Ready")}})
-	eventually(t, "the new list", func() bool { return look() == "other" })
+	eventually(t, "the new list", func() bool { return served() == "other" })
 	third := startDiscovery(t)
 	p.reload(t, third.addr)
 	<-third.watches
 	third.tell(t, list{Seq: 9, Whole: true, Hosts: []host{hostAt("s1", yes, "Ready")}})
-	eventually(t, "the list of a second reload", func() bool { return look() == "yes" })
+	eventually(t, "the list of a second reload", func() bool { return served() == "yes" })
 	p.cmd.Process.Signal(syscall.SIGTERM)
 	if err := <-p.done; err != nil {
 		t.Fatalf("exit: %v", err)
@@ -650,7 +656,7 @@
 	p.conf["limits"] = map[string]any{"cores": 2.0, "memory_mb": 192, "sockets": 256}
 	p.reload(t, d.addr)
 	p.expect(t, "needs_restart=\"limits\"")
-	if s, body := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 || body != "yes" {
+	if s, body := p.look(t); s != 200 || body != "yes" {
 		t.Fatal(s, body)
 	}
 }
@@ -666,7 +672,7 @@
 	<-d.watches
 	answered := make(chan string, 1)
 	go func() {
-		_, body := do(t, request(t, p.addr, "GET", "/look", ""))
+		_, body := p.look(t)
 		answered <- body
 	}()
 	<-came
@@ -756,7 +762,7 @@
 	for _, c := range held {
 		c.Close()
 	}
-	if s, _ := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 {
+	if s, _ := p.look(t); s != 200 {
 		t.Fatalf("afterwards: %d", s)
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -96,10 +96,12 @@
 	if next, err = Load(env); err != nil {
 		return nil, nil, err
 	}
-	if next.listedAt == "" || next.listedAt == c.listedAt {
-		next.Discovery = c.Discovery
-	} else if next.Discovery = next.listedAt; next.checkDiscovery() != nil {
-		return nil, nil, next.checkDiscovery()
+	next.Discovery = c.Discovery
+	if next.listedAt != c.listedAt {
+		override(&next.Discovery, next.listedAt)
+	}
+	if err := next.checkDiscovery(); err != nil {
+		return nil, nil, err
 	}
 	for _, k := range []struct {
 		key  string
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -35,14 +35,13 @@
 type Client struct {
 	Roster *Roster
 
-	addr  string
-	to    Listener
-	box   chan func()
-	asks  chan bool
-	moves chan string
-	seq   int64
-	now   *subscription // the watch at addr; nil: none
-	left  *subscription // one at the address before, until the new one speaks; nil: none
+	addr string
+	to   Listener
+	box  chan func()
+	asks chan bool
+	seq  int64
+	now  *subscription // the watch at addr; nil: none
+	left *subscription // one at the address before, until the new one speaks; nil: none
 }
 
 // subscription is one watch; a word of one that has been stopped is not taken.
@@ -51,11 +50,17 @@
 	stop context.CancelFunc
 }
 
+func newSubscription() *subscription {
+	s := &subscription{}
+	s.ctx, s.stop = context.WithCancel(context.Background())
+	return s
+}
+
 // New makes the actor with the list as last known, which may be nil.
 func New(addr string, known *List, to Listener) *Client {
 	c := &Client{
 		Roster: &Roster{}, addr: addr, to: to, seq: -1,
-		box: make(chan func(), mailbox), asks: make(chan bool, 1), moves: make(chan string, mailbox),
+		box: make(chan func(), mailbox), asks: make(chan bool, 1),
 	}
 	if known != nil && len(known.Hosts) > 0 {
 		c.seq = known.Seq
@@ -73,18 +78,21 @@
 			return
 		case f := <-c.box:
 			f()
-		case addr := <-c.moves:
-			c.move(addr)
 		case on := <-c.asks:
-			if !on {
-				c.stop()
-			} else if c.now == nil { // guards against an ask that was due when the address changed
-				c.start()
-			}
+			c.ask(on)
 		}
 	}
 }
 
+// ask begins a watch where none is held, or stops. Guards against an ask that was due when the address changed.
+func (c *Client) ask(on bool) {
+	if !on {
+		c.stop()
+	} else if c.now == nil {
+		c.start()
+	}
+}
+
 // Watch asks for changes from now on, or stops asking. It never blocks; only one goroutine may call it.
 func (c *Client) Watch(on bool) {
 	select {
@@ -95,7 +103,7 @@
 }
 
 // Move goes on with the list at another address. The list stays as it is until that one speaks.
-func (c *Client) Move(addr string) { c.moves <- addr }
+func (c *Client) Move(addr string) { c.box <- func() { c.move(addr) } }
 
 // move asks at the new address at once and listens to the old one until it ends or the new one speaks. Version
 // numbers of one service mean nothing to another, so the whole list is asked for.
@@ -124,8 +132,7 @@
 }
 
 func (c *Client) start() {
-	s := &subscription{}
-	s.ctx, s.stop = context.WithCancel(context.Background())
+	s := newSubscription()
 	c.now = s
 	addr, from := c.addr, c.seq
 	go func() {
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -177,9 +177,7 @@
 // the new watch again.
 func TestMoveKeepsTheOldListUntilTheNewOneSpeaks(t *testing.T) {
 	c := New("old", nil, make(told, 16))
-	c.Watch(true)
-	c.now = &subscription{}
-	c.now.ctx, c.now.stop = context.WithCancel(context.Background())
+	c.now = newSubscription()
 	old := c.now
 	addr, asked := talk(t, ok, true)
 	c.move(addr)
@@ -200,6 +198,10 @@
 	if c.now != now {
 		t.Fatal("a move to the same address began a watch anew")
 	}
+	c.ask(true)
+	if c.now != now {
+		t.Fatal("an ask that was due began the watch anew")
+	}
 	c.stop()
 }
 
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -15,7 +15,7 @@
 	net.Conn
 	front     *Frontend
 	readAt    time.Time     // when the last bytes came
-	idleSince atomic.Int64  // Unix µs; busy, taken, or what reading makes where it is not idle
+	idleSince atomic.Int64  // Unix µs; negative while its first request comes in pieces since then; or busy or taken
 	between   bool          // the next byte begins a request
 	served    atomic.Bool   // it has carried a request
 	done      chan struct{} // closed when the background read has ended
@@ -31,8 +31,8 @@
 	taken = -1 // chosen to be closed
 )
 
-// reading is what idleSince holds while the first request of a connection comes in pieces, since a time.
-func reading(since int64) int64 { return -since }
+// since is the time in what idleSince holds.
+func since(held int64) int64 { return max(held, -held) }
 
 // Read returns what the background read got first. A connection is idle only while it waits here for the
 // first byte of a request. Guards against closing one that carries a request which has been read.
@@ -56,7 +56,7 @@
 	}
 	now := time.Now()
 	if c.between && n > 0 && !c.served.Load() {
-		c.idleSince.Store(reading(now.UnixMicro()))
+		c.idleSince.Store(-now.UnixMicro())
 	}
 	c.between = c.between && n == 0
 	c.readAt = now
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -116,14 +116,7 @@
 // Accept takes the next connection.
 func (l *listener) Accept() (net.Conn, error) {
 	f := l.front
-	for full := true; full; { // guards against silent clients that hold all sockets while usual ones wait
-		select {
-		case f.room <- struct{}{}:
-			full = false
-		case <-time.After(drainStep):
-			f.closeIdlest()
-		}
-	}
+	f.takeRoom()
 	nc, err := l.Listener.Accept()
 	for ; upstream.OutOfSockets(err); nc, err = l.Listener.Accept() { // fasthttp's Serve would end on it
 		f.closeIdlest()
@@ -147,6 +140,25 @@
 	return c, nil
 }
 
+// takeRoom takes a token for a connection. Guards against silent clients that hold all while usual ones wait.
+func (f *Frontend) takeRoom() {
+	select {
+	case f.room <- struct{}{}:
+		return
+	default:
+	}
+	tick := time.NewTicker(drainStep)
+	defer tick.Stop()
+	for {
+		select {
+		case f.room <- struct{}{}:
+			return
+		case <-tick.C:
+			f.closeIdlest()
+		}
+	}
+}
+
 func (f *Frontend) dropped(c *clientConn) {
 	f.mu.Lock()
 	delete(f.conns, c)
@@ -160,7 +172,7 @@
 func (f *Frontend) closeIdlest() {
 	const silent, idle, halfway = 0, 1, 2
 	var of [3]*clientConn
-	var since [3]int64
+	var held [3]int64 // in its idleSince
 	fresh := time.Now().Add(-unusedAfter).UnixMicro()
 	f.mu.Lock()
 	for c := range f.conns {
@@ -169,24 +181,17 @@
 		case at == busy || at == taken:
 			continue
 		case at < taken:
-			at, kind = reading(at), halfway
+			kind = halfway
 		case !c.served.Load():
 			kind = silent
 		}
-		if (kind == idle || at < fresh) && (of[kind] == nil || at < since[kind]) {
-			of[kind], since[kind] = c, at
+		if (kind == idle || since(at) < fresh) && (of[kind] == nil || since(at) < since(held[kind])) {
+			of[kind], held[kind] = c, at
 		}
 	}
 	f.mu.Unlock()
 	for kind, c := range of {
-		if c == nil {
-			continue
-		}
-		was := since[kind]
-		if kind == halfway {
-			was = reading(was)
-		}
-		if c.idleSince.CompareAndSwap(was, taken) {
+		if c != nil && c.idleSince.CompareAndSwap(held[kind], taken) {
 			c.Close()
 			return
 		}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -59,18 +59,24 @@
 
 const look = "GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: 5000\r\n\r\n"
 
+// exchange writes text and reads the whole answer, which has that status.
+func exchange(t *testing.T, c net.Conn, br *bufio.Reader, text string, status int) {
+	t.Helper()
+	io.WriteString(c, text)
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil || resp.StatusCode != status {
+		t.Fatalf("%v %v", resp, err)
+	}
+	io.Copy(io.Discard, resp.Body)
+}
+
 // With no server known a request is refused, and the connection goes on.
 func TestRefusedWithoutServers(t *testing.T) {
 	_, ln := serving(t, nil)
 	c := dial(t, ln)
 	br := bufio.NewReader(c)
 	for range 3 {
-		io.WriteString(c, look)
-		resp, err := http.ReadResponse(br, nil)
-		if err != nil || resp.StatusCode != 503 {
-			t.Fatalf("%v %v", resp, err)
-		}
-		io.Copy(io.Discard, resp.Body)
+		exchange(t, c, br, look, 503)
 	}
 }
 
@@ -81,13 +87,8 @@
 	io.WriteString(c, look[:20])
 	eventually(t, "first bytes read", func() bool { return f.idle() == 0 && f.count() == 1 })
 	f.closeIdle(-time.Hour, true)
-	io.WriteString(c, look[20:])
 	br := bufio.NewReader(c)
-	resp, err := http.ReadResponse(br, nil)
-	if err != nil || resp.StatusCode != 503 {
-		t.Fatalf("%v %v", resp, err)
-	}
-	io.Copy(io.Discard, resp.Body)
+	exchange(t, c, br, look[20:], 503)
 	eventually(t, "an idle connection", func() bool { return f.idle() == 1 })
 	f.closeIdle(-time.Hour, true)
 	if _, err := br.ReadByte(); err != io.EOF {
@@ -102,11 +103,7 @@
 		dial(t, ln)
 	}
 	c := dial(t, ln)
-	io.WriteString(c, look)
-	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-	if err != nil || resp.StatusCode != 503 {
-		t.Fatalf("%v %v", resp, err)
-	}
+	exchange(t, c, bufio.NewReader(c), look, 503)
 }
 
 // The failure: clients that keep a connection after one request reached their own limit before ours, so that no new
@@ -115,12 +112,7 @@
 	f, ln := serving(t, func(f *Frontend) { f.server.IdleTimeout = time.Hour })
 	for range 7 { // of 8 sockets
 		c := dial(t, ln)
-		io.WriteString(c, look)
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-		if err != nil {
-			t.Fatal(err)
-		}
-		io.Copy(io.Discard, resp.Body)
+		exchange(t, c, bufio.NewReader(c), look, 503)
 		eventually(t, "all idle", func() bool { return f.idle() == f.count() })
 	}
 	if n := f.count(); n > 4 {
@@ -132,13 +124,7 @@
 func TestSilentOnesGoFirst(t *testing.T) {
 	f, ln := serving(t, nil)
 	used, silent := dial(t, ln), dial(t, ln)
-	io.WriteString(used, look)
-	br := bufio.NewReader(used)
-	if resp, err := http.ReadResponse(br, nil); err != nil {
-		t.Fatal(err)
-	} else {
-		io.Copy(io.Discard, resp.Body)
-	}
+	exchange(t, used, bufio.NewReader(used), look, 503)
 	eventually(t, "two idle connections", func() bool { return f.idle() == 2 })
 	f.mu.Lock()
 	for c := range f.conns {
@@ -171,17 +157,9 @@
 		c := dial(t, ln)
 		br := bufio.NewReader(c)
 		if first != "" {
-			io.WriteString(c, first)
-			resp, err := http.ReadResponse(br, nil)
-			if err != nil {
-				t.Fatal(err)
-			}
-			io.Copy(io.Discard, resp.Body)
-		}
-		io.WriteString(c, look[:30])
-		if resp, err := http.ReadResponse(br, nil); err != nil || resp.StatusCode != 408 {
-			t.Fatalf("%v %v", resp, err)
+			exchange(t, c, br, first, 503)
 		}
+		exchange(t, c, br, look[:30], 408)
 	}
 }
 
@@ -189,13 +167,8 @@
 func TestBadRequestIsClosed(t *testing.T) {
 	_, ln := serving(t, nil)
 	c := dial(t, ln)
-	io.WriteString(c, "GET /nope HTTP/1.1\r\nHost: h\r\n\r\n")
 	br := bufio.NewReader(c)
-	resp, err := http.ReadResponse(br, nil)
-	if err != nil || resp.StatusCode != 404 {
-		t.Fatalf("%v %v", resp, err)
-	}
-	io.Copy(io.Discard, resp.Body)
+	exchange(t, c, br, "GET /nope HTTP/1.1\r\nHost: h\r\n\r\n", 404)
 	if _, err := br.ReadByte(); err != io.EOF {
 		t.Fatalf("still open: %v", err)
 	}
