--- a/decide/decide.go
+++ b/decide/decide.go
@@ -586,7 +586,8 @@
 	}
 }
 
-// crowding moves the density by an answer: up where it is early and the room was used, down where it is late.
+// crowding moves the density by an answer: up where it is early and the room was used, down where it is
+// late.
 func (b *Balancer) crowding(now int64, early bool, result Result) {
 	switch {
 	case !early && (result == Served || result == Full):
@@ -608,9 +609,9 @@
 	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/max(1, sharers)), 0
 }
 
-// full tells whether as much is out as the limits of arms and of homes in use add up to, or as this balancer's
-// part of what the servers in use can hold. Guards against many balancers that each keep one attempt at every
-// server, and against busy ones held to a quiet one's part.
+// full tells whether as much is out as the limits of arms and of homes in use add up to, or as this
+// balancer's part of what the servers in use can hold. Guards against many balancers that each keep one
+// attempt at every server, and against busy ones held to a quiet one's part.
 func (b *Balancer) full(now int64) bool {
 	sum := 0.0
 	for _, s := range b.servers {
@@ -621,9 +622,9 @@
 	return float64(b.out) >= max(1, min(sum, b.room(now)))
 }
 
-// room is what this balancer may have out at all servers: its density times what they can do by now. All answers
-// move the one density. Guards against quiet balancers of a large fleet whose limits, each moved by an answer in
-// seconds, let all of them together fill the servers for as long as a loss of capacity lasts.
+// room is what this balancer may have out at all servers: its density times what they can do by now. All
+// answers move the one density. Guards against quiet balancers of a large fleet whose limits, each moved by
+// an answer in seconds, let all of them together fill the servers for as long as a loss of capacity lasts.
 func (b *Balancer) room(now int64) float64 {
 	usable := 0.0
 	for _, s := range b.servers {
