--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,7 +16,10 @@
 const (
 	second = int64(1_000_000)
 
-	gamma        = 0.07  // share of draws spread evenly, and the learning rate: the paper's value
+	gamma        = 0.07  // share of draws spread evenly: the paper's value
+	learnMost    = 3.0   // times the paper's rate, where an arm gives few answers: what is learned fades
+	learnAnswers = 5.0   // of an arm a second, from which on the paper's rate holds
+	payoffShare  = 0.6   // of the uncrowded calm mark, about its median: faster answers earn all
 	keepLog      = 0.9   // of a log-weight's distance from the mean, kept each second at least (the design's)
 	keepAnswer   = 0.98  // the same for each answer a server gives: quiet balancers forget more slowly
 	redraws      = 8     // per draw: past that many crowded servers all are crowded, and the draw stands
@@ -43,8 +46,8 @@
 	limitStart   = 8.0  // attempts that all balancers together may hold at a server of mean size at first
 	limitLeast   = 0.1  // limits add up to what may be out: below one, a server gets its part in turn
 	limitUp      = 1.02 // a limit's factor for an early answer while it was used; with limitDown it holds ...
-	poolUp       = 1.05 // the same for all servers together: many answers move it, so it may be quick
-	poolDown     = 0.92
+	poolUp       = 1.05 // the same for all servers together, by lateness past 3/4 of the aim: many move it
+	poolDown     = 0.85 // so that it may be quick; it holds where one in four is late
 	limitFirst   = 1.10 // the same before a server's first late answer: the start is a guess
 	limitDown    = 0.92 // ... where one answer in five is late: fewer waste room, more end in a jam
 	worthlessCut = 0.95 // the same besides, where a late answer earns nothing
@@ -86,7 +89,7 @@
 	b := &Balancer{
 		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
-		density: limitStart / float64(max(1, set.Balancers)),
+		learnRate: gamma, density: limitStart / float64(max(1, set.Balancers)),
 	}
 	for _, c := range set.Classes {
 		if c.Deadline == 0 {
@@ -235,6 +238,9 @@
 // send starts one attempt.
 func (b *Balancer) send(now int64, r *request, s *server, p float64) {
 	r.tries = append(r.tries, attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p})
+	if s.inFlight == 0 {
+		s.heardAt = now
+	}
 	s.inFlight++
 	s.health[r.Class].out++
 	r.out++
@@ -522,6 +528,9 @@
 
 // observe takes in what an outcome tells of its server: a cancelled, unsent or rejected one tells nothing.
 func (b *Balancer) observe(now int64, r *request, a *attempt, o Outcome) {
+	if o.Result == Served || o.Result == Errored || o.Result == Full || o.Result == Rejected {
+		a.server.heardAt = now
+	}
 	if o.Result == Cancelled || o.Result == Moot || o.Result == Rejected {
 		return
 	}
@@ -541,17 +550,19 @@
 	b.learn(a, r.payoff(o))
 }
 
-// learn is EXP3's update of the drawn server: w*exp(gamma*r/(p*M)).
+// learn is EXP3's update of the drawn server: w*exp(gamma*r/(p*M)), faster at a quiet balancer.
 func (b *Balancer) learn(a *attempt, payoff float64) {
-	a.server.setLog(a.server.log + gamma*payoff/(a.p*float64(max(1, len(b.arms)))))
+	a.server.setLog(a.server.log + b.learnRate*payoff/(a.p*float64(max(1, len(b.arms)))))
 }
 
-// payoff is 1 for an answer within the aim, falls with the latency after it, and is 0 for a failure.
+// payoff is 1 for an answer as fast as from a server at ease, falls with the latency after that, and is 0 for
+// a failure. Guards against slow machines that keep their part at every balancer until they are late: in a
+// crowded fleet some answered in a tenth of the aim while others passed it.
 func (r *request) payoff(o Outcome) float64 {
 	if o.Result != Served {
 		return 0
 	}
-	return min(1, float64(r.aim)/float64(max(1, o.Latency)))
+	return min(1, payoffShare*r.class.base*float64(r.aim)/float64(r.class.Aim*max(1, o.Latency)))
 }
 
 // ---- Limits of what is out
@@ -563,7 +574,7 @@
 		b.tally.late++
 	}
 	s.early = early || o.Result != Served && s.early
-	b.crowding(now, early, o.Result)
+	b.crowding(now, o.Result == Served && float64(o.Latency) <= earlyShare*float64(c.Aim), o.Result)
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case o.Result != Served && o.Result != TimedOut && o.Result != Full:
@@ -589,14 +600,16 @@
 // crowding moves the density by an answer: up where it is early and the room was used, down where it is
 // late.
 func (b *Balancer) crowding(now int64, early bool, result Result) {
+	held, room := b.room(now)
 	switch {
+	case early && float64(held+2) <= room:
 	case !early && (result == Served || result == Full):
 		b.density *= poolDown
 		b.jammed = true
-	case early && float64(b.out+2) > b.room(now) && b.jammed:
-		b.density *= poolUp
-	case early && float64(b.out+2) > b.room(now):
+	case early && !b.jammed:
 		b.density *= limitFirst
+	case early:
+		b.density *= poolUp
 	}
 }
 
@@ -619,20 +632,27 @@
 			sum += s.limit
 		}
 	}
-	return float64(b.out) >= max(1, min(sum, b.room(now)))
+	held, room := b.room(now)
+	return float64(b.out) >= max(1, sum) || float64(held) >= max(1, room)
 }
 
-// room is what this balancer may have out at all servers: its density times what they can do by now. All
-// answers move the one density. Guards against quiet balancers of a large fleet whose limits, each moved by
-// an answer in seconds, let all of them together fill the servers for as long as a loss of capacity lasts.
-func (b *Balancer) room(now int64) float64 {
+// room is what this balancer may have out at all servers that answer: its density times what they can do by
+// now; held is what it has. All answers move the one density. Guards against quiet balancers of a large
+// fleet whose limits, each moved by an answer in seconds, let all of them together fill the servers for as
+// long as a loss of capacity lasts; and against attempts at lost servers that take the place of all others.
+func (b *Balancer) room(now int64) (held int, room float64) {
+	patience := int64(0)
+	for i := range b.classes {
+		patience = max(patience, int64(b.classes[i].mark))
+	}
 	usable := 0.0
 	for _, s := range b.servers {
-		if s.Phase == InService && !s.suspended {
+		if s.Phase == InService && !s.suspended && (s.inFlight == 0 || now-s.heardAt <= patience) {
+			held += s.inFlight
 			usable += s.Size * b.warmth(now, s)
 		}
 	}
-	return b.density * usable
+	return held, b.density * usable
 }
 
 // ---- Health, from own outcomes
@@ -786,6 +806,7 @@
 			b.perSize[i] += (rate - b.perSize[i]) * max(0.25, 1/b.seconds) // the first second counts in full
 		}
 	}
+	b.learnRate = gamma * min(max(1, learnAnswers/(b.perSize[1]*float64(second))), learnMost)
 	b.summary(now)
 }
 
--- a/decide/state.go
+++ b/decide/state.go
@@ -42,8 +42,10 @@
 	drain   float64      // answers per µs
 	perSize [2]float64   // answers that a warm server of size one gives this balancer, per µs: no arm, arm
 	seconds float64      // since its start
-	cand    []*server    // scratch of a draw
-	tally   tally
+
+	learnRate float64   // of EXP3
+	cand      []*server // scratch of a draw
+	tally     tally
 }
 
 // tally counts what the next summary line tells.
@@ -62,6 +64,7 @@
 	log        float64  // EXP3's log-weight
 	weight     float64  // exp(log)
 	inFlight   int      // own attempts out
+	heardAt    int64    // of its latest answer, or when the first attempt after that was sent
 	limit      float64  // own attempts it may hold
 	early      bool     // its latest answer was
 	cutAt      int64    // when the limit was last cut; 0 before its first late answer
