--- a/decide/decide.go
+++ b/decide/decide.go
@@ -57,6 +57,8 @@
 	queueShare   = 0.25 // of the aim that a request may wait unsent: the rest is for its answer
 	queueLeast   = 4.0  // requests that may wait whatever the drain: a start knows none yet
 
+	coldPart = 0.5 // of what would push a cold server over is its most: its warm-up as stated is the slowest
+
 	keepService = 0.98 // of taken and served, kept each second: a judgement over most of a minute
 
 	sickAfter    = 2          // failures in a row that suspend: one may be chance, a quiet balancer sees few
@@ -742,13 +744,15 @@
 }
 
 // allowance keeps rule 4 alone: a cold server gets its warm-up's part of the answers (not sends: they pile up
-// in a jam) that a warm one of its size gives this balancer, as a credit that grows from a random part of one
-// send. Guards against hundreds of quiet balancers with one send each that together push a server over.
+// in a jam) that a warm one of its size gives this balancer, or more where that is half of what would push it
+// over, as a credit that grows from a random part of one send. Guards against hundreds of quiet balancers who
+// together push a server over with one send each, and against cold ones at ease while warm ones are late.
 func (b *Balancer) allowance(now int64, s *server) bool {
 	w := b.warmth(now, s)
 	if w >= 1 {
 		return true
 	}
+	w *= max(1, b.set.Rules.OverloadFactor*coldPart)
 	s.credit = min(s.credit+w*b.perSize[s.role()]*s.Size*float64(now-s.creditAt), 1)
 	s.creditAt = now
 	return s.credit >= 1
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -316,6 +316,21 @@
 	}
 }
 
+// The failure: cold servers answered at ease with their part as the slowest warm-up has it, while warm ones were late. By
+// hand: a warm arm gives 10 answers a second, so 100 ms after its start (0.3 of its capacity) a cold one has earned 0.3
+// sends where twice its capacity would push it over, and 0.9 where six times would: half of that.
+func TestAColdServerMayGetHalfOfWhatWouldPushItOver(t *testing.T) {
+	for factor, want := range map[float64]float64{2: 0.3, 6: 0.9} {
+		set := testSettings()
+		set.Rules.OverloadFactor = factor
+		b := newCrowd(2, set, 0, fleet(4)).bs[0]
+		s, now := b.servers[0], 2000*second
+		b.perSize[1], s.coldSince, s.creditAt, s.credit = 10/float64(second), now-1, now-second/10, 0
+		b.allowance(now, s)
+		near(t, fmt.Sprint("credit where the factor is ", factor), s.credit, want, 1e-3)
+	}
+}
+
 // The failure: a balancer that had just started knew no rate and gave a cold server nothing but its random first part
 // for some seconds. By hand: 20 balancers of 40 a second at 10 servers make 80 a second a warm server.
 func TestANewBalancerGivesColdServersTheirPartSoon(t *testing.T) {
