--- /dev/null
+++ b/cmd/damsonscale/fleet_test.go
@@ -0,0 +1,206 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// tcp is a stand-in that hands each connection to serve with its number.
+func tcp(t *testing.T, serve func(c *net.TCPConn, n int)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				serve(c.(*net.TCPConn), n)
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// silent never says a word until its peer leaves.
+func silent(c *net.TCPConn, _ int) { io.Copy(io.Discard, c) }
+
+func yes(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") }
+
+// A list known that is old names servers long gone; discovery hangs. What is still there serves, whatever is drawn first.
+func TestAnOldKnownListAndADiscoveryThatHangs(t *testing.T) {
+	hosts := []host{hostAt("s1", serveHTTP(t, yes), "Ready")}
+	for i := range 3 {
+		hosts = append(hosts, hostAt(fmt.Sprint("gone", i), freeAddr(t), "Ready"))
+	}
+	p := start(t, tcp(t, silent), &list{Seq: 3, Whole: true, Hosts: hosts}, nil)
+	p.ready(t)
+	for range 30 {
+		if s, body := p.look(t); s != 200 || body != "yes" {
+			t.Fatal(s, body)
+		}
+	}
+	p.expect(t, "event=suspend")
+	p.expect(t, "event=watch_ended")
+}
+
+// An empty list known is as none: the sidecar is not ready and asks at once; what comes later counts.
+func TestAnEmptyKnownList(t *testing.T) {
+	d := startDiscovery(t)
+	p := start(t, d.addr, &list{Seq: 9, Whole: true, Hosts: []host{}}, nil)
+	<-d.watches
+	if s := p.status("/health/ready"); s != 503 {
+		t.Fatalf("ready with no server: %d", s)
+	}
+	d.tell(t, list{Seq: 10, Whole: true, Hosts: []host{hostAt("s1", serveHTTP(t, yes), "Ready")}})
+	p.ready(t)
+}
+
+// Discovery answers 503, resets, breaks off in a list, and only then serves: the list known is used meanwhile, each
+// failure is logged, and the list that comes late, and twice, counts once.
+func TestDiscoveryInTrouble(t *testing.T) {
+	first := serveHTTP(t, yes)
+	second := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "new") })
+	line := fmt.Sprintf(`{"seq":44,"whole":true,"hosts":[{"host":"s2","dial":%q,"site":"z","health":"Ready","share":1}]}`+"\n", second)
+	addr := tcp(t, func(c *net.TCPConn, n int) {
+		b := make([]byte, 4096)
+		c.Read(b)
+		head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(line), line)
+		switch n {
+		case 0:
+			io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		case 1:
+			c.SetLinger(0)
+		case 2:
+			io.WriteString(c, head+chunk[:len(chunk)/2])
+		default:
+			io.WriteString(c, head+chunk+chunk)
+			io.Copy(io.Discard, c)
+		}
+	})
+	p := start(t, addr, &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", first, "Ready")}}, nil)
+	p.ready(t)
+	eventually(t, "the new list", func() bool {
+		s, body := p.look(t)
+		if s != 200 {
+			t.Fatal(s, body)
+		}
+		return body == "new"
+	})
+	if n := strings.Count(p.log.String(), "event=watch_ended"); n != 3 {
+		t.Errorf("%d ends of a watch logged, want 3", n)
+	}
+	if s, body := p.look(t); s != 200 || body != "new" {
+		t.Error("after the list came twice:", s, body)
+	}
+}
+
+// Another server takes over the address of one that has gone: what is sent goes to it under its own name, also over
+// a list that tells both at once.
+func TestAnAddressTakenOver(t *testing.T) {
+	var mu sync.Mutex
+	name := "one"
+	addr := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		mu.Lock()
+		defer mu.Unlock()
+		io.WriteString(w, name)
+	})
+	d := startDiscovery(t)
+	p := start(t, d.addr, &list{Seq: 1, Whole: true, Hosts: []host{hostAt("s1", addr, "Ready")}}, nil)
+	p.ready(t)
+	if s, body := p.look(t); s != 200 || body != "one" {
+		t.Fatal(s, body)
+	}
+	mu.Lock()
+	name = "two"
+	mu.Unlock()
+	<-d.watches
+	next := hostAt("s2", addr, "Ready")
+	next.Born = time.Now().UnixMilli()
+	d.tell(t, list{Seq: 2, Hosts: []host{{Host: "s1", Health: "Gone"}, next}})
+	eventually(t, "an answer of the new one", func() bool {
+		s, body := p.look(t) // refused at most while the new one is cold
+		return s == 200 && body == "two"
+	})
+}
+
+// Servers that close right after the handshake, or turn each connection away, cost no request: what may run once runs
+// at most once, and all else is served by the one that is well.
+func TestServersThatTurnConnectionsAway(t *testing.T) {
+	var mu sync.Mutex
+	runs := map[string]int{}
+	well := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		runs[r.Header.Get("Req-Id")]++
+		mu.Unlock()
+		io.WriteString(w, "yes")
+	})
+	closes := tcp(t, func(*net.TCPConn, int) {})
+	away := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Srv-Declined", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	d := startDiscovery(t)
+	p := start(t, d.addr, &list{Seq: 1, Whole: true, Hosts: []host{
+		hostAt("well", well, "Ready"), hostAt("closes", closes, "Ready"), hostAt("away", away, "Ready"),
+	}}, nil)
+	p.ready(t)
+	for i := range 40 {
+		if s, _ := do(t, request(t, p.addr, "GET", "/look", "")); s != 200 {
+			t.Fatalf("safe request %d: %d", i, s)
+		}
+		if s, _ := do(t, request(t, p.addr, "POST", "/once", "x")); s != 200 && s != 502 && s != 503 {
+			t.Fatalf("unsafe request %d: %d", i, s)
+		}
+	}
+	for id, n := range runs {
+		if n != 1 {
+			t.Errorf("%s ran %d times", id, n)
+		}
+	}
+}
+
+// A sidecar killed in the middle of it all starts again on the list known, while discovery turns it away, and serves.
+func TestRestartWhileDiscoveryIsOverbooked(t *testing.T) {
+	overbooked := tcp(t, func(c *net.TCPConn, _ int) {
+		c.Read(make([]byte, 4096))
+		io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+	})
+	known := &list{Seq: 1, Whole: true, Hosts: []host{
+		hostAt("s1", serveHTTP(t, yes), "Ready"), hostAt("hangs", tcp(t, silent), "Ready"),
+	}}
+	p := start(t, overbooked, known, nil)
+	p.ready(t)
+	for range 8 { // some of them hang
+		r := request(t, p.addr, "GET", "/look", "")
+		go func() {
+			if resp, err := http.DefaultClient.Do(r); err == nil {
+				resp.Body.Close()
+			}
+		}()
+	}
+	p.expect(t, "event=watch_ended")
+	p.cmd.Process.Signal(syscall.SIGKILL)
+	<-p.done
+	again := start(t, overbooked, known, func(conf map[string]any) { conf["listen"] = p.addr })
+	again.addr = p.addr
+	again.ready(t)
+	eventually(t, "an answer", func() bool {
+		s, _ := again.look(t)
+		return s == 200
+	})
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -85,7 +85,7 @@
 	f, ln := serving(t, nil)
 	c := dial(t, ln)
 	io.WriteString(c, look[:20])
-	eventually(t, "first bytes read", func() bool { return f.idle() == 0 && f.count() == 1 })
+	eventually(t, "first bytes read", func() bool { return f.count() == 1 && f.idle() == 0 })
 	f.closeIdle(-time.Hour, true)
 	br := bufio.NewReader(c)
 	exchange(t, c, br, look[20:], 503)
