The one bound acts for quiet sidecars alone, full servers do not move it

At 170 to 190 s some of nine servers are throttled; 60% is refused while the rest answers at a p50 of 35 ms: 100 full answers and 5% late ones in 5 s hold the density down. At fault: crowding counted a full server, and full bound busy balancers whose limits learn by themselves. Now the density binds where an arm gives under five answers a second; a full server moves its own limit alone.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -608,7 +608,7 @@
 	part := min(1, poolAnswers/float64(b.out+1))
 	switch {
 	case early && float64(held+2) <= room:
-	case !early && (result == Served || result == Full):
+	case !early && result == Served: // a full server tells of itself
 		b.density *= 1 - poolDown*part
 		b.jammed = true
 	case early && !b.jammed:
@@ -638,7 +638,8 @@
 		}
 	}
 	held, room := b.room(now)
-	return float64(b.out) >= max(1, sum) || float64(held) >= max(1, room)
+	quiet := b.perSize[1]*float64(second) < learnAnswers // else limits learn by themselves
+	return float64(b.out) >= max(1, sum) || quiet && float64(held) >= max(1, room)
 }
 
 // room is what this balancer may have out at all servers that answer: its density times what they can do by
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -116,6 +116,24 @@
 	}
 }
 
+// The failure: where some servers of nine were throttled, a busy balancer held back two thirds of what the others would
+// have answered in a twentieth of the aim. Many answers a server move its own limit in time, so the one bound does not
+// act there; and a full server tells of itself alone.
+func TestTheOneBoundIsForQuietBalancers(t *testing.T) {
+	for perSecond, want := range map[float64]int{0.5: 1, 20: 4} {
+		w := newWorld(t, testSettings(), fleet(10)...)
+		w.b.perSize[1], w.b.density = perSecond/float64(second), 0.1
+		for i := range 4 {
+			w.request(fmt.Sprint("r", i), 0, 2*second)
+		}
+		if n := w.count("send"); n != want {
+			t.Errorf("%v answers a second from each server: %d sent with room for one, want %d", perSecond, n, want)
+		}
+		w.settle(w.pending[0], Full)
+		near(t, "density after a full server", w.b.density, 0.1, 0)
+	}
+}
+
 // The failure: at a busy balancer forty answers that came late together left it two parts in a thousand of its room, and
 // two sidecars of a small fleet refused what their servers could do. By hand: with n out each cuts by 0.6/n, or by 0.15
 // with four or less, from forty down to one all together to 0.13 of it.
