--- a/cmd/damsonscale/fleet_test.go
+++ b/cmd/damsonscale/fleet_test.go
@@ -38,6 +38,9 @@
 // silent never says a word until its peer leaves.
 func silent(c *net.TCPConn, _ int) { io.Copy(io.Discard, c) }
 
+// busy is what an overbooked discovery answers.
+const busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n"
+
 func yes(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "yes") }
 
 // A list known that is old names servers long gone; discovery hangs. What is still there serves, whatever is drawn first.
@@ -82,7 +85,7 @@
 		chunk := fmt.Sprintf("%x\r\n%s\r\n", len(line), line)
 		switch n {
 		case 0:
-			io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+			io.WriteString(c, busy)
 		case 1:
 			c.SetLinger(0)
 		case 2:
@@ -178,7 +181,7 @@
 func TestRestartWhileDiscoveryIsOverbooked(t *testing.T) {
 	overbooked := tcp(t, func(c *net.TCPConn, _ int) {
 		c.Read(make([]byte, 4096))
-		io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+		io.WriteString(c, busy)
 	})
 	known := &list{Seq: 1, Whole: true, Hosts: []host{
 		hostAt("s1", serveHTTP(t, yes), "Ready"), hostAt("hangs", tcp(t, silent), "Ready"),
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -637,9 +637,11 @@
 			sum += s.limit
 		}
 	}
+	if busy := b.perSize[1]*float64(second) >= learnAnswers; busy || float64(b.out) >= max(1, sum) {
+		return float64(b.out) >= max(1, sum) // limits of a busy balancer learn by themselves
+	}
 	held, room := b.room(now)
-	quiet := b.perSize[1]*float64(second) < learnAnswers // else limits learn by themselves
-	return float64(b.out) >= max(1, sum) || quiet && float64(held) >= max(1, room)
+	return float64(held) >= max(1, room)
 }
 
 // room is what this balancer may have out at all servers that answer: its density times what they can do by
