--- a/decide/api.go
+++ b/decide/api.go
@@ -57,10 +57,11 @@
 
 // Limits is what the deployment permits.
 type Limits struct {
-	Cancel, ParallelTries, Probes, RetryAfter bool
-	MaxAttempts                               int
-	MaxRetryAfter                             int64
-	Tick                                      int64 // events come no closer together than this
+	Cancel, ParallelTries, Probes, RetryAfter, Peers bool
+	MaxAttempts                                      int
+	MaxRetryAfter                                    int64
+	CPU                                              int64 // µs a second for decisions; 0: no such limit
+	Tick                                             int64 // events come no closer together than this
 }
 
 // Goal tells how the service is judged: weights of its parts.
@@ -77,6 +78,7 @@
 	Me, Balancers  int
 	ListPushed     bool    // the list of servers comes by itself
 	SizesListed    bool    // Server.Size means something
+	SizesLive      bool    // it is a size lowered by what the server held some time ago
 	WarmKeys       bool    // a server that served a key lately needs less work for it
 	OverShareWorth float64 // worth of what a tenant sends over its share
 	ZonePrice      float64 // points for an attempt to another zone, as a part of the first tries
@@ -136,6 +138,7 @@
 	ID      string
 	Size    float64 // relative, see Settings.SizesListed
 	Zone    string
+	Kind    string // of machine; empty: not told
 	Cell    int64
 	UpSince int64 // time of its latest start; 0: long ago
 	Phase   Phase
@@ -211,6 +214,7 @@
 //	Started(now, id, attempt)     a streamed answer began
 //	Gone(now, id)                 the client left
 //	Probed(now, probe)            a probe ended
+//	Told(now, from, word)         another balancer's message
 //	Timer(now, token)             a timer of the Balancer's came due
 
 // Actions is what a Balancer can do. Its methods must not call back into the Balancer.
@@ -220,7 +224,9 @@
 	Refuse(request string, retryAfter int64) // final: no, and a new try is harmless
 	Fail(request string)                     // final: failed, nothing promised
 	Probe(server string)
-	Watch(on bool) // ask for the list's changes from now on
+	Tell(peer int, word []byte) // a message to another balancer, -1: to all; kept by the caller
+	CloseIdle(server string)    // its idle connections: the next attempt opens one
+	Watch(on bool)              // ask for the list's changes from now on
 	Wake(in int64, token int64)
 	Log(line string)
 }
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -31,8 +31,20 @@
 	armsLeast = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
 	armEach   = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
 	armsCover = 8.0  // balancers that have a server as an arm, on average: fewer leave servers unused
+	armsTold  = 12.0 // the same where balancers tell one another
 	armsMost  = 3    // times the arms wanted, with ill ones: past that the cause is shared
 
+	toldUp     = 0.01
+	toldDown   = 0.1
+	toldLeast  = 1.0
+	tellEvery  = 20 * second // µs between two words to all, half as much again at the most
+	tellAgain  = 4 * second  // and no sooner where that has changed
+	tellMost   = 24          // balancers that a word goes to
+	tellCPU    = 500.0       // µs of CPU a second for each of them
+	keepSharer = 61 * second // a sharer not heard for this long is forgotten: two of its words to all may be lost
+	toldFor    = second      // that a count told holds: its end may be lost
+	unheard    = second / 4  // without a word from anybody, past which words are taken to be lost
+
 	markShare   = 0.95   // of the answers come before the latency mark: time-outs stand on it
 	markStep    = 0.2    // log step of the mark for an answer past it: trouble shows in a few answers
 	halfStep    = 0.04   // of the median
@@ -40,6 +52,8 @@
 	calmStep    = 0.05   // of the calm mark: one burst of late answers must not move it far
 	baseRise    = 1.01   // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	timeoutMark = 2.0    // marks that an attempt may take: slow answers seldom come after that
+	idlePart    = 0.8    // of the idle time after which an attempt got no answer is held for safe
+	idleRise    = 1.02   // of that time each second: what dropped connections may end
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
 
@@ -82,6 +96,7 @@
 	tokenQueue         // a request has waited long enough
 	tokenAsk           // the list is to be asked for
 	tokenFirst         // the first ask is to be planned: what was known before is listed by now
+	tokenTell          // the others are to be told what this one draws from
 )
 
 // New makes a balancer that has seen nothing yet.
@@ -92,7 +107,11 @@
 	b := &Balancer{
 		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
-		learnRate: gamma, density: limitStart / float64(max(1, set.Balancers)),
+		learnRate: gamma, idleSafe: 1e12, density: limitStart / float64(max(1, set.Balancers)),
+		voices: map[int]voice{},
+	}
+	if b.talks() {
+		b.density = limitStart / 2
 	}
 	for _, c := range set.Classes {
 		if c.Deadline == 0 {
@@ -113,6 +132,9 @@
 func (b *Balancer) Begin(now int64) {
 	b.tally.since = now
 	b.act.Wake(second, tokenSecond)
+	if b.talks() {
+		b.act.Wake(b.rng.Int64N(second), tokenTell)
+	}
 	if !b.set.ListPushed {
 		b.act.Wake(0, tokenFirst)
 	}
@@ -128,14 +150,23 @@
 	if r.Left < 0 {
 		r.Left = class.Deadline
 	}
+	if !in.IsRetry {
+		class.firstLeft = max(class.firstLeft, r.Left)
+	} else if r.Left < class.firstLeft-b.set.Rules.AnswerSlack { // cut by what its client has waited
+		r.aim -= max(0, class.Deadline-r.Left)
+	}
 	r.deadline = now + r.Left
-	r.until = min(now+int64(queueShare*float64(r.aim)), r.deadline)
+	r.until = min(now+int64(queueShare*float64(max(0, r.aim))), r.deadline)
 	if b.overShare(in.Tenant) {
 		r.value *= b.set.OverShareWorth
 	}
 	class.taken++
 	b.taken++
 	b.open[in.ID] = r
+	if class.LateShare == 0 && float64(r.aim) < class.half && b.talks() {
+		b.giveUp(now, r) // worth nothing any more: guards against repeats that keep a jam going
+		return
+	}
 	b.try(now, r, len(b.queue) > 0)
 }
 
@@ -240,11 +271,14 @@
 
 // send starts one attempt.
 func (b *Balancer) send(now int64, r *request, s *server, p float64) {
-	r.tries = append(r.tries, attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p})
+	a := attempt{server: s, zone: s.Zone, cell: s.Cell, sentAt: now, p: p}
 	if s.inFlight == 0 {
 		s.heardAt = now
+		a.idle = b.reuse(now, s)
 	}
+	r.tries = append(r.tries, a)
 	s.inFlight++
+	b.tellSharers(now, s)
 	s.health[r.Class].out++
 	r.out++
 	b.out++
@@ -253,6 +287,39 @@
 	b.act.Send(r.ID, s.ID, b.timeout(now, r))
 }
 
+// reuse tells how long the connection that s would be sent on has been idle, 0 where it closes one that may be
+// dead. Guards against connections dropped unseen: what is sent on one gets no answer.
+func (b *Balancer) reuse(now int64, s *server) int64 {
+	if s.idleAt == 0 {
+		return 0
+	}
+	if idle := now - s.idleAt; !s.lost && float64(idle) < b.idleSafe {
+		return idle
+	}
+	b.act.CloseIdle(s.ID)
+	return 0
+}
+
+// probeIdle learns from an end how long a connection may be idle: a little less than one that got no answer.
+func (b *Balancer) probeIdle(now int64, a *attempt, o Outcome) {
+	s := a.server
+	if s.inFlight == 0 {
+		s.idleAt = now
+	}
+	if o.Result == ConnectFailed {
+		s.idleAt = 0
+	}
+	silent := o.Result == TimedOut || o.Result == Cancelled && now-a.sentAt > second/4
+	if silent && s.lastServed < a.sentAt {
+		s.lost = true
+		if a.idle > 0 {
+			b.idleSafe = min(b.idleSafe, idlePart*float64(a.idle))
+		}
+	} else if !silent {
+		s.lost = false
+	}
+}
+
 // timeout is how long an attempt may take: a multiple of the latency mark while a next try could still be
 // answered within the aim, else all the time that is left. Guards against time-outs that feed a jam: late
 // work goes on at many servers, and its retry only adds to it.
@@ -275,9 +342,11 @@
 	a := &r.tries[o.Attempt]
 	a.done, a.neverRan = true, o.Result.NeverRan()
 	a.server.inFlight--
+	b.tellSharers(now, a.server)
 	a.server.health[r.Class].out--
 	r.out--
 	b.out--
+	b.probeIdle(now, a, o)
 	b.observe(now, r, a, o)
 	switch {
 	case r.ended && r.out == 0:
@@ -399,13 +468,13 @@
 		sum, size = sum+b.armWeight(s, home), size+s.Size
 	}
 	b.tally.draws++
-	for n, crowd := 0, b.crowd(); ; n++ {
+	for n, crowd := 0, b.crowd(now); ; n++ {
 		s, p := b.pick(sum, size, home)
 		bound := crowd * s.Size
-		if s == home || b.near(s) > 1 {
+		if s == home || b.near(s) > 1 && !b.talks() {
 			bound = 1 + 2*bound // the design's bound: a home or a near one may hold more
 		}
-		if n == redraws || float64(s.inFlight) <= bound {
+		if n == redraws || b.talks() && (b.held(now, s)+1)/s.Size <= crowd || !b.talks() && b.held(now, s) <= bound {
 			return s, p
 		}
 		if n == 0 {
@@ -436,7 +505,7 @@
 // eligible tells whether an attempt of r may go to s now.
 func (b *Balancer) eligible(now int64, r *request, s *server) bool {
 	h := &s.health[r.Class]
-	if s.Phase != InService || float64(s.inFlight) >= s.limit ||
+	if s.Phase != InService || b.held(now, s) >= b.bound(s) ||
 		h.suspended && (now < h.until || h.out > 0 || s.suspended && s.inFlight > 0) {
 		return false
 	}
@@ -508,7 +577,11 @@
 
 // armsWanted is how many servers this balancer's own traffic can learn of, within those limits.
 func (b *Balancer) armsWanted() int {
-	cover := armsCover * float64(len(b.servers)) / float64(max(1, b.set.Balancers))
+	cover := armsCover
+	if b.talks() {
+		cover = armsTold
+	}
+	cover *= float64(len(b.servers)) / float64(max(1, b.set.Balancers))
 	return int(min(max(armsLeast, b.rate/armEach, cover), float64(len(b.servers))))
 }
 
@@ -573,23 +646,24 @@
 // adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, c *classState, a *attempt, o Outcome) {
 	s, early := a.server, o.Result == Served && float64(o.Latency) <= c.early()
+	held := b.held(now, s)
 	if !early {
 		b.tally.late++
 	}
 	s.early = early || o.Result != Served && s.early
-	b.crowding(now, o.Result == Served && float64(o.Latency) <= earlyShare*float64(c.Aim), o.Result)
+	b.crowding(now, s, o.Result == Served && float64(o.Latency) <= earlyShare*float64(c.Aim), o.Result)
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case o.Result != Served && o.Result != TimedOut && o.Result != Full:
 	case o.Result == TimedOut && s.early: // lost by itself: guards against cuts where nothing is crowded
-	case early && float64(s.inFlight+2) > s.limit && s.cutAt == 0:
+	case early && held+2 > s.limit && s.cutAt == 0:
 		s.limit *= limitFirst
-	case early && float64(s.inFlight+2) > s.limit:
+	case early && held+2 > s.limit:
 		s.limit *= limitUp
 	case early:
 	default:
 		if (gaveUp || o.Result == Full) && a.sentAt > s.cutAt { // once for what was sent before the last cut
-			s.limit, s.cutAt = min(s.limit, float64(s.inFlight+1))*failCut, now
+			s.limit, s.cutAt = min(s.limit, held+1)*failCut, now
 		}
 		down := limitDown
 		if c.LateShare == 0 {
@@ -603,11 +677,22 @@
 // crowding moves the density by an answer: up where it is early and the room was used, down where it is
 // late, less for each where much is out. Guards against a burst of late answers at a busy balancer, which
 // would leave it no room at all.
-func (b *Balancer) crowding(now int64, early bool, result Result) {
+func (b *Balancer) crowding(now int64, s *server, early bool, result Result) {
 	held, room := b.room(now)
 	part := min(1, poolAnswers/float64(b.out+1))
+	if b.talks() {
+		switch held := b.held(now, s); {
+		case !early && result == Served:
+			b.density, b.jammed = max(toldLeast, b.density*(1-toldDown)), true
+		case early && held+2 > b.density*s.Size && !b.jammed:
+			b.density *= limitFirst
+		case early && held+2 > b.density*s.Size:
+			b.density *= 1 + toldUp
+		}
+		return
+	}
 	switch {
-	case early && float64(held+2) <= room:
+	case early && held+2 <= room:
 	case !early && result == Served: // a full server tells of itself
 		b.density *= 1 - poolDown*part
 		b.jammed = true
@@ -623,8 +708,16 @@
 
 // startLimit allows this balancer's part of a guess for all: what came before tells nothing.
 func (b *Balancer) startLimit(s *server) {
-	sharers := float64(b.set.Balancers*b.armsWanted()) / float64(max(1, len(b.servers)))
-	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/max(1, sharers)), 0
+	sharers := b.sharersOf()
+	if b.talks() {
+		sharers = 1 // the limit is of what all hold
+	}
+	s.limit, s.cutAt = max(limitLeast, limitStart*s.Size/sharers), 0
+}
+
+// sharersOf is how many balancers draw from a server, on average.
+func (b *Balancer) sharersOf() float64 {
+	return max(1, float64(b.set.Balancers*b.armsWanted())/float64(max(1, len(b.servers))))
 }
 
 // full tells whether as much is out as the limits of arms and of homes in use add up to, or as this
@@ -640,29 +733,113 @@
 	if busy := b.perSize[1]*float64(second) >= learnAnswers; busy || float64(b.out) >= max(1, sum) {
 		return float64(b.out) >= max(1, sum) // limits of a busy balancer learn by themselves
 	}
+	if b.talks() && !b.deaf(now) {
+		return false // its bounds are of what all hold
+	}
 	held, room := b.room(now)
-	return float64(held) >= max(1, room)
+	return held >= max(1, room)
 }
 
 // room is what this balancer may have out at all servers that answer: its density times what they can do by
 // now; held is what it has. All answers move the one density. Guards against quiet balancers of a large
 // fleet whose limits, each moved by an answer in seconds, let all of them together fill the servers for as
 // long as a loss of capacity lasts; and against attempts at lost servers that take the place of all others.
-func (b *Balancer) room(now int64) (held int, room float64) {
+func (b *Balancer) room(now int64) (held, room float64) {
 	patience := int64(0)
 	for i := range b.classes {
 		patience = max(patience, int64(b.classes[i].mark))
 	}
 	usable := 0.0
 	for _, s := range b.servers {
-		if s.Phase == InService && !s.suspended && (s.inFlight == 0 || now-s.heardAt <= patience) {
-			held += s.inFlight
+		if s.Phase == InService && !s.suspended && (s.inFlight == 0 || now-s.heardAt <= patience) && (s.arm || !b.talks()) {
+			held += b.held(now, s)
 			usable += s.Size * b.warmth(now, s)
 		}
 	}
 	return held, b.density * usable
 }
 
+// ---- What balancers tell one another
+
+// talks tells whether balancers may tell one another what they have out.
+func (b *Balancer) talks() bool { return b.set.Limits.Peers }
+
+// deaf tells whether the words of the others are lost.
+func (b *Balancer) deaf(now int64) bool { return b.talks() && now-b.heardOf > unheard }
+
+// tellMost is how many a word goes to: each that comes costs its receiver some of the CPU that it has.
+func (b *Balancer) tellMost() int {
+	if b.set.Limits.CPU == 0 {
+		return tellMost
+	}
+	return int(min(tellMost, max(1, float64(b.set.Limits.CPU)/tellCPU)))
+}
+
+// held is what all balancers that draw from s have out there, as far as this one was told.
+func (b *Balancer) held(now int64, s *server) float64 {
+	n := 0
+	if b.deaf(now) { // words are lost: the others are taken to do as this one does
+		return float64(s.inFlight) * b.sharersOf()
+	}
+	for i := range s.sharers {
+		if p := &s.sharers[i]; now-p.at < toldFor {
+			n += p.held
+		}
+	}
+	return float64(s.inFlight) + float64(n)*max(1, float64(len(s.sharers))/float64(b.tellMost()))
+}
+
+// bound is how much all may hold at s.
+func (b *Balancer) bound(s *server) float64 {
+	if b.talks() {
+		return max(1, min(s.limit, b.density*s.Size))
+	}
+	return s.limit
+}
+
+// tellSharers tells those who draw from s what this balancer has out there.
+func (b *Balancer) tellSharers(now int64, s *server) {
+	if b.talks() && s.arm && len(s.sharers) > 0 {
+		w := b.word(s)
+		for _, p := range s.sharers[:min(len(s.sharers), b.tellMost())] {
+			b.act.Tell(p.from, w)
+		}
+	}
+}
+
+// tellAll tells all what this balancer draws from: now and then, and soon where that has changed.
+func (b *Balancer) tellAll(now int64) {
+	changed := b.toldAt == 0
+	for _, s := range b.servers {
+		changed = changed || s.told != s.arm
+	}
+	if !b.talks() || !changed || len(b.arms) == 0 || b.toldAt > 0 && now-b.toldAt < tellAgain {
+		return
+	}
+	b.toldAt = now
+	for _, s := range b.servers {
+		s.told = s.arm
+	}
+	b.act.Tell(-1, b.word(b.arms...))
+}
+
+// Told takes in another balancer's message.
+func (b *Balancer) Told(now int64, from int, word []byte) {
+	if !b.talks() {
+		return
+	}
+	ok, met := b.hear(now, from, word)
+	if met { // it may not know of this one: it started anew, or a word to all was lost
+		b.act.Tell(from, b.word(b.arms...))
+	}
+	if ok {
+		b.heardOf = now
+	}
+	if ok && len(b.queue) > 0 {
+		b.pump(now)
+	}
+}
+
 // ---- Health, from own outcomes
 
 // judge suspends a server after failures in a row and brings it back after a good trial. Guards against
@@ -780,6 +957,10 @@
 		b.pump(now)
 	case tokenAsk:
 		b.act.Watch(true)
+	case tokenTell:
+		b.toldAt = 0
+		b.tellAll(now)
+		b.act.Wake(tellEvery+b.rng.Int64N(tellEvery/2), tokenTell)
 	case tokenFirst:
 		if len(b.servers) == 0 { // nothing can be served before
 			b.act.Watch(true)
@@ -793,14 +974,17 @@
 func (b *Balancer) everySecond(now int64) {
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
+	b.idleSafe *= idleRise
 	b.forgetService()
 	b.forgetGone(now)
+	b.forgetSharers(now)
 	b.valueClasses()
 	mean, answered, size := b.meanLog(), [2]int{}, [2]float64{}
 	keep := max(keepLog, math.Pow(keepAnswer, float64(b.answers)/float64(max(1, len(b.arms)))))
 	b.rate += (float64(b.taken) - b.rate) / 4
 	b.taken = 0
 	b.takeArms(now)
+	b.tellAll(now)
 	for _, s := range b.servers {
 		s.setLog((s.log - mean) * keep)
 		if s.Phase == InService && !s.suspended && b.warmth(now, s) >= 1 {
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -46,6 +46,8 @@
 func (silent) Watch(bool)                 {}
 func (silent) Wake(int64, int64)          {}
 func (silent) Log(string)                 {}
+func (silent) CloseIdle(string)           {}
+func (silent) Tell(int, []byte)           {}
 
 // mouth is one balancer's Actions: only its sends count.
 type mouth struct {
--- a/decide/state.go
+++ b/decide/state.go
@@ -43,8 +43,14 @@
 	perSize [2]float64   // answers that a warm server of size one gives this balancer, per µs: no arm, arm
 	seconds float64      // since its start
 
-	learnRate float64   // of EXP3
-	cand      []*server // scratch of a draw
+	voices    map[int]voice // balancers heard of
+	toldAt    int64         // when all were told
+	heardOf   int64         // when any word came
+	said      byte          // messages sent
+	buf       []byte        // scratch of a message
+	idleSafe  float64       // µs that connections have been idle and still good
+	learnRate float64       // of EXP3
+	cand      []*server     // scratch of a draw
 	tally     tally
 }
 
@@ -57,15 +63,20 @@
 // server is what this balancer knows of one server.
 type server struct {
 	Server              // Size is scaled to a mean of one
-	listed     float64  // size as listed
+	listed     float64  // size as listed; 0: it told nothing
+	peak       float64  // the largest so far
 	hash       uint64   // of its ID
 	rank       uint64   // place in this balancer's order
+	told       bool     // it was an arm when those that share it were told
 	arm, held  bool     // drawn from; in the list of servers
 	log        float64  // EXP3's log-weight
 	weight     float64  // exp(log)
 	inFlight   int      // own attempts out
 	heardAt    int64    // of its latest answer, or when the first attempt after that was sent
 	limit      float64  // own attempts it may hold
+	idleAt     int64    // when the connection to it fell idle; 0: none is open
+	lost       bool     // an attempt got no answer and none came since: its connection may be dead
+	sharers    []sharer // other balancers that draw from it
 	early      bool     // its latest answer was
 	cutAt      int64    // when the limit was last cut; 0 before its first late answer
 	health     []health // by class
@@ -94,6 +105,7 @@
 	mark          float64 // one answer in 20 takes longer
 	half          float64 // median
 	value         float64 // what an answer adds to the goal, for the time it takes
+	firstLeft     int64   // the longest time that a first try came with
 	taken, served float64 // of late: requests, and those answered within the aim
 	calm          float64 // one answer in 10 takes longer
 	base          float64 // the same when servers are not crowded
@@ -121,6 +133,7 @@
 	zone     string
 	cell     int64
 	sentAt   int64
+	idle     int64   // how long its connection had been idle; 0: in use or new
 	p        float64 // probability of the draw that chose the server
 	done     bool
 	neverRan bool
@@ -157,9 +170,11 @@
 // list takes over an entry; a size that says nothing, or is past all measure, counts as one.
 func (s *server) list(in Server, sized bool) {
 	if !sized || !(in.Size > 0 && in.Size <= sizeMost) {
-		in.Size = 1
+		in.Size = 0
 	}
-	s.Server, s.listed = in, in.Size
+	s.listed = in.Size
+	s.peak = max(s.peak, in.Size)
+	s.Server = in
 }
 
 // meanLog is the mean log-weight, where a new server starts.
@@ -170,14 +185,31 @@
 	return mean
 }
 
-// scaleSizes makes the mean size one, so that sizes read as shares of a mean server.
+// scaleSizes makes the mean size one, so that sizes read as shares of a mean server. A size that moves with load is
+// taken at its largest, at the median of the machine's kind: guards against herds that follow it, and wild figures.
 func (b *Balancer) scaleSizes() {
 	sum := 0.0
+	peaks := map[string][]float64{}
+	if b.set.SizesLive {
+		for _, s := range b.servers {
+			peaks[s.Kind] = append(peaks[s.Kind], s.peak)
+		}
+		for _, p := range peaks {
+			slices.Sort(p)
+		}
+	}
 	for _, s := range b.servers {
-		sum += s.listed
+		s.Size = s.listed
+		if p := peaks[s.Kind]; len(p) > 0 {
+			s.Size = p[len(p)/2]
+		}
+		if s.Size == 0 {
+			s.Size = 1
+		}
+		sum += s.Size
 	}
 	for _, s := range b.servers {
-		s.Size = s.listed * float64(len(b.servers)) / sum
+		s.Size *= float64(len(b.servers)) / sum
 	}
 }
 
@@ -225,12 +257,19 @@
 
 // crowd is the mean number of own attempts per unit of size: a server that holds more is drawn again.
 // Own attempts that pile up show a paused or slow server before its first answer does.
-func (b *Balancer) crowd() float64 {
-	size := 0.0
+func (b *Balancer) crowd(now int64) float64 {
+	size, out := 0.0, float64(b.out)
+	if b.talks() {
+		out = 0
+	}
 	for _, s := range b.arms {
-		size += s.Size
+		if !b.talks() {
+			size += s.Size
+		} else if !s.suspended {
+			size, out = size+1, out+(b.held(now, s)+1)/s.Size
+		}
 	}
-	return float64(b.out) / size
+	return out / size
 }
 
 // effect returns the first attempt that may have run, or nil.
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -28,9 +28,10 @@
 	}
 	Limits struct {
 		Cancel, ParallelTries, Probes, RetryAfter bool
+		Peers                                     bool
 		MaxAttempts                               int
 		MaxRetryAfterUs                           int64
-		ConnIdleUs, DialTimeoutUs                 int64
+		ConnIdleUs, DialTimeoutUs, CpuUsPerS      int64
 	}
 	Report     struct{ Via string }
 	ScoringMix decide.Goal
@@ -102,12 +103,13 @@
 		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
 		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
 		ZonePrice:   in.Prices.CrossZone,
-		SizesListed: in.WeightSource == "nominal" || in.WeightSource == "rough",
+		SizesListed: in.WeightSource == "nominal" || in.WeightSource == "rough" || in.WeightSource == "live",
+		SizesLive:   in.WeightSource == "live",
 		WarmKeys:    in.FamilyInfo.WarmKeys, Goal: in.ScoringMix,
 		Limits: decide.Limits{
 			Cancel: in.Limits.Cancel, ParallelTries: in.Limits.ParallelTries, Probes: in.Limits.Probes,
-			RetryAfter: in.Limits.RetryAfter, MaxAttempts: in.Limits.MaxAttempts,
-			MaxRetryAfter: in.Limits.MaxRetryAfterUs, Tick: in.TickUs,
+			RetryAfter: in.Limits.RetryAfter, Peers: in.Limits.Peers, MaxAttempts: in.Limits.MaxAttempts,
+			MaxRetryAfter: in.Limits.MaxRetryAfterUs, Tick: in.TickUs, CPU: in.Limits.CpuUsPerS,
 		},
 		Rules: decide.Rules{
 			AnswerSlack: in.Guarantees.AnswerSlackUs, AskEvery: in.Guarantees.AskEveryUs,
--- a/internal/drill/drill.go
+++ b/internal/drill/drill.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"bytes"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 	long      []byte // a line longer than the reader's buffer
 	line      int
 	fields    [][]byte
+	word      []byte // scratch of a message
 	out       writer
 	instances map[int64]*instance
 	about     *instance
@@ -195,6 +197,18 @@
 
 func (v voice) Probe(server string) { v.end(append(v.start("HEALTH_CHECK\t"), server...)) }
 
+func (v voice) CloseIdle(server string) { v.end(append(v.start("CLOSE_IDLE\t"), server...)) }
+
+func (v voice) Tell(peer int, word []byte) {
+	b := v.start("NOTIFY\t")
+	if peer < 0 {
+		b = append(b, '*')
+	} else {
+		b = appendInt(b, int64(peer))
+	}
+	v.end(hex.AppendEncode(append(b, '\t'), word))
+}
+
 func (v voice) Watch(on bool) {
 	if on {
 		v.end(v.start("OBSERVE\t1"))
--- a/internal/drill/parse.go
+++ b/internal/drill/parse.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -150,6 +151,9 @@
 	if s.ID, err = h.address(f[6]); err != nil {
 		return s, err
 	}
+	if !absent(f[3]) {
+		s.Kind = string(f[3])
+	}
 	if !absent(f[7]) {
 		s.Zone = string(f[7])
 	}
@@ -203,7 +207,7 @@
 		in.Gone(h.now, string(f[0]))
 		return nil
 	}},
-	"PEER": {2, func(*host, *instance, [][]byte) error { return nil }}, // no peer of ours sends any
+	"PEER": {2, (*host).told},
 	"EXIT": {0, func(h *host, _ *instance, _ [][]byte) error {
 		delete(h.instances, h.aboutID)
 		h.about = nil
@@ -314,6 +318,19 @@
 	return nil
 }
 
+// told reports a message; bytes that are no hex digits are nobody's fault here.
+func (h *host) told(in *instance, f [][]byte) error {
+	from, err := number(f[0])
+	if err != nil || from < 0 || from > math.MaxInt32 {
+		return fmt.Errorf("expected a balancer's number, got %q", clip(f[0]))
+	}
+	if word, err := hex.AppendDecode(h.word[:0], f[1]); err == nil {
+		h.word = word
+		in.Told(h.now, int(from), word)
+	}
+	return nil
+}
+
 func (h *host) timer(in *instance, f [][]byte) error {
 	token, err := number(f[0])
 	if err != nil {
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -79,6 +79,12 @@
 	}))
 }
 
+// CloseIdle closes the idle connections to a server.
+func (x actions) CloseIdle(server string) { x.s.peer(server).CloseIdle() }
+
+// Tell is never called: the settings of a sidecar permit no messages.
+func (x actions) Tell(peer int, word []byte) {}
+
 // Watch asks for the list's changes from now on, or stops.
 func (x actions) Watch(on bool) { x.s.list.Watch(on) }
 
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -85,6 +85,8 @@
 
 type shed struct{}
 
+type closeIdle struct{}
+
 // NewPeer starts a server's actor.
 func NewPeer(host string, shared *Shared) *Peer {
 	p := &Peer{Host: host, shared: shared, box: make(chan any, mailbox)}
@@ -112,6 +114,15 @@
 	}
 }
 
+// CloseIdle asks the peer to close all idle connections before it serves the attempts offered after this. It
+// never blocks: a peer whose mailbox is full turns those attempts down.
+func (p *Peer) CloseIdle() {
+	select {
+	case p.box <- closeIdle{}:
+	default:
+	}
+}
+
 // Stop ends the actor. No attempt may be out or be offered from then on.
 func (p *Peer) Stop() { close(p.box) }
 
@@ -145,6 +156,8 @@
 		m.a.Done(m.a, m.r)
 	case shed:
 		p.shed(min(1, len(p.idle)))
+	case closeIdle:
+		p.shed(len(p.idle))
 	}
 }
 
