--- a/decide/decide.go
+++ b/decide/decide.go
@@ -16,17 +16,17 @@
 const (
 	second = int64(1_000_000)
 
-	gamma        = 0.07  // share of draws spread evenly: the paper's value
-	learnMost    = 3.0   // times the paper's rate, where an arm gives few answers: what is learned fades
-	learnAnswers = 5.0   // of an arm a second, from which on the paper's rate holds
-	payoffShare  = 0.6   // of the uncrowded calm mark, about its median: faster answers earn all
-	keepLog      = 0.9   // of a log-weight's distance from the mean, kept each second at least (the design's)
-	keepAnswer   = 0.98  // the same for each answer a server gives: quiet balancers forget more slowly
-	redraws      = 8     // per draw: past that many crowded servers all are crowded, and the draw stands
-	homesPerPart = 2.0   // homes of a key for each mean server's part of the requests that ask for it
-	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
-	nearBoost    = 5.0   // times another weighs a server of the own zone, where crossing zones has a price
-	warmBoost    = 2.0   // times all arms together weighs a key's home: with more, slow homes keep their keys
+	gamma        = 0.07      // share of draws spread evenly: the paper's value
+	learnMost    = 3.0       // times the paper's rate, where an arm gives few answers: what is learned fades
+	learnAnswers = 5.0       // of an arm a second, from which on the paper's rate holds
+	payoffShare  = 0.6       // of the uncrowded calm mark, about its median: faster answers earn all
+	keepLog      = 0.9       // of a log-weight's distance from the mean, kept each second at least (the design's)
+	keepAnswer   = 0.98      // the same for each answer a server gives: quiet balancers forget more slowly
+	redraws      = 8         // per draw: past that many crowded servers all are crowded, and the draw stands
+	homesPerPart = 2.0       // homes of a key for each mean server's part of the requests that ask for it
+	heatsLeast   = 100.0     // requests that a key's part is taken of at the least
+	nearBoost    = 400.0 / 3 // of the price of crossing zones that a server of the own zone weighs more
+	warmBoost    = 2.0       // times all arms together weighs a key's home: with more, slow homes keep their keys
 
 	armsLeast = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
 	armEach   = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
@@ -107,7 +107,7 @@
 	b := &Balancer{
 		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
-		learnRate: gamma, idleSafe: 1e12, density: limitStart / float64(max(1, set.Balancers)),
+		learnRate: gamma, idleSafe: 1e12, idleTold: 1e12, idleFrom: -1, density: limitStart / float64(max(1, set.Balancers)),
 		voices: map[int]voice{},
 	}
 	if b.talks() {
@@ -153,17 +153,17 @@
 	if !in.IsRetry {
 		class.firstLeft = max(class.firstLeft, r.Left)
 	} else if r.Left < class.firstLeft-b.set.Rules.AnswerSlack { // cut by what its client has waited
-		r.aim -= max(0, class.Deadline-r.Left)
+		r.spent = max(0, class.Deadline-r.Left)
 	}
 	r.deadline = now + r.Left
-	r.until = min(now+int64(queueShare*float64(max(0, r.aim))), r.deadline)
+	r.until = min(now+int64(queueShare*float64(max(0, r.aim-r.spent))), r.deadline)
 	if b.overShare(in.Tenant) {
 		r.value *= b.set.OverShareWorth
 	}
 	class.taken++
 	b.taken++
 	b.open[in.ID] = r
-	if class.LateShare == 0 && float64(r.aim) < class.half && b.talks() {
+	if class.LateShare == 0 && float64(r.aim-r.spent) < class.half && b.talks() {
 		b.giveUp(now, r) // worth nothing any more: guards against repeats that keep a jam going
 		return
 	}
@@ -471,7 +471,7 @@
 	for n, crowd := 0, b.crowd(now); ; n++ {
 		s, p := b.pick(sum, size, home)
 		bound := crowd * s.Size
-		if s == home || b.near(s) > 1 && !b.talks() {
+		if s == home || b.near(s.Zone) > 1 && !b.talks() {
 			bound = 1 + 2*bound // the design's bound: a home or a near one may hold more
 		}
 		if n == redraws || b.talks() && (b.held(now, s)+1)/s.Size <= crowd || !b.talks() && b.held(now, s) <= bound {
@@ -509,6 +509,9 @@
 		h.suspended && (now < h.until || h.out > 0 || s.suspended && s.inFlight > 0) {
 		return false
 	}
+	if b.talks() && b.silent(now, s) {
+		return false
+	}
 	return b.allowance(now, s) && r.mayRepeat(now, s)
 }
 
@@ -529,7 +532,7 @@
 // under one counts as that part of it. Guards against many balancers that take turns at a jammed server and
 // keep it so: work they gave up on still goes on there.
 func (b *Balancer) armWeight(s, home *server) float64 {
-	w := s.Size * s.weight * min(1, s.limit) * b.near(s)
+	w := s.Size * s.weight * min(1, s.limit) * b.near(s.Zone)
 	if s == home {
 		return warmBoost * float64(len(b.arms)) * w
 	}
@@ -537,9 +540,9 @@
 }
 
 // near is how much more a server of the own zone weighs, where attempts to other zones have a price.
-func (b *Balancer) near(s *server) float64 {
-	if b.set.ZonePrice > 0 && s.Zone == b.set.Zone {
-		return nearBoost
+func (b *Balancer) near(zone string) float64 {
+	if zone == b.set.Zone {
+		return 1 + b.set.ZonePrice*nearBoost
 	}
 	return 1
 }
@@ -612,7 +615,7 @@
 	}
 	if o.Result == Served {
 		b.answers++
-		if now-r.taken <= r.aim {
+		if now-r.taken+r.spent <= r.aim {
 			r.class.served++
 		}
 		a.server.answered++
@@ -745,13 +748,9 @@
 // fleet whose limits, each moved by an answer in seconds, let all of them together fill the servers for as
 // long as a loss of capacity lasts; and against attempts at lost servers that take the place of all others.
 func (b *Balancer) room(now int64) (held, room float64) {
-	patience := int64(0)
-	for i := range b.classes {
-		patience = max(patience, int64(b.classes[i].mark))
-	}
 	usable := 0.0
 	for _, s := range b.servers {
-		if s.Phase == InService && !s.suspended && (s.inFlight == 0 || now-s.heardAt <= patience) && (s.arm || !b.talks()) {
+		if s.Phase == InService && !s.suspended && !b.silent(now, s) && (s.arm || !b.talks()) {
 			held += b.held(now, s)
 			usable += s.Size * b.warmth(now, s)
 		}
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -2,12 +2,17 @@
 
 package decide
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 const (
 	wordVersion = 1 << 6 // in the two high bits of the first byte; the others are a number that grows with each word
 	seqMask     = 1<<6 - 1
 	seqNewer    = 1 << 5 // newer than the last by less than this, in steps of one
+	wordHead    = 2      // bytes: the one above, and how long connections may be idle, in steps of a tenth
+	idleLeast   = 50_000 // µs, of which the steps count
 	wordEntry   = 3      // bytes: two of the server's hash; the count and four bits that check the entry
 	wordMost    = 64     // bytes of a message
 	heldMost    = 15     // attempts that an entry can tell of
@@ -30,10 +35,11 @@
 func (b *Balancer) word(servers ...*server) []byte {
 	b.said++
 	head := wordVersion | b.said&seqMask
-	b.buf = append(b.buf[:0], head)
-	for _, s := range servers[:min(len(servers), (wordMost-1)/wordEntry)] {
+	idle := byte(min(math.Log(max(1, b.idleSafe/idleLeast))/math.Log(1.1), 255))
+	b.buf = append(b.buf[:0], head, idle)
+	for _, s := range servers[:min(len(servers), (wordMost-wordHead)/wordEntry)] {
 		hi, lo, held := byte(s.hash>>40), byte(s.hash>>32), byte(min(s.inFlight, heldMost))
-		b.buf = append(b.buf, hi, lo, held<<4|check(head, hi, lo, held))
+		b.buf = append(b.buf, hi, lo, held<<4|check(head, idle, hi, lo, held))
 	}
 	return b.buf
 }
@@ -49,12 +55,12 @@
 // hear takes in a message, unless it is none, damaged, of another version, old, or from itself. Of servers not
 // listed here it keeps nothing. met: the sender is new as a sharer of an arm.
 func (b *Balancer) hear(now int64, from int, w []byte) (ok, met bool) {
-	if len(w) == 0 || len(w) > wordMost || (len(w)-1)%wordEntry != 0 || w[0]&^seqMask != wordVersion ||
+	if len(w) < wordHead || len(w) > wordMost || (len(w)-wordHead)%wordEntry != 0 || w[0]&^seqMask != wordVersion ||
 		from == b.set.Me || from < 0 || from >= b.set.Balancers {
 		return false, false
 	}
-	for e := 1; e < len(w); e += wordEntry {
-		if w[e+2]&15 != check(w[0], w[e], w[e+1], w[e+2]>>4) {
+	for e := wordHead; e < len(w); e += wordEntry {
+		if w[e+2]&15 != check(w[0], w[1], w[e], w[e+1], w[e+2]>>4) {
 			return false, false
 		}
 	}
@@ -63,10 +69,14 @@
 		return false, false
 	}
 	b.voices[from] = voice{seq, now}
+	if idle := idleLeast * math.Pow(1.1, float64(w[1])); w[1] < 255 && idle < b.idleSafe && from != b.idleFrom {
+		b.idleSafe = min(b.idleSafe, max(idle, b.idleTold)) // the higher of what two have told
+		b.idleTold, b.idleFrom = idle, from
+	}
 	for _, s := range b.servers {
 		at := slices.IndexFunc(s.sharers, func(p sharer) bool { return p.from == from })
 		named := false
-		for e := 1; e < len(w) && !named; e += wordEntry {
+		for e := wordHead; e < len(w) && !named; e += wordEntry {
 			if w[e] == byte(s.hash>>40) && w[e+1] == byte(s.hash>>32) {
 				if named = true; at < 0 {
 					at = b.meetSharer(s, from)
@@ -75,7 +85,7 @@
 				s.sharers[at].held, s.sharers[at].at = int(w[e+2]>>4), now
 			}
 		}
-		if !named && at >= 0 && len(w) != 1+wordEntry {
+		if !named && at >= 0 && len(w) != wordHead+wordEntry {
 			s.sharers = slices.Delete(s.sharers, at, at+1)
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -48,6 +48,8 @@
 	heardOf   int64         // when any word came
 	said      byte          // messages sent
 	buf       []byte        // scratch of a message
+	idleTold  float64       // the same, as another told last
+	idleFrom  int           // who
 	idleSafe  float64       // µs that connections have been idle and still good
 	learnRate float64       // of EXP3
 	cand      []*server     // scratch of a draw
@@ -63,7 +65,7 @@
 // server is what this balancer knows of one server.
 type server struct {
 	Server              // Size is scaled to a mean of one
-	listed     float64  // size as listed; 0: it told nothing
+	listed     float64  // size as listed
 	peak       float64  // the largest so far
 	hash       uint64   // of its ID
 	rank       uint64   // place in this balancer's order
@@ -118,6 +120,7 @@
 	taken    int64
 	deadline int64
 	aim      int64   // the class's, stretched by the work hinted
+	spent    int64   // time that its client has waited on earlier tries, where that shows
 	until    int64   // when waiting unsent ends
 	value    float64 // worth for the time it takes: who waits first and who is refused last
 	tries    []attempt
@@ -145,6 +148,9 @@
 	if !met {
 		s = &server{hash: hash(in.ID), lastServed: now, health: make([]health, len(b.classes))}
 		s.rank = mix(s.hash ^ b.salt)
+		if b.talks() {
+			s.rank = uint64(float64(s.rank) / math.Sqrt(b.near(in.Zone)))
+		}
 		s.setLog(b.meanLog())
 		b.known[in.ID] = s
 	}
@@ -170,11 +176,11 @@
 // list takes over an entry; a size that says nothing, or is past all measure, counts as one.
 func (s *server) list(in Server, sized bool) {
 	if !sized || !(in.Size > 0 && in.Size <= sizeMost) {
-		in.Size = 0
+		in.Size = 1
+	} else {
+		s.peak = max(s.peak, in.Size)
 	}
-	s.listed = in.Size
-	s.peak = max(s.peak, in.Size)
-	s.Server = in
+	s.Server, s.listed = in, in.Size
 }
 
 // meanLog is the mean log-weight, where a new server starts.
@@ -200,12 +206,9 @@
 	}
 	for _, s := range b.servers {
 		s.Size = s.listed
-		if p := peaks[s.Kind]; len(p) > 0 {
+		if p := peaks[s.Kind]; len(p) > 0 && p[len(p)/2] > 0 {
 			s.Size = p[len(p)/2]
 		}
-		if s.Size == 0 {
-			s.Size = 1
-		}
 		sum += s.Size
 	}
 	for _, s := range b.servers {
@@ -272,6 +275,15 @@
 	return out / size
 }
 
+// silent tells whether attempts at s have gone without an answer for longer than answers take.
+func (b *Balancer) silent(now int64, s *server) bool {
+	patience := 0.0
+	for i := range b.classes {
+		patience = max(patience, b.classes[i].mark)
+	}
+	return s.inFlight > 0 && float64(now-s.heardAt) > patience
+}
+
 // effect returns the first attempt that may have run, or nil.
 func (r *request) effect() *attempt {
 	for i := range r.tries {
