--- a/decide/decide.go
+++ b/decide/decide.go
@@ -87,7 +87,7 @@
 	b := &Balancer{
 		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
-		learnRate: gamma, idleSafe: 1e12, idleTold: 1e12, idleFrom: -1, density: limitStart / float64(max(1, set.Balancers)),
+		learnRate: gamma, idleSafe: 1e16, idleTold: 1e16, idleFrom: -1, density: limitStart / float64(max(1, set.Balancers)),
 		voices: map[int]voice{},
 	}
 	if b.talks() { // a start anew draws from the same servers, as the others know
--- a/decide/peers_test.go
+++ b/decide/peers_test.go
@@ -115,8 +115,9 @@
 		}
 		return out + fmt.Sprint(b.idleSafe)
 	}
-	before, taken := state(), 0
+	taken := 0
 	for name, w := range bad {
+		before := state()
 		if ok, _ := b.hear(*now, 1, w); !ok {
 			if state() != before {
 				t.Errorf("%s: state changed to %s", name, state())
@@ -128,7 +129,7 @@
 	if taken > len(bad)/8 { // four bits of check let one in sixteen through
 		t.Errorf("%d of %d damaged words were taken", taken, len(bad))
 	}
-	before = state()
+	before := state()
 	for _, from := range []int{0, -1, 3, math.MaxInt} {
 		if b.Told(*now, from, good); state() != before {
 			t.Errorf("from %d: state changed", from)
