Watch mode: a second set of settings judged on the same events; all settings checked

The program reads WeightSource live, ScoringMix.Tail and BorneMisses, CpuUsPerS and machine kinds; unknown kinds, negative and non-finite figures are refused by key, and Limits.Peers too: it has no way to other balancers. Watch: an actor of its own shows each event to a second balancer of the module, compares by request and kind, and takes what was really done into its books (decide/follow.go).

--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -842,3 +842,29 @@
 		t.Fatalf("exit: %v\n%s", err, p.log.String())
 	}
 }
+
+// The watch judges what is served and says so in the log; what is served does not change. Faulty settings of a watch
+// end the start and name the key.
+func TestWatch(t *testing.T) {
+	watched := func(every float64, weights string) func(map[string]any) {
+		return func(c map[string]any) {
+			set := map[string]any{}
+			if err := json.Unmarshal([]byte(settings), &set); err != nil {
+				t.Fatal(err)
+			}
+			set["WeightSource"] = weights
+			c["watch"] = map[string]any{"settings": set, "every_s": every}
+		}
+	}
+	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }, watched(0.1, "live"))
+	for range 20 {
+		if s, body := p.look(t); s != 200 || body != "yes" {
+			t.Fatal(s, body)
+		}
+	}
+	p.expect(t, "event=watch compared=20 server=0 wait=0 refuse=0 fail=0 timeout=0 copy=0 close=0 message=0")
+	faulty := start(t, startDiscovery(t).addr, nil, watched(0.1, "guessed"))
+	if err := <-faulty.done; err == nil || !strings.Contains(faulty.log.String(), "watch.settings: WeightSource") {
+		t.Errorf("a faulty watch: %v %s", err, faulty.log.String())
+	}
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -5,7 +5,10 @@
 // microseconds of one clock that only moves forward; durations are microseconds too.
 package decide
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Semantics tells what a second run of a request does.
 type Semantics uint8
@@ -64,8 +67,8 @@
 	Tick                                             int64 // events come no closer together than this
 }
 
-// Goal tells how the service is judged: weights of its parts.
-type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant float64 }
+// Goal tells how the service is judged: weights of its parts, and the share of late answers that the tail bears.
+type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant, Tail, BorneMisses float64 }
 
 // Settings is what a balancer knows at its start.
 type Settings struct {
@@ -114,6 +117,12 @@
 		return fmt.Errorf("settings: negative time in the rules")
 	case !(r.OverloadFactor >= 0):
 		return fmt.Errorf("settings: negative overload factor")
+	case !(s.Goal.Tail >= 0) || math.IsInf(s.Goal.Tail, 1):
+		return fmt.Errorf("settings: ScoringMix.Tail %v is no weight", s.Goal.Tail)
+	case !(s.Goal.BorneMisses >= 0 && s.Goal.BorneMisses <= 1):
+		return fmt.Errorf("settings: ScoringMix.BorneMisses %v is not within 0 to 1", s.Goal.BorneMisses)
+	case l.CPU < 0:
+		return fmt.Errorf("settings: Limits.CpuUsPerS is negative")
 	case l.MaxAttempts < 0 || l.MaxRetryAfter < 0 || l.Tick < 0:
 		return fmt.Errorf("settings: negative limit")
 	case !(s.ZonePrice >= 0):
--- a/decide/fuzz_test.go
+++ b/decide/fuzz_test.go
@@ -14,6 +14,7 @@
 		set.Limits.Cancel = data[0]&1 == 0
 		set.ListPushed = data[0]&2 == 0
 		set.WarmKeys = data[0]&4 == 0
+		set.Limits.Peers = data[0]&8 == 0
 		set.Limits.MaxAttempts = int(data[0] >> 5)
 	}
 	size := 1
@@ -67,6 +68,13 @@
 			w.list(true, fleet(arg%7)...)
 		}
 	case 15:
+		if arg%8 == 1 && len(w.b.servers) > 0 { // another tells of its attempts, or of nonsense
+			s := *w.b.servers[arg%len(w.b.servers)]
+			s.inFlight = arg / 16
+			word := slices.Clone(w.b.word(&s))
+			word[arg%len(word)] ^= byte(arg & 32)
+			w.b.Told(w.now, arg%3, word)
+		}
 		if arg%8 == 0 {
 			w.restart()
 			w.list(true, fleet(arg/8%9)...)
--- a/decide/state.go
+++ b/decide/state.go
@@ -138,6 +138,7 @@
 	home     uint64 // hash of the replica of its key; 0: none
 	ended    bool
 	started  bool // its stream has begun
+	followed int  // tries that were really sent, where another balancer is watched
 }
 
 // attempt is one send. Its server's group is kept as it was when sent.
@@ -210,12 +211,16 @@
 		for _, s := range b.servers {
 			peaks[s.Kind] = append(peaks[s.Kind], s.peak)
 		}
+		delete(peaks, "")
 		for _, p := range peaks {
 			slices.Sort(p)
 		}
 	}
 	for _, s := range b.servers {
 		s.Size = s.listed
+		if b.set.SizesLive && s.peak > 0 {
+			s.Size = s.peak
+		}
 		if p := peaks[s.Kind]; len(p) > 0 && p[len(p)/2] > 0 {
 			s.Size = p[len(p)/2]
 		}
--- a/decide/world_test.go
+++ b/decide/world_test.go
@@ -276,13 +276,18 @@
 	}
 }
 
-func (w *world) Fail(id string)          { w.answer(id, "fail") }
-func (w *world) Probe(s string)          { w.note("probe %s", s) }
-func (w *world) Watch(on bool)           { w.note("watch %v", on) }
-func (w *world) Tell(p int, word []byte) { w.note("tell %d %x", p, word) }
-func (w *world) CloseIdle(s string)      { w.note("close %s", s) }
-func (w *world) Log(line string)         { w.note("log %s", line) }
-func (w *world) Wake(in, tok int64)      { w.timers = append(w.timers, alarm{w.now + in, tok}) }
+func (w *world) Fail(id string) { w.answer(id, "fail") }
+func (w *world) Probe(s string) { w.note("probe %s", s) }
+func (w *world) Watch(on bool)  { w.note("watch %v", on) }
+func (w *world) Tell(p int, word []byte) {
+	if w.note("tell %d %x", p, word); !w.set.Limits.Peers || p >= w.set.Balancers || p == w.set.Me || len(word) > 256 {
+		w.broken("message of %d bytes to %d", len(word), p)
+	}
+}
+
+func (w *world) CloseIdle(s string) { w.note("close %s", s) }
+func (w *world) Log(line string)    { w.note("log %s", line) }
+func (w *world) Wake(in, tok int64) { w.timers = append(w.timers, alarm{w.now + in, tok}) }
 
 func (w *world) count(prefix string) (n int) {
 	for _, a := range w.acts {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -7,7 +7,9 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"slices"
 	"strconv"
+	"time"
 
 	"damsonscale/decide"
 	"damsonscale/internal/discovery"
@@ -24,7 +26,10 @@
 	defaultCores    = 1.0
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
-	leastMemoryMB   = 32 // the runtime and the buffers of a few connections
+	leastMemoryMB   = 32   // the runtime and the buffers of a few connections
+	defaultWatchS   = 10.0 // between two lines of the watch
+	leastWatchS     = 0.1
+	mostWatchS      = 3600.0
 	leastSockets    = 32 // the runtime's own, one listener, one watch, a few connections each way
 )
 
@@ -38,10 +43,17 @@
 	Known     *discovery.List // the list as last known; nil: none
 	Settings  decide.Settings
 	Transport Transport
+	Watch     *Watch // nil: off
 
 	listedAt string // discovery as the file itself has it
 }
 
+// Watch is a second set of settings that is judged beside the first, without effect.
+type Watch struct {
+	Settings decide.Settings
+	Every    time.Duration // between two log lines
+}
+
 // file is the configuration file's form.
 type file struct {
 	Name      string          `json:"name"`
@@ -51,6 +63,13 @@
 	Limits    Limits          `json:"limits"`
 	Known     *discovery.List `json:"known"`
 	Settings  json.RawMessage `json:"settings"`
+	Watch     *watched        `json:"watch"`
+}
+
+// watched is the watch's form in the file.
+type watched struct {
+	Settings json.RawMessage `json:"settings"`
+	EveryS   *float64        `json:"every_s"`
 }
 
 // Load reads the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before it.
@@ -87,9 +106,53 @@
 	if c.Settings, c.Transport, err = parseSettings(in.Settings); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	if err := carriesOut(&c.Settings); err != nil {
+		return nil, fmt.Errorf("config: settings.%w", err)
+	}
+	if in.Watch != nil {
+		if c.Watch, err = parseWatch(in.Watch, &c.Settings); err != nil {
+			return nil, fmt.Errorf("config: watch.%w", err)
+		}
+	}
 	return c, nil
 }
 
+// carriesOut refuses what this program cannot do: it has no way to other balancers.
+func carriesOut(set *decide.Settings) error {
+	if set.Limits.Peers {
+		return fmt.Errorf("Limits.Peers: this program carries no messages between balancers")
+	}
+	return nil
+}
+
+// parseWatch reads settings that are to be judged on the events of others: requests must mean the same in both.
+func parseWatch(in *watched, serving *decide.Settings) (*Watch, error) {
+	every := defaultWatchS
+	if in.EveryS != nil {
+		every = *in.EveryS
+	}
+	if !(every >= leastWatchS && every <= mostWatchS) {
+		return nil, fmt.Errorf("every_s: expected %v to %v, got %v", leastWatchS, mostWatchS, every)
+	}
+	if len(in.Settings) == 0 {
+		return nil, fmt.Errorf("settings is missing")
+	}
+	set, err := ParseSettings(in.Settings)
+	if err != nil {
+		return nil, err
+	}
+	if err := carriesOut(&set); err != nil {
+		return nil, fmt.Errorf("settings.%w", err)
+	}
+	if !slices.EqualFunc(set.Classes, serving.Classes, func(a, b decide.Class) bool { return a.Name == b.Name }) {
+		return nil, fmt.Errorf("settings.Services: expected the classes of settings in the same order")
+	}
+	if !slices.EqualFunc(set.Tenants, serving.Tenants, func(a, b decide.Tenant) bool { return a.Name == b.Name }) {
+		return nil, fmt.Errorf("settings.Realms: expected the tenants of settings in the same order")
+	}
+	return &Watch{Settings: set, Every: time.Duration(every * float64(time.Second))}, nil
+}
+
 // Reload reads the file again and names the keys that changed and count from the next start on. A discovery that
 // the file did not name before goes before PROXY_DISCOVERY: that variable is as old as the program's start.
 func (c *Config) Reload(env func(string) string) (next *Config, restart []string, err error) {
@@ -110,6 +173,7 @@
 		{"name", next.Name == c.Name}, {"listen", next.Listen == c.Listen}, {"seed", next.Seed == c.Seed},
 		{"limits", next.Limits == c.Limits},
 		{"settings", reflect.DeepEqual(next.Settings, c.Settings) && next.Transport == c.Transport},
+		{"watch", reflect.DeepEqual(next.Watch, c.Watch)},
 	} {
 		if !k.same {
 			restart = append(restart, k.key)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -96,6 +96,23 @@
 		{"settings.Services", class("idempotent", "planet"), "planet"},
 		{"settings.Limits.ConnIdleUs", -1, "ConnIdleUs"},
 		{"settings.Guarantees.ColdFrom", 7, "cold share"},
+		{"settings.ScoringMix.Tail", -0.1, "ScoringMix.Tail"},
+		{"settings.ScoringMix.BorneMisses", -0.1, "ScoringMix.BorneMisses"},
+		{"settings.ScoringMix.BorneMisses", 1.5, "ScoringMix.BorneMisses"},
+		{"settings.ScoringMix.Tail", json.RawMessage("1e999"), "Tail"},
+		{"settings.ScoringMix.Tail", "heavy", "Tail"},
+		{"settings.Limits.CpuUsPerS", -1, "CpuUsPerS"},
+		{"settings.Limits.Peers", true, "settings.Limits.Peers"},
+		{"settings.WeightSource", "guessed", "WeightSource"},
+		{"settings.Report", map[string]any{"Via": "pigeon"}, "Report.Via"},
+		{"watch", map[string]any{}, "watch.settings"},
+		{"watch", map[string]any{"every_s": 0}, "watch.every_s"},
+		{"watch", map[string]any{"settings": map[string]any{}}, "watch"},
+		{"watch", watchedOf(t, "Limits", map[string]any{"Peers": true}), "watch.settings.Limits.Peers"},
+		{"watch", watchedOf(t, "WeightSource", "guessed"), "watch.settings: WeightSource"},
+		{"watch", watchedOf(t, "ScoringMix", map[string]any{"Tail": -1}), "watch.settings: ScoringMix.Tail"},
+		{"watch", watchedOf(t, "Services", []any{map[string]any{"Name": "c", "Semantics": "idempotent"}}), "watch.settings.Services"},
+		{"watch", watchedOf(t, "Realms", []any{}), "watch.settings.Realms"},
 	} {
 		if _, err := change(t, c.key, c.value); err == nil || !strings.Contains(err.Error(), c.says) {
 			t.Errorf("%s = %v: said %v", c.key, c.value, err)
@@ -103,6 +120,40 @@
 	}
 }
 
+// watchedOf is a watch of the example's own settings with one key replaced.
+func watchedOf(t *testing.T, key string, value any) map[string]any {
+	t.Helper()
+	var conf map[string]any
+	if err := json.Unmarshal(example(t), &conf); err != nil {
+		t.Fatal(err)
+	}
+	set := conf["settings"].(map[string]any)
+	if key != "" {
+		set[key] = value
+	}
+	return map[string]any{"settings": set}
+}
+
+// What the settings of the new shape say reaches the module; without them it is as it was.
+func TestSettingsOfTheNewShape(t *testing.T) {
+	c, err := Parse(example(t), none)
+	if err != nil || c.Watch != nil || c.Settings.SizesLive || c.Settings.Limits.CPU != 0 || c.Settings.Goal.Tail != 0 ||
+		c.Settings.Goal.BorneMisses != 0 {
+		t.Errorf("defaults: %v %+v", err, c)
+	}
+	c, err = change(t, "watch", watchedOf(t, "WeightSource", "live"))
+	if err != nil || c.Watch == nil || !c.Watch.Settings.SizesLive || !c.Watch.Settings.SizesListed || c.Watch.Every != 10*time.Second || c.Settings.SizesLive {
+		t.Fatalf("live weights in the watch: %v %+v", err, c)
+	}
+	c, err = change(t, "settings.ScoringMix", map[string]any{"Tail": 0.3, "BorneMisses": 0.01})
+	if err != nil || c.Settings.Goal.Tail != 0.3 || c.Settings.Goal.BorneMisses != 0.01 {
+		t.Errorf("tail: %v %+v", err, c)
+	}
+	if c, err = change(t, "settings.Limits.CpuUsPerS", 8000); err != nil || c.Settings.Limits.CPU != 8000 {
+		t.Errorf("CPU: %v %+v", err, c)
+	}
+}
+
 func TestDefaults(t *testing.T) {
 	for _, key := range []string{"limits", "seed", "known", "settings.Limits.ConnIdleUs", "settings.Limits.DialTimeoutUs"} {
 		c, err := change(t, key, nil)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"slices"
 	"time"
 
 	"damsonscale/decide"
@@ -43,6 +44,12 @@
 	}
 }
 
+// What the list's weights tell, and how load reports come; absent: nothing, and none.
+var (
+	weightKinds = []string{"", "silent", "nominal", "rough", "live"}
+	reportKinds = []string{"", "silent", "pull", "piggyback"}
+)
+
 var semantics = map[string]decide.Semantics{
 	"idempotent": decide.Idempotent, "deduplicated": decide.Deduplicated, "at_most_once": decide.AtMostOnce,
 }
@@ -99,6 +106,12 @@
 
 // decisions takes out what the decisions need.
 func (in *info) decisions() (set decide.Settings, err error) {
+	if !slices.Contains(weightKinds, in.WeightSource) {
+		return set, fmt.Errorf("settings: WeightSource: unknown kind %q", in.WeightSource)
+	}
+	if !slices.Contains(reportKinds, in.Report.Via) {
+		return set, fmt.Errorf("settings: Report.Via: unknown kind %q", in.Report.Via)
+	}
 	set = decide.Settings{
 		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
 		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -24,6 +24,7 @@
 	Cell   *int64  `json:"block"`
 	Health State   `json:"health"`
 	Share  float64 `json:"share"`
+	Kind   string  `json:"kind"` // of machine; absent: not told
 	BornMs int64   `json:"born_ms"`
 }
 
--- a/internal/drill/drill_test.go
+++ b/internal/drill/drill_test.go
@@ -1,10 +1,12 @@
 package drill
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"fmt"
 	"io"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -180,3 +182,44 @@
 		t.Errorf("%d of %d instances sent their request", n, instances)
 	}
 }
+
+// What the settings say of the tail, of live weights and of messages reaches the module, and its messages and closes
+// go out as the wire has them. Guards against an adapter that drops what it does not use yet.
+func TestSettingsAndActionsOfTheNewShape(t *testing.T) {
+	set := strings.Replace(someSettings, "{", `{"ScoringMix":{"Tail":-0.3},`, 1)
+	if _, err := run(t, "ROUND\t1\nABOUT\t1\nCREATE\t1\t"+set+"\n"); err == nil || !strings.Contains(err.Error(), "ScoringMix.Tail") {
+		t.Errorf("a negative tail: %v", err)
+	}
+	set = strings.Replace(someSettings, "{", `{"ScoringMix":{"Tail":0.3,"BorneMisses":0.01},"Me":0,"Balancers":3,"WeightSource":"live",`, 1)
+	set = strings.Replace(set, `"Limits":{`, `"Limits":{"Peers":true,"CpuUsPerS":8000,`, 1)
+	if !strings.Contains(set, "Peers") {
+		t.Fatal("the settings have no limits to change")
+	}
+	row := "SNAPSHOT_ROWS\t0\t1\nROW\t0\t1\tbig\t0\tin_service\t10.0.0.1:7001\ta\nREGISTRY\twhole\t1\t0\n"
+	in := "ROUND\t1000000\n"
+	for i := range 2 {
+		own := strings.Replace(set, `"Me":0`, fmt.Sprintf(`"Me":%d`, i), 1)
+		in += fmt.Sprintf("ABOUT\t%d\nCREATE\t%d\t%s\n%s", i, i+1, own, row)
+	}
+	got := replies(t, in+"YOUR_TURN\n")
+	words := regexp.MustCompile(`NOTIFY\t\*\t([0-9a-f]+)`).FindAllStringSubmatch(got[0], -1)
+	if len(words) != 2 {
+		t.Fatalf("want a message to all from each: %q", got[0])
+	}
+	in += "YOUR_TURN\nROUND\t1005000\nABOUT\t1\nPEER\t0\t" + words[0][1] + "\nPEER\t0\tzz\nPEER\t0\t-\nPEER\t0\t\n" +
+		"WORK_ITEM\trq_1\t0\t900000\t-\t0\tget\t-\t-\nYOUR_TURN\n"
+	if got = replies(t, in); !regexp.MustCompile(`NOTIFY\t0\t[0-9a-f]+\n`).MatchString(got[1]) || !strings.Contains(got[1], "SEND") {
+		t.Errorf("the sharer is not told of the attempt: %q", got[1])
+	}
+}
+
+func TestCloseIdleOnTheWire(t *testing.T) {
+	var out strings.Builder
+	w := writer{w: bufio.NewWriter(&out), on: -1}
+	voice{&w, 3}.CloseIdle("10.0.0.1:7001")
+	voice{&w, 3}.Tell(7, []byte{1, 0xab})
+	w.done()
+	if want := "ON_BEHALF\t3\nCLOSE_IDLE\t10.0.0.1:7001\nNOTIFY\t7\t01ab\nACK\n"; out.String() != want {
+		t.Errorf("got %q, want %q", out.String(), want)
+	}
+}
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -8,6 +8,7 @@
 
 	"damsonscale/decide"
 	"damsonscale/internal/upstream"
+	"damsonscale/internal/watch"
 )
 
 // actions carries out what the module does. Its methods run on the actor and never wait.
@@ -16,6 +17,7 @@
 // Send starts an attempt.
 func (x actions) Send(request, server string, timeout int64) {
 	s, c := x.s, x.s.calls[request]
+	s.note(watch.Act{Do: watch.Send, Request: request, Server: server, Time: timeout})
 	if c == nil {
 		return
 	}
@@ -52,11 +54,15 @@
 
 // Refuse answers that a new try is harmless.
 func (x actions) Refuse(request string, retryAfter int64) {
+	x.s.note(watch.Act{Do: watch.Refused, Request: request})
 	x.answer(request, Answer{Verdict: Refused, RetryAfter: time.Duration(retryAfter) * time.Microsecond})
 }
 
 // Fail answers that the request failed.
-func (x actions) Fail(request string) { x.answer(request, Answer{Verdict: Failed}) }
+func (x actions) Fail(request string) {
+	x.s.note(watch.Act{Do: watch.Failed, Request: request})
+	x.answer(request, Answer{Verdict: Failed})
+}
 
 func (x actions) answer(request string, a Answer) {
 	if c := x.s.calls[request]; c != nil {
@@ -80,7 +86,10 @@
 }
 
 // CloseIdle closes the idle connections to a server.
-func (x actions) CloseIdle(server string) { x.s.peer(server).CloseIdle() }
+func (x actions) CloseIdle(server string) {
+	x.s.note(watch.Act{Do: watch.Closed, Server: server})
+	x.s.peer(server).CloseIdle()
+}
 
 // Tell is never called: the settings of a sidecar permit no messages.
 func (x actions) Tell(peer int, word []byte) {}
@@ -92,7 +101,9 @@
 func (x actions) Wake(in, token int64) {
 	s := x.s
 	time.AfterFunc(time.Duration(in)*time.Microsecond, func() {
-		s.box <- func(now int64) { s.balancer.Timer(now, token) }
+		s.box <- func(now int64) {
+			s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Timer(now, token) }})
+		}
 	})
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -10,6 +10,7 @@
 	"damsonscale/internal/config"
 	"damsonscale/internal/discovery"
 	"damsonscale/internal/upstream"
+	"damsonscale/internal/watch"
 )
 
 const (
@@ -24,6 +25,8 @@
 type Sidecar struct {
 	conf     *config.Config
 	balancer *decide.Balancer
+	watch    *watch.Watch // nil: off
+	acts     []watch.Act  // of the event at hand, while watched
 	list     *discovery.Client
 	shared   upstream.Shared
 	box      chan func(now int64)
@@ -50,6 +53,9 @@
 		DialTimeout: conf.Transport.DialTimeout, ConnIdle: conf.Transport.ConnIdle, Short: s.short,
 	}
 	s.balancer = decide.New(conf.Settings, conf.Seed, actions{s})
+	if conf.Watch != nil {
+		s.watch = watch.New()
+	}
 	return s
 }
 
@@ -59,9 +65,13 @@
 // Run serves the mailbox until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) {
 	go s.list.Run(ctx)
+	if s.watch != nil {
+		go s.watch.Run(s.now(), s.conf.Watch.Settings, s.conf.Seed, s.conf.Watch.Every, ctx.Done())
+	}
 	s.balancer.Begin(s.now())
 	if k := s.conf.Known; k != nil && len(k.Hosts) > 0 {
-		s.balancer.Listed(s.now(), servers(k), true)
+		now, known := s.now(), servers(k)
+		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Listed(now, known, true) }})
 	}
 	for {
 		select {
@@ -73,6 +83,22 @@
 	}
 }
 
+// tell tells the module of an event, and the watch of both that and what the module did.
+func (s *Sidecar) tell(e watch.Event) {
+	e.Apply(s.balancer)
+	if s.watch != nil {
+		e.Acts, s.acts = s.acts, nil
+		s.watch.See(e)
+	}
+}
+
+// note keeps an action of the module for the watch.
+func (s *Sidecar) note(a watch.Act) {
+	if s.watch != nil {
+		s.acts = append(s.acts, a)
+	}
+}
+
 // now is Unix time in µs at the start, moved on by the monotonic clock.
 func (s *Sidecar) now() int64 { return s.at(time.Now()) }
 
@@ -110,7 +136,8 @@
 	}
 	s.calls[c.Request.ID] = c
 	c.Request.Left = max(0, s.at(c.giveUp)-now)
-	s.balancer.Request(now, c.Request)
+	request := c.Request
+	s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Request(now, request) }})
 }
 
 func (s *Sidecar) left(now int64, c *Call) {
@@ -118,7 +145,8 @@
 		return
 	}
 	c.answered = true
-	s.balancer.Gone(now, c.Request.ID)
+	id := c.Request.ID
+	s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Gone(now, id) }, Ends: id})
 	s.forget(c)
 }
 
@@ -134,7 +162,8 @@
 // Listed takes the list from its actor.
 func (s *Sidecar) Listed(l *discovery.List) {
 	s.box <- func(now int64) {
-		s.balancer.Listed(now, servers(l), l.Whole)
+		list := servers(l)
+		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Listed(now, list, l.Whole) }})
 		for host := range s.peers {
 			s.retire(host)
 		}
@@ -146,14 +175,16 @@
 
 // ListFailed takes word that an ask failed or the watch broke.
 func (s *Sidecar) ListFailed() {
-	s.box <- func(now int64) { s.balancer.ListFailed(now) }
+	s.box <- func(now int64) {
+		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.ListFailed(now) }})
+	}
 }
 
 // servers puts a list into the module's terms.
 func servers(l *discovery.List) []decide.Server {
 	out := make([]decide.Server, 0, len(l.Hosts))
 	for _, e := range l.Hosts {
-		s := decide.Server{ID: e.Host, Size: e.Share, Zone: e.Zone, Cell: -1, UpSince: e.BornMs * 1000}
+		s := decide.Server{ID: e.Host, Size: e.Share, Kind: e.Kind, Zone: e.Zone, Cell: -1, UpSince: e.BornMs * 1000}
 		if e.Cell != nil {
 			s.Cell = *e.Cell
 		}
@@ -221,10 +252,15 @@
 	if result == decide.Served {
 		c.finish(Answer{Verdict: Served, Body: r.Body, ContentType: r.ContentType})
 	}
-	s.balancer.Outcome(now, decide.Outcome{
+	o := decide.Outcome{
 		Request: c.Request.ID, Attempt: n, Server: a.Host, Result: result,
 		Latency: r.At.Sub(a.Sent).Microseconds(), Closed: c.answered, Load: r.Load,
-	})
+	}
+	e := watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Outcome(now, o) }, Settles: o.Request}
+	if o.Closed {
+		e.Ends = o.Request
+	}
+	s.tell(e)
 	s.forget(c)
 	s.retire(a.Host)
 }
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -419,3 +419,17 @@
 		}
 	})
 }
+
+// After CloseIdle the next attempt goes on a new connection.
+func TestCloseIdle(t *testing.T) {
+	s := listen(t, always(yes, false))
+	p, _ := peerOf(t, at(s.Addr().String()))
+	for n, fresh := range []bool{true, false, true, false} {
+		if n == 2 {
+			p.CloseIdle()
+		}
+		if r := send(t, p, nil); r.End != Answered || r.Fresh != fresh {
+			t.Errorf("attempt %d: %v, fresh %v, want %v", n, r.End, r.Fresh, fresh)
+		}
+	}
+}
