--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,13 +1,11 @@
 // The decisions of one balancer. Its interface (settings, events, actions) is in api.go, what it remembers
 // in state.go.
 //
-// Every attempt goes to a server drawn by EXP3: exponential weights grown by importance-weighted payoffs of
-// own attempts, with a uniform floor. All else keeps the rules and bounds what is out: see docs/design.md.
+// Every attempt goes to a server drawn by EXP3. All else keeps the rules and bounds what is out: docs/design.md.
 
 package decide
 
 import (
-	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -33,8 +31,10 @@
 	armsTold  = 14.0 // the same where balancers tell one another
 	armsMost  = 3    // times the arms wanted, with ill ones: past that the cause is shared
 
-	tellEvery = 20 * second // µs between two words to all, half as much again at the most
-	tellAgain = 4 * second  // and no sooner where that has changed
+	tellLeast = 20 * second // µs between two words to all, up to twice that
+	tellSlot  = 100_000     // µs of that time for each balancer: a word to all costs each of them
+	tellAgain = 4 * second  // µs, sooner than that where what it draws from has changed
+	tellPair  = 100         // µs of this for each pair of balancers
 
 	timeoutMark = 2.0    // marks that an attempt may take: slow answers seldom come after that
 	idleRise    = 1.02   // of that time each second: what dropped connections may end
@@ -88,7 +88,7 @@
 		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
 		learnRate: gamma, idleSafe: 1e16, idleTold: 1e16, idleFrom: -1, density: limitStart / float64(max(1, set.Balancers)),
-		voices: map[int]voice{},
+		byTag: map[[2]byte]*server{},
 	}
 	if b.talks() { // a start anew draws from the same servers, as the others know
 		b.salt = mix(uint64(set.Me) + 1)
@@ -528,7 +528,7 @@
 		s.arm = s.Phase == InService && well < float64(want) && len(b.arms) < armsMost*want
 		if s.arm {
 			if !was { // those who share it are to know soon
-				b.tellAt = min(b.tellAt, b.toldAt+tellAgain)
+				b.tellAt = min(b.tellAt, b.toldAt+max(tellAgain, tellPair*int64(b.set.Balancers*b.set.Balancers)))
 			}
 			b.arms = append(b.arms, s)
 			if !s.suspended {
@@ -673,7 +673,7 @@
 // tellAll tells all what this balancer draws from when it is time: soon after that has changed.
 func (b *Balancer) tellAll(now int64) {
 	if b.talks() && now >= b.tellAt {
-		b.toldAt, b.tellAt = now, now+tellEvery+b.rng.Int64N(tellEvery)
+		b.toldAt, b.tellAt = now, now+b.tellEvery()+b.rng.Int64N(b.tellEvery())
 		b.act.Tell(-1, b.word(b.arms...))
 	}
 }
@@ -862,7 +862,7 @@
 		}
 	}
 	b.drop(now)
-	slices.SortFunc(b.servers, func(a, c *server) int { return cmp.Compare(a.rank, c.rank) })
+	b.order()
 	b.scaleSizes()
 	b.takeArms(now)
 	for _, s := range fresh {
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -10,17 +10,18 @@
 const (
 	wordVersion = 1 << 6 // in the two high bits of the first byte; the others are a number that grows with each word
 	seqMask     = 1<<6 - 1
-	seqNewer    = 1 << 5      // newer than the last by less than this, in steps of one
-	wordHead    = 2           // bytes: the one above, and how long connections may be idle, in steps of a tenth
-	idleLeast   = 50_000      // µs, of which the steps count
-	wordEntry   = 3           // bytes: two of the server's hash; the count and four bits that check the entry
-	wordMost    = 64          // bytes of a message
-	keepSharer  = 61 * second // a sharer not heard for this long is forgotten: two of its words to all may be lost
-	toldFor     = second      // that a count told holds: its end may be lost
-	unheard     = second / 4  // without a word from anybody, past which words are taken to be lost
-	tellMost    = 24          // balancers that a word goes to
-	tellCPU     = 400.0       // µs of CPU a second for each of them
-	heldMost    = 15          // attempts that an entry can tell of
+	seqNewer    = 1 << 5     // newer than the last by less than this, in steps of one
+	wordHead    = 2          // bytes: the one above, and how long connections may be idle, in steps of a tenth
+	idleLeast   = 50_000     // µs, of which the steps count
+	wordEntry   = 3          // bytes: two of the server's hash; the count and four bits that check the entry
+	wordMost    = 64         // bytes of a message
+	keepSharer  = 3          // words to all may fail to come before a sharer is forgotten
+	toldFor     = second     // that a count told holds: its end may be lost
+	unheard     = second / 4 // without a word from anybody, past which words are taken to be lost
+	tellMost    = 24.0       // balancers that a word goes to
+	tellCPU     = 400.0      // µs of CPU a second for each of them
+	tellFleet   = 16_000.0   // of all balancers together: words of a large fleet fill the links
+	heldMost    = 15         // attempts that an entry can tell of
 )
 
 // sharer is another balancer that draws from a server, as it last told.
@@ -31,8 +32,9 @@
 
 // voice is the last word heard of a balancer.
 type voice struct {
-	seq byte
-	at  int64
+	seq     byte
+	at      int64     // 0: never
+	servers []*server // where it is a sharer
 }
 
 // word writes a message of this balancer's attempts at some servers. More than one entry, or none, are all
@@ -43,7 +45,7 @@
 	idle := byte(min(math.Log(max(1, b.idleSafe/idleLeast))/math.Log(1.1), 255))
 	b.buf = append(b.buf[:0], head, idle)
 	for _, s := range servers[:min(len(servers), (wordMost-wordHead)/wordEntry)] {
-		hi, lo, held := byte(s.hash>>40), byte(s.hash>>32), byte(min(s.inFlight, heldMost))
+		hi, lo, held := s.tag()[0], s.tag()[1], byte(min(s.inFlight, heldMost))
 		b.buf = append(b.buf, hi, lo, held<<4|check(head, idle, hi, lo, held))
 	}
 	return b.buf
@@ -69,34 +71,59 @@
 			return false, false
 		}
 	}
-	seq := w[0] & seqMask
-	if last, known := b.voices[from]; known && now-last.at < second && (seq-last.seq-1)&seqMask >= seqNewer {
+	for len(b.voices) <= from {
+		b.voices = append(b.voices, voice{})
+	}
+	v, seq := &b.voices[from], w[0]&seqMask
+	if v.at > 0 && now-v.at < second && (seq-v.seq-1)&seqMask >= seqNewer {
 		return false, false
 	}
-	b.voices[from] = voice{seq, now}
+	v.seq, v.at = seq, now
 	if idle := idleLeast * math.Pow(1.1, float64(w[1])); w[1] < 255 && idle < b.idleSafe && from != b.idleFrom {
 		b.idleSafe = min(b.idleSafe, max(idle, b.idleTold)) // the higher of what two have told
 		b.idleTold, b.idleFrom = idle, from
 	}
-	for _, s := range b.servers {
-		at := slices.IndexFunc(s.sharers, func(p sharer) bool { return p.from == from })
-		named := false
-		for e := wordHead; e < len(w) && !named; e += wordEntry {
-			if w[e] == byte(s.hash>>40) && w[e+1] == byte(s.hash>>32) {
-				if named = true; at < 0 {
-					at = b.meetSharer(s, from)
-					met = met || s.arm
-				}
-				s.sharers[at].held, s.sharers[at].at = int(w[e+2]>>4), now
-			}
+	if len(w) != wordHead+wordEntry { // all its servers: it has left the others
+		for _, s := range v.servers {
+			s.sharers = slices.DeleteFunc(s.sharers, func(p sharer) bool { return p.from == from && !named(w, s) })
 		}
-		if !named && at >= 0 && len(w) != wordHead+wordEntry {
-			s.sharers = slices.Delete(s.sharers, at, at+1)
+		v.servers = slices.DeleteFunc(v.servers, func(s *server) bool { return !named(w, s) })
+	}
+	for e := wordHead; e < len(w); e += wordEntry {
+		if s := b.byTag[[2]byte{w[e], w[e+1]}]; s != nil {
+			met = b.count(now, s, from, int(w[e+2]>>4)) || met
 		}
 	}
 	return true, met
 }
 
+// tag stands for s in a word: two bytes of its hash. Servers with the same tag are few, and count for one of them.
+func (s *server) tag() [2]byte { return [2]byte{byte(s.hash >> 40), byte(s.hash >> 32)} }
+
+// named tells whether a word has an entry of s.
+func named(w []byte, s *server) bool {
+	for e := wordHead; e < len(w); e += wordEntry {
+		if [2]byte{w[e], w[e+1]} == s.tag() {
+			return true
+		}
+	}
+	return false
+}
+
+// count writes down what a sharer holds at s and tells whether it is new as a sharer of an arm.
+func (b *Balancer) count(now int64, s *server, from, held int) bool {
+	at := slices.IndexFunc(s.sharers, func(p sharer) bool { return p.from == from })
+	fresh := at < 0
+	if fresh {
+		at = b.meetSharer(s, from)
+		if v := &b.voices[from]; !slices.Contains(v.servers, s) {
+			v.servers = append(v.servers, s)
+		}
+	}
+	s.sharers[at].held, s.sharers[at].at = held, now
+	return fresh && s.arm
+}
+
 // meetSharer adds a sharer to a server's: those that come next after this balancer's number are first.
 func (b *Balancer) meetSharer(s *server, from int) int {
 	far := func(n int) int { return (n - b.set.Me + b.set.Balancers) % b.set.Balancers }
@@ -108,10 +135,13 @@
 	return at
 }
 
+// tellEvery is the time between two words to all, at the most: longer where there are many to tell.
+func (b *Balancer) tellEvery() int64 { return max(tellLeast, int64(b.set.Balancers)*tellSlot) }
+
 // forgetSharers drops those not heard for long.
 func (b *Balancer) forgetSharers(now int64) {
 	for _, s := range b.servers {
-		s.sharers = slices.DeleteFunc(s.sharers, func(p sharer) bool { return now-p.at > keepSharer })
+		s.sharers = slices.DeleteFunc(s.sharers, func(p sharer) bool { return now-p.at > keepSharer*b.tellEvery() })
 	}
 }
 
@@ -137,10 +167,11 @@
 
 // tellMost is how many a word goes to: each that comes costs its receiver some of the CPU that it has.
 func (b *Balancer) tellMost() int {
-	if b.set.Limits.CPU == 0 {
-		return tellMost
+	most := min(tellMost, tellFleet/float64(max(1, b.set.Balancers)))
+	if b.set.Limits.CPU > 0 {
+		most = min(most, float64(b.set.Limits.CPU)/tellCPU)
 	}
-	return int(min(tellMost, max(1, float64(b.set.Limits.CPU)/tellCPU)))
+	return int(max(1, most))
 }
 
 // sharersOf is how many balancers draw from a server, on average.
--- a/decide/peers_test.go
+++ b/decide/peers_test.go
@@ -177,7 +177,8 @@
 	}
 }
 
-// A word goes to no more balancers than the CPU of its receivers bears: by hand 8 ms / 0.4 ms = 20, 24 at the most.
+// A word goes to no more balancers than the CPU of its receivers bears: by hand 8 ms / 0.4 ms = 20, 24 at the most; and
+// to no more than 16,000 for all balancers together: of 2,000 each to 8.
 func TestWordsGoToFew(t *testing.T) {
 	for cpu, want := range map[int64]int{0: 24, 8000: 20, 500_000: 24, 1: 1} {
 		set := testSettings()
@@ -186,6 +187,11 @@
 			t.Errorf("CPU %d: to %d, want %d", cpu, got, want)
 		}
 	}
+	set := testSettings()
+	set.Balancers = 2000
+	if got := New(set, 1, silent{}).tellMost(); got != 8 {
+		t.Errorf("2,000 balancers: to %d, want 8", got)
+	}
 }
 
 // Live weights give the size by their largest, at the median of a kind; wild ones change nothing.
--- a/decide/state.go
+++ b/decide/state.go
@@ -3,6 +3,7 @@
 package decide
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -53,17 +54,18 @@
 	perSize [2]float64   // answers that a warm server of size one gives this balancer, per µs: no arm, arm
 	seconds float64      // since its start
 
-	voices    map[int]voice // balancers heard of
-	toldAt    int64         // when all were told what this one draws from
-	tellAt    int64         // when they are to be told next
-	heardOf   int64         // when any word came
-	said      byte          // messages sent
-	buf       []byte        // scratch of a message
-	idleTold  float64       // the same, as another told last
-	idleFrom  int           // who
-	idleSafe  float64       // µs that connections have been idle and still good
-	learnRate float64       // of EXP3
-	cand      []*server     // scratch of a draw
+	voices    []voice // by balancer, as far as heard of
+	byTag     map[[2]byte]*server
+	toldAt    int64     // when all were told what this one draws from
+	tellAt    int64     // when they are to be told next
+	heardOf   int64     // when any word came
+	said      byte      // messages sent
+	buf       []byte    // scratch of a message
+	idleTold  float64   // the same, as another told last
+	idleFrom  int       // who
+	idleSafe  float64   // µs that connections have been idle and still good
+	learnRate float64   // of EXP3
+	cand      []*server // scratch of a draw
 	tally     tally
 }
 
@@ -251,6 +253,15 @@
 	}
 }
 
+// order sorts the servers for this balancer and finds them by their tags.
+func (b *Balancer) order() {
+	slices.SortFunc(b.servers, func(a, c *server) int { return cmp.Compare(a.rank, c.rank) })
+	clear(b.byTag)
+	for _, s := range b.servers {
+		b.byTag[s.tag()] = s
+	}
+}
+
 // setLog keeps the weight beside its logarithm.
 func (s *server) setLog(l float64) {
 	s.log = min(max(l, -logMost), logMost)
