--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,7 +1,7 @@
 // The decisions of one balancer. Its interface (settings, events, actions) is in api.go, what it remembers
 // in state.go.
 //
-// Every attempt goes to a server drawn by EXP3. All else keeps the rules and bounds what is out: docs/design.md.
+// Every attempt goes to a server drawn by EXP3; the rest keeps the rules, and bounds: see docs/design.md.
 
 package decide
 
@@ -31,11 +31,6 @@
 	armsTold  = 14.0 // the same where balancers tell one another
 	armsMost  = 3    // times the arms wanted, with ill ones: past that the cause is shared
 
-	tellLeast = 20 * second // µs between two words to all, up to twice that
-	tellSlot  = 100_000     // µs of that time for each balancer: a word to all costs each of them
-	tellAgain = 4 * second  // µs, sooner than that where what it draws from has changed
-	tellPair  = 100         // µs of this for each pair of balancers
-
 	timeoutMark = 2.0    // marks that an attempt may take: slow answers seldom come after that
 	idleRise    = 1.02   // of that time each second: what dropped connections may end
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
@@ -46,7 +41,7 @@
 	limitUp     = 1.02  // a limit's factor for an early answer while it was used; with limitDown it holds ...
 	poolUp      = 0.05  // that the density grows for an early answer while used; with poolDown it holds
 	poolDown    = 0.15  // where one in four is past 3/4 of the aim
-	poolUpTold  = 0.015 // of that part, where balancers tell one another what they hold: one in ten is late there
+	poolUpTold  = 0.015 // of it where balancers tell one another what they hold: one in eleven is late
 	poolAnswers = 4.0   // out: where more are, each moves it by less, and all together by as much
 	limitFirst  = 1.10  // the same before a server's first late answer: the start is a guess
 	limitDown   = 0.92  // ... where one answer in five is late: fewer waste room, more end in a jam
@@ -87,7 +82,7 @@
 	b := &Balancer{
 		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
-		learnRate: gamma, idleSafe: 1e16, idleTold: 1e16, idleFrom: -1, density: limitStart / float64(max(1, set.Balancers)),
+		learnRate: gamma, idleSafe: 1e16, idleTold: 1e16, density: limitStart / float64(max(1, set.Balancers)),
 		byTag: map[[2]byte]*server{},
 	}
 	if b.talks() { // a start anew draws from the same servers, as the others know
@@ -244,7 +239,7 @@
 	b.act.Send(r.ID, s.ID, b.timeout(now, r))
 }
 
-// reuse tells how long the connection that s would be sent on has been idle, 0 where it closes one that may be
+// reuse tells how long the connection to s has been idle, 0 where there is none or it closes one that may be
 // dead. Guards against connections dropped unseen: what is sent on one gets no answer.
 func (b *Balancer) reuse(now int64, s *server) int64 {
 	if s.idleAt == 0 {
@@ -528,7 +523,7 @@
 		s.arm = s.Phase == InService && well < float64(want) && len(b.arms) < armsMost*want
 		if s.arm {
 			if !was { // those who share it are to know soon
-				b.tellAt = min(b.tellAt, b.toldAt+max(tellAgain, tellPair*int64(b.set.Balancers*b.set.Balancers)))
+				b.tellAt = min(b.tellAt, b.toldAt+b.tellSoon())
 			}
 			b.arms = append(b.arms, s)
 			if !s.suspended {
