--- a/decide/decide.go
+++ b/decide/decide.go
@@ -82,7 +82,8 @@
 	b := &Balancer{
 		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
-		learnRate: gamma, idleSafe: 1e16, idleTold: 1e16, density: limitStart / float64(max(1, set.Balancers)),
+		learnRate: gamma, density: limitStart / float64(max(1, set.Balancers)),
+		idleSafe: 1e16, idleTold: 1e16,
 		byTag: map[[2]byte]*server{},
 	}
 	if b.talks() { // a start anew draws from the same servers, as the others know
