--- a/decide/decide.go
+++ b/decide/decide.go
@@ -29,6 +29,7 @@
 	armEach   = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
 	armsCover = 8.0  // balancers that have a server as an arm, on average: fewer leave servers unused
 	armsTold  = 14.0 // the same where balancers tell one another
+	armsHeard = 8.0  // there at the most: each draw counts what all hold at each
 	armsMost  = 3    // times the arms wanted, with ill ones: past that the cause is shared
 
 	timeoutMark = 2.0    // marks that an attempt may take: slow answers seldom come after that
@@ -509,7 +510,9 @@
 	if b.talks() {
 		cover = armsTold
 	}
-	cover *= float64(len(b.servers)) / float64(max(1, b.set.Balancers))
+	if cover *= float64(len(b.servers)) / float64(max(1, b.set.Balancers)); b.talks() {
+		cover = min(cover, armsHeard)
+	}
 	return int(min(max(armsLeast, b.rate/armEach, cover), float64(len(b.servers))))
 }
 
--- a/decide/peers_test.go
+++ b/decide/peers_test.go
@@ -283,3 +283,17 @@
 		t.Error("sent to a server silent for 250 ms, where answers are taken to need 200 ms")
 	}
 }
+
+// However the list grows, few arms are drawn from where balancers talk. Guards against a draw that counts what all hold
+// at dozens of servers: a fleet of 400 that grew to 436 servers took more CPU than there was.
+func TestArmsStayFewWhereBalancersTalk(t *testing.T) {
+	set := testSettings()
+	set.ListPushed, set.Limits.Peers, set.Balancers = true, true, 400
+	b := New(set, 1, silent{})
+	for servers, want := range map[int]int{57: 2, 119: 4, 436: 8} {
+		b.Listed(1000*second, fleet(servers), true)
+		if got := b.armsWanted(); got != want {
+			t.Errorf("%d servers: %d arms, want %d", servers, got, want)
+		}
+	}
+}
