--- a/decide/decide.go
+++ b/decide/decide.go
@@ -138,7 +138,7 @@
 	class.taken++
 	b.taken++
 	b.open[in.ID] = r
-	if class.LateShare == 0 && float64(r.aim-r.spent) < class.half && b.talks() {
+	if class.LateShare == 0 && float64(r.aim-r.spent) < class.half {
 		b.giveUp(now, r) // worth nothing any more: guards against repeats that keep a jam going
 		return
 	}
