--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,6 +49,7 @@
 	failCut     = 0.6   // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.75  // of the aim: later answers warn of a crowd while there is time to act
 	queueShare  = 0.25  // of the aim that a request may wait unsent: the rest is for its answer
+	roomTakers  = 2.0   // of those who hear that a server has room send what waits: words may be lost
 	queueLeast  = 4.0   // requests that may wait whatever the drain: a start knows none yet
 
 	coldPart = 0.5 // of what would push a cold server over is its most: its warm-up as stated is the slowest
@@ -688,9 +689,9 @@
 	}
 	if ok {
 		b.heardOf = now
-	}
-	if ok && len(b.queue) > 0 {
-		b.pump(now)
+		if len(b.queue) > 0 && b.rng.Float64()*b.sharersOf() < roomTakers {
+			b.pump(now)
+		}
 	}
 }
 
@@ -765,8 +766,7 @@
 	return float64(well) >= healthyLeast*float64(len(b.arms))
 }
 
-// Probed learns nothing: this balancer does not probe, its own attempts tell more.
-func (b *Balancer) Probed(now int64, p Probe) {}
+func (b *Balancer) Probed(now int64, p Probe) {} // it does not probe: its own attempts tell more
 
 // ---- Rule 4: cold servers
 
--- a/decide/peers_test.go
+++ b/decide/peers_test.go
@@ -295,3 +295,32 @@
 		}
 	}
 }
+
+// Of eight who share a server and hear that it has room, about two send what waits. Guards against a herd: at an
+// overloaded fleet each freed place was taken by all who waited, and a third of what was sent came late.
+func TestFewTakeTheRoomThatAWordTellsOf(t *testing.T) {
+	sent := 0
+	for seed := range uint64(200) {
+		set := testSettings()
+		set.ListPushed, set.Limits.Peers, set.Balancers, set.Me = true, true, 8, 0
+		b := New(set, seed, silent{})
+		set.Me = 1
+		other := New(set, 1, silent{})
+		now := 1000 * second
+		b.Listed(now, fleet(1), true)
+		other.Listed(now, fleet(1), true)
+		s := other.servers[0]
+		b.density, s.inFlight = 0.5, 1
+		b.Told(now, 1, other.word(s))
+		b.Request(now, Request{ID: "a", Tenant: -1, Left: second})
+		if len(b.queue) != 1 {
+			t.Fatal("the request does not wait")
+		}
+		s.inFlight = 0
+		b.Told(now+1000, 1, other.word(s))
+		sent += b.servers[0].inFlight
+	}
+	if sent < 25 || sent > 85 { // a quarter of 200
+		t.Errorf("%d of 200 took the room, want about 50", sent)
+	}
+}
