--- a/decide/decide.go
+++ b/decide/decide.go
@@ -33,7 +33,7 @@
 	armsMost  = 3    // times the arms wanted, with ill ones: past that the cause is shared
 
 	timeoutMark = 2.0    // marks that an attempt may take: slow answers seldom come after that
-	idleRise    = 1.02   // of that time each second: what dropped connections may end
+	idleRise    = 1.02   // of the idle time held for safe, each second: what dropped connections may end
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
 
@@ -398,10 +398,7 @@
 	if !b.candidates(now, r, home) {
 		return nil, 0
 	}
-	sum, size := 0.0, 0.0
-	for _, s := range b.cand {
-		sum, size = sum+b.armWeight(s, home), size+s.Size
-	}
+	sum, size := b.weigh(b.cand, home)
 	b.tally.draws++
 	for n, crowd := 0, b.crowd(now); ; n++ {
 		s, p := b.pick(sum, size, home)
@@ -440,13 +437,10 @@
 // eligible tells whether an attempt of r may go to s now.
 func (b *Balancer) eligible(now int64, r *request, s *server) bool {
 	h := &s.health[r.Class]
-	if s.Phase != InService || b.held(now, s) >= b.bound(s) ||
+	if s.Phase != InService || b.held(now, s) >= b.bound(s) || b.talks() && b.silent(now, s) ||
 		h.suspended && (now < h.until || h.out > 0 || s.suspended && s.inFlight > 0) {
 		return false
 	}
-	if b.talks() && b.silent(now, s) {
-		return false
-	}
 	return b.allowance(now, s) && r.mayRepeat(now, s)
 }
 
@@ -455,7 +449,7 @@
 func (b *Balancer) pick(sum, size float64, home *server) (*server, float64) {
 	x, p := b.rng.Float64(), 0.0
 	for _, s := range b.cand {
-		p = (1-gamma)*b.armWeight(s, home)/sum + gamma*s.Size/size
+		p = b.odds(s, home, sum, size)
 		if x -= p; x < 0 {
 			return s, p
 		}
@@ -463,6 +457,11 @@
 	return b.cand[len(b.cand)-1], p
 }
 
+// odds is how likely a draw among servers of that weight and size in all picks s.
+func (b *Balancer) odds(s, home *server, sum, size float64) float64 {
+	return (1-gamma)*b.armWeight(s, home)/sum + gamma*s.Size/size
+}
+
 // armWeight is the server's weight over all its arms, raised where the request's key is at home. A limit
 // under one counts as that part of it. Guards against many balancers that take turns at a jammed server and
 // keep it so: work they gave up on still goes on there.
@@ -507,14 +506,12 @@
 
 // armsWanted is how many servers this balancer's own traffic can learn of, within those limits.
 func (b *Balancer) armsWanted() int {
-	cover := armsCover
+	sharers, most, servers := armsCover, math.Inf(1), float64(len(b.servers))
 	if b.talks() {
-		cover = armsTold
-	}
-	if cover *= float64(len(b.servers)) / float64(max(1, b.set.Balancers)); b.talks() {
-		cover = min(cover, armsHeard)
+		sharers, most = armsTold, armsHeard
 	}
-	return int(min(max(armsLeast, b.rate/armEach, cover), float64(len(b.servers))))
+	cover := min(sharers*(servers/float64(max(1, b.set.Balancers))), most)
+	return int(min(max(armsLeast, b.rate/armEach, cover), servers))
 }
 
 // takeArms makes the arms the first in service of this balancer's own order (rendezvous hashing by its seed).
@@ -609,10 +606,10 @@
 // late, less for each where much is out. Guards against a burst of late answers at a busy balancer, which
 // would leave it no room at all.
 func (b *Balancer) crowding(now int64, s *server, early bool, result Result) {
-	held, room := b.room(now)
-	part, up, least := min(1, poolAnswers/float64(b.out+1)), poolUp, 0.0
-	if b.talks() { // one server's answer tells of what all hold there
-		held, room, part, up, least = b.held(now, s), b.density*s.Size, 1, poolUpTold, 1
+	held, room, part, up, least := b.held(now, s), b.density*s.Size, 1.0, poolUpTold, 1.0
+	if !b.talks() { // else one server's answer tells of what all hold there
+		held, room = b.room(now)
+		part, up, least = min(1, poolAnswers/float64(b.out+1)), poolUp, 0
 	}
 	switch {
 	case early && held+2 <= room:
@@ -634,19 +631,22 @@
 // balancer's part of what the servers in use can hold. Guards against many balancers that each keep one
 // attempt at every server, and against busy ones held to a quiet one's part.
 func (b *Balancer) full(now int64) bool {
-	held, room := b.room(now)
-	if b.talks() { // the bounds are of what all hold: their sum counts where that is guessed
-		return b.deaf(now) && held >= max(1, room)
-	}
-	sum := 0.0
-	for _, s := range b.servers {
-		if s.arm || s.answered+s.inFlight > 0 {
-			sum += s.limit
+	if b.talks() {
+		if !b.deaf(now) {
+			return false // the bounds are of what all hold: their sum counts where that is guessed
+		}
+	} else {
+		sum := 0.0
+		for _, s := range b.servers {
+			if s.arm || s.answered+s.inFlight > 0 {
+				sum += s.limit
+			}
+		}
+		if busy := b.perSize[1]*float64(second) >= learnAnswers; busy || float64(b.out) >= max(1, sum) {
+			return float64(b.out) >= max(1, sum) // limits of a busy balancer learn by themselves
 		}
 	}
-	if busy := b.perSize[1]*float64(second) >= learnAnswers; busy || float64(b.out) >= max(1, sum) {
-		return float64(b.out) >= max(1, sum) // limits of a busy balancer learn by themselves
-	}
+	held, room := b.room(now)
 	return held >= max(1, room)
 }
 
--- a/decide/follow.go
+++ b/decide/follow.go
@@ -41,12 +41,9 @@
 
 // chance is about how likely a draw among all arms picks s.
 func (b *Balancer) chance(s *server) float64 {
-	sum, size := 0.0, 0.0
-	for _, a := range b.arms {
-		sum, size = sum+b.armWeight(a, nil), size+a.Size
-	}
+	sum, size := b.weigh(b.arms, nil)
 	if !s.arm || size == 0 {
 		return gamma / float64(len(b.arms)+1)
 	}
-	return (1-gamma)*b.armWeight(s, nil)/sum + gamma*s.Size/size
+	return b.odds(s, nil, sum, size)
 }
--- a/decide/peers.go
+++ b/decide/peers.go
@@ -10,22 +10,23 @@
 const (
 	wordVersion = 1 << 6 // in the two high bits of the first byte; the others are a number that grows with each word
 	seqMask     = 1<<6 - 1
-	seqNewer    = 1 << 5      // newer than the last by less than this, in steps of one
-	wordHead    = 2           // bytes: the one above, and how long connections may be idle, in steps of a tenth
-	idleLeast   = 50_000      // µs, of which the steps count
-	wordEntry   = 3           // bytes: two of the server's hash; the count and four bits that check the entry
-	wordMost    = 64          // bytes of a message
-	keepSharer  = 3           // words to all may fail to come before a sharer is forgotten
-	toldFor     = second      // that a count told holds: its end may be lost
-	unheard     = second / 4  // without a word from anybody, past which words are taken to be lost
-	tellMost    = 24.0        // balancers that a word goes to
-	tellCPU     = 400.0       // µs of CPU a second for each of them
-	tellFleet   = 16_000.0    // of all balancers together: words of a large fleet fill the links
-	tellLeast   = 20 * second // µs between two words to all, up to twice that
-	tellSlot    = 100_000     // µs of that time for each balancer: a word to all costs each of them
-	tellAgain   = 4 * second  // µs, sooner than that where what it draws from has changed
-	tellPair    = 100         // µs of this for each pair of balancers
-	heldMost    = 15          // attempts that an entry can tell of
+	seqNewer    = 1 << 5              // newer than the last by less than this, in steps of one
+	wordHead    = 2                   // bytes: the one above, and how long connections may be idle, in steps of a tenth
+	idleLeast   = 50_000              // µs, of which the steps count
+	idleStep    = 0.09531017980432493 // of their logarithm: a tenth
+	wordEntry   = 3                   // bytes: two of the server's hash; the count and four bits that check the entry
+	wordMost    = 64                  // bytes of a message
+	keepSharer  = 3                   // words to all may fail to come before a sharer is forgotten
+	toldFor     = second              // that a count told holds: its end may be lost
+	unheard     = second / 4          // without a word from anybody, past which words are taken to be lost
+	tellMost    = 24.0                // balancers that a word goes to
+	tellCPU     = 400.0               // µs of CPU a second for each of them
+	tellFleet   = 16_000.0            // of all balancers together: words of a large fleet fill the links
+	tellLeast   = 20 * second         // µs between two words to all, up to twice that
+	tellSlot    = 100_000             // µs of that time for each balancer: a word to all costs each of them
+	tellAgain   = 4 * second          // µs, sooner than that where what it draws from has changed
+	tellPair    = 100                 // µs of this for each pair of balancers
+	heldMost    = 15                  // attempts that an entry can tell of
 )
 
 // sharer is another balancer that draws from a server, as it last told.
@@ -46,7 +47,7 @@
 func (b *Balancer) word(servers ...*server) []byte {
 	b.said++
 	head := wordVersion | b.said&seqMask
-	idle := byte(min(math.Log(max(1, b.idleSafe/idleLeast))/math.Log(1.1), 255))
+	idle := byte(min(math.Log(max(1, b.idleSafe/idleLeast))/idleStep, 255))
 	b.buf = append(b.buf[:0], head, idle)
 	for _, s := range servers[:min(len(servers), (wordMost-wordHead)/wordEntry)] {
 		hi, lo, held := s.tag()[0], s.tag()[1], byte(min(s.inFlight, heldMost))
@@ -83,15 +84,20 @@
 		return false, false
 	}
 	v.seq, v.at = seq, now
-	if idle := idleLeast * math.Pow(1.1, float64(w[1])); w[1] < 255 && idle < b.idleSafe && from+1 != b.idleFrom {
-		b.idleSafe = min(b.idleSafe, max(idle, b.idleTold)) // the higher of what two have told
-		b.idleTold, b.idleFrom = idle, from+1
+	if w[1] < 255 && from+1 != b.idleFrom { // it has evidence, and did not tell the last
+		if idle := idleLeast * math.Exp(idleStep*float64(w[1])); idle < b.idleSafe {
+			b.idleSafe = min(b.idleSafe, max(idle, b.idleTold)) // the higher of what two have told
+			b.idleTold, b.idleFrom = idle, from+1
+		}
 	}
 	if len(w) != wordHead+wordEntry { // all its servers: it has left the others
-		for _, s := range v.servers {
-			s.sharers = slices.DeleteFunc(s.sharers, func(p sharer) bool { return p.from == from && !named(w, s) })
-		}
-		v.servers = slices.DeleteFunc(v.servers, func(s *server) bool { return !named(w, s) })
+		v.servers = slices.DeleteFunc(v.servers, func(s *server) bool {
+			left := !named(w, s)
+			if left {
+				s.sharers = slices.DeleteFunc(s.sharers, func(p sharer) bool { return p.from == from })
+			}
+			return left
+		})
 	}
 	for e := wordHead; e < len(w); e += wordEntry {
 		if s := b.byTag[[2]byte{w[e], w[e+1]}]; s != nil {
--- a/decide/state.go
+++ b/decide/state.go
@@ -61,9 +61,9 @@
 	heardOf   int64     // when any word came
 	said      byte      // messages sent
 	buf       []byte    // scratch of a message
-	idleTold  float64   // the same, as another told last
-	idleFrom  int       // who
 	idleSafe  float64   // µs that connections have been idle and still good
+	idleTold  float64   // the same, as another told last
+	idleFrom  int       // who, from 1 on
 	learnRate float64   // of EXP3
 	cand      []*server // scratch of a draw
 	tally     tally
@@ -317,6 +317,14 @@
 	return s.inFlight > 0 && float64(now-s.heardAt) > patience
 }
 
+// weigh sums the weights and sizes of servers, as the odds of a draw among them need.
+func (b *Balancer) weigh(servers []*server, home *server) (sum, size float64) {
+	for _, s := range servers {
+		sum, size = sum+b.armWeight(s, home), size+s.Size
+	}
+	return sum, size
+}
+
 // effect returns the first attempt that may have run, or nil.
 func (r *request) effect() *attempt {
 	for i := range r.tries {
