--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log"
 	"net"
 	"os"
@@ -15,8 +16,10 @@
 	"time"
 
 	"damsonscale/decide"
+	"damsonscale/internal/admin"
 	"damsonscale/internal/config"
 	"damsonscale/internal/frontend"
+	"damsonscale/internal/lifecycle"
 	"damsonscale/internal/sidecar"
 )
 
@@ -47,19 +50,35 @@
 	limits := conf.Limits
 	debug.SetMemoryLimit(int64(heapPart * float64(limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, min(runtime.NumCPU(), int(limits.Cores+0.5))))
-	clients := int(clientPart * float64(limits.Sockets-ownSockets))
-	servers := limits.Sockets - ownSockets - clients
+	own := ownSockets
+	if conf.Admin != "" {
+		own += 1 + admin.Conns
+	}
+	clients := int(clientPart * float64(limits.Sockets-own))
+	servers := limits.Sockets - own - clients
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	life, failed := &lifecycle.Owner{}, make(chan error, 2)
+	if conf.Admin != "" { // first: operators see it start
+		door, err := net.Listen("tcp", conf.Admin)
+		if err != nil {
+			return fmt.Errorf("admin %s: %w", conf.Admin, err)
+		}
+		go func() { failed <- admin.New(life).Serve(door) }()
+	}
 	ln, err := listen(term, conf.Listen)
 	if err != nil {
 		return err
 	}
 	side := sidecar.New(conf, servers)
 	go side.Run(context.Background())
-	front := frontend.New(side, &conf.Settings, clients)
-	failed := make(chan error, 1)
+	front := frontend.New(side, life, &conf.Settings, clients)
 	go func() { failed <- front.Serve(ln) }()
+	go front.Tend(term)
+	go func() {
+		<-side.Known()
+		life.Serve()
+	}()
 	go reload(hup, conf, side)
 	log.Printf("event=start name=%s listen=%s discovery=%s", conf.Name, conf.Listen, conf.Discovery)
 	select {
@@ -67,6 +86,7 @@
 		return err
 	case <-term.Done():
 	}
+	life.End()
 	log.Printf("event=term name=%s", conf.Name)
 	ctx, cancel := context.WithTimeout(context.Background(), longest(conf.Settings.Classes)+drainMore)
 	defer cancel()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -26,7 +26,7 @@
 	defaultCores    = 1.0
 	defaultMemoryMB = 192
 	defaultSockets  = 1024
-	leastMemoryMB   = 32   // the runtime and the buffers of a few connections
+	leastMemoryMB   = 8    // the runtime and the buffers of a few connections
 	defaultWatchS   = 10.0 // between two lines of the watch
 	leastWatchS     = 0.1
 	mostWatchS      = 3600.0
@@ -38,6 +38,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Admin     string // the operators' address; empty: none
 	Seed      uint64
 	Limits    Limits
 	Known     *discovery.List // the list as last known; nil: none
@@ -59,6 +60,7 @@
 	Name      string          `json:"name"`
 	Listen    string          `json:"listen"`
 	Discovery string          `json:"discovery"`
+	Admin     string          `json:"admin"`
 	Seed      string          `json:"seed"`
 	Limits    Limits          `json:"limits"`
 	Known     *discovery.List `json:"known"`
@@ -72,7 +74,7 @@
 	EveryS   *float64        `json:"every_s"`
 }
 
-// Load reads the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN and PROXY_DISCOVERY go before it.
+// Load reads the file that PROXY_CONFIG names; PROXY_NAME, PROXY_LISTEN, PROXY_DISCOVERY and PROXY_ADMIN go before it.
 func Load(env func(string) string) (*Config, error) {
 	path := env("PROXY_CONFIG")
 	if path == "" {
@@ -95,6 +97,8 @@
 	override(&in.Name, env("PROXY_NAME"))
 	override(&in.Listen, env("PROXY_LISTEN"))
 	override(&in.Discovery, env("PROXY_DISCOVERY"))
+	override(&in.Admin, env("PROXY_ADMIN"))
+	c.Admin = in.Admin
 	c.Name, c.Listen, c.Discovery, c.Limits, c.Known = in.Name, in.Listen, in.Discovery, in.Limits, in.Known
 	if err := c.check(in.Seed); err != nil {
 		return nil, err
@@ -170,7 +174,7 @@
 		key  string
 		same bool
 	}{
-		{"name", next.Name == c.Name}, {"listen", next.Listen == c.Listen}, {"seed", next.Seed == c.Seed},
+		{"name", next.Name == c.Name}, {"listen", next.Listen == c.Listen}, {"admin", next.Admin == c.Admin}, {"seed", next.Seed == c.Seed},
 		{"limits", next.Limits == c.Limits},
 		{"settings", reflect.DeepEqual(next.Settings, c.Settings) && next.Transport == c.Transport},
 		{"watch", reflect.DeepEqual(next.Watch, c.Watch)},
@@ -206,6 +210,12 @@
 	if err := c.checkDiscovery(); err != nil {
 		return err
 	}
+	if _, err := netip.ParseAddrPort(c.Admin); c.Admin != "" && err != nil {
+		return fmt.Errorf("config: admin: expected address:port, got %q", c.Admin)
+	}
+	if c.Admin != "" && c.Admin == c.Listen {
+		return fmt.Errorf("config: admin: expected another address than listen, got %q", c.Admin)
+	}
 	if seed != "" {
 		if c.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 			return fmt.Errorf("config: seed: expected up to 16 hex digits, got %q", seed)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -83,6 +83,8 @@
 		{"listen", "8000", "listen"},
 		{"listen", "localhost:http", "listen"},
 		{"discovery", nil, "discovery"},
+		{"admin", "9901", "admin"},
+		{"admin", "127.0.0.1:8000", "admin"},
 		{"seed", "xyz", "seed"},
 		{"limits.cores", -1, "limits.cores"},
 		{"limits.memory_mb", 1, "limits.memory_mb"},
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,12 +9,12 @@
 	"net"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
+	"damsonscale/internal/lifecycle"
 	"damsonscale/internal/sidecar"
 	"damsonscale/internal/upstream"
 )
@@ -34,6 +34,11 @@
 	drainStep       = 10 * time.Millisecond
 	unusedAfter     = 300 * time.Millisecond // a new connection that has sent nothing for so long counts as idle
 	graceIdle       = 50 * time.Millisecond  // a connection idle for this long has no request on its way
+	idleSoft        = 300 * time.Millisecond // the same, where there is time to wait for its next request
+
+	// The operators' drain: after 4 s nothing may be left that is idle.
+	drainSoft = 1000 * time.Millisecond
+	drainHard = 2500 * time.Millisecond
 )
 
 // Frontend is the sidecar's side towards its client.
@@ -44,7 +49,7 @@
 	tenants  map[string]int
 	server   *fasthttp.Server
 	sockets  int
-	draining atomic.Bool
+	life     *lifecycle.Owner
 	room     chan struct{} // a token for each connection that may still be accepted
 
 	mu         sync.Mutex
@@ -53,9 +58,9 @@
 }
 
 // New makes a frontend that holds at most so many client connections.
-func New(side *sidecar.Sidecar, settings *decide.Settings, sockets int) *Frontend {
+func New(side *sidecar.Sidecar, life *lifecycle.Owner, settings *decide.Settings, sockets int) *Frontend {
 	f := &Frontend{
-		side: side, settings: settings, classes: map[string]int{}, tenants: map[string]int{},
+		side: side, life: life, settings: settings, classes: map[string]int{}, tenants: map[string]int{},
 		sockets: int(softPart * float64(sockets)), conns: map[*clientConn]bool{}, room: make(chan struct{}, sockets),
 	}
 	for i, c := range settings.Classes {
@@ -220,10 +225,56 @@
 	return len(f.conns), time.Since(f.lastAccept)
 }
 
+// Tend empties connections while the operators want the sidecar drained, until ctx ends. New connections are taken
+// all the while: it takes the clients' front a moment to see the no.
+func (f *Frontend) Tend(ctx context.Context) {
+	for {
+		stage, changed := f.life.Watch()
+		if stage == lifecycle.Drained {
+			f.empty(ctx, changed)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+	}
+}
+
+// empty closes what is idle until the stage changes.
+func (f *Frontend) empty(ctx context.Context, changed <-chan struct{}) {
+	tick := time.NewTicker(drainStep)
+	defer tick.Stop()
+	for began := time.Now(); ; {
+		used, unused := spared(time.Since(began))
+		f.closeIdle(used, false)
+		f.closeIdle(unused, true)
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// spared is how long a connection may have been idle, one that has carried a request and any other, so long after a
+// drain began. One in use ends with its next answer, which no request can cross. Guards against requests that cross
+// the closing of a connection which was only between two of them.
+func spared(since time.Duration) (used, unused time.Duration) {
+	switch {
+	case since < drainSoft:
+		return drainSoft, drainSoft
+	case since < drainHard:
+		return idleSoft, drainSoft
+	}
+	return graceIdle, unusedAfter
+}
+
 // Drain answers all that is taken, takes what still comes for a while, and returns when nothing is left or
 // ctx ends. fasthttp's Shutdown would close the listener at once, while clients still come.
 func (f *Frontend) Drain(ctx context.Context, ln net.Listener) {
-	f.draining.Store(true)
 	f.closeIdle(graceIdle, false)
 	began, listening := time.Now(), true
 	for ctx.Err() == nil {
@@ -277,13 +328,19 @@
 		}
 		answer(ctx, a)
 	}
-	if f.draining.Load() {
+	if f.emptying() {
 		ctx.SetConnectionClose()
 	}
 }
 
+// emptying tells whether each connection is to carry no further request.
+func (f *Frontend) emptying() bool {
+	stage := f.life.Stage()
+	return stage == lifecycle.Drained || stage == lifecycle.Ending
+}
+
 func (f *Frontend) ready(ctx *fasthttp.RequestCtx) {
-	if f.side.Ready() && !f.draining.Load() {
+	if f.side.Ready() && !f.emptying() {
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log"
+	"sync"
 	"time"
 
 	"damsonscale/decide"
@@ -33,6 +34,8 @@
 	start    time.Time
 	calls    map[string]*Call
 	peers    map[string]*peer
+	known    chan struct{} // closed once any server is known
+	first    sync.Once     // closes it
 }
 
 // peer is a server's actor with what the module has out there.
@@ -46,12 +49,14 @@
 	s := &Sidecar{
 		conf: conf, box: make(chan func(int64), mailbox), start: time.Now(),
 		calls: map[string]*Call{}, peers: map[string]*peer{},
+		known: make(chan struct{}),
 	}
 	s.list = discovery.New(conf.Discovery, conf.Known, s)
 	s.shared = upstream.Shared{
 		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address,
 		DialTimeout: conf.Transport.DialTimeout, ConnIdle: conf.Transport.ConnIdle, Short: s.short,
 	}
+	s.tellKnown()
 	s.balancer = decide.New(conf.Settings, conf.Seed, actions{s})
 	if conf.Watch != nil {
 		s.watch = watch.New()
@@ -62,6 +67,15 @@
 // Ready tells whether any server is known.
 func (s *Sidecar) Ready() bool { return s.list.Roster.Known() }
 
+// Known is closed once any server has been known.
+func (s *Sidecar) Known() <-chan struct{} { return s.known }
+
+func (s *Sidecar) tellKnown() {
+	if s.Ready() {
+		s.first.Do(func() { close(s.known) })
+	}
+}
+
 // Run serves the mailbox until ctx ends.
 func (s *Sidecar) Run(ctx context.Context) {
 	go s.list.Run(ctx)
@@ -161,6 +175,7 @@
 
 // Listed takes the list from its actor.
 func (s *Sidecar) Listed(l *discovery.List) {
+	s.tellKnown()
 	s.box <- func(now int64) {
 		list := servers(l)
 		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Listed(now, list, l.Whole) }})
