--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -3,14 +3,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"strings"
 	"syscall"
 	"time"
@@ -28,8 +26,6 @@
 	ownSockets = 12  // the runtime's, the log, the listener, the watch
 	clientPart = 0.5 // of the other sockets: each request out holds one on either side
 
-	bindFor   = 10 * time.Second // the one before may still hold the address
-	bindEvery = 20 * time.Millisecond
 	drainMore = 600 * time.Millisecond // past the longest deadline, after SIGTERM
 )
 
@@ -48,7 +44,6 @@
 		return err
 	}
 	limits := conf.Limits
-	debug.SetMemoryLimit(int64(heapPart * float64(limits.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(max(1, min(runtime.NumCPU(), int(limits.Cores+0.5))))
 	own := ownSockets
 	if conf.Admin != "" {
@@ -66,19 +61,20 @@
 		}
 		go func() { failed <- admin.New(life).Serve(door) }()
 	}
-	ln, err := listen(term, conf.Listen)
-	if err != nil {
-		return err
-	}
+	up := takeOver(term, conf)
 	side := sidecar.New(conf, servers)
-	go side.Run(context.Background())
 	front := frontend.New(side, life, &conf.Settings, clients)
-	go func() { failed <- front.Serve(ln) }()
+	up.side, up.front, up.life, up.failed = side, front, life, failed
+	up.share = &share{
+		front: front, side: side, clients: clients, servers: servers,
+		memory: heapPart * float64(limits.MemoryMB) * (1 << 20),
+	}
+	up.share.set()
+	go side.Run(context.Background())
+	if err := up.begin(term); err != nil {
+		return err
+	}
 	go front.Tend(term)
-	go func() {
-		<-side.Known()
-		life.Serve()
-	}()
 	go reload(hup, conf, side)
 	log.Printf("event=start name=%s listen=%s discovery=%s", conf.Name, conf.Listen, conf.Discovery)
 	select {
@@ -90,7 +86,7 @@
 	log.Printf("event=term name=%s", conf.Name)
 	ctx, cancel := context.WithTimeout(context.Background(), longest(conf.Settings.Classes)+drainMore)
 	defer cancel()
-	front.Drain(ctx, ln)
+	up.drain(ctx)
 	return nil
 }
 
@@ -108,17 +104,6 @@
 	}
 }
 
-// listen waits for the address where another still holds it. Guards against a restart that ends in a crash
-// because the one before it is still answering.
-func listen(ctx context.Context, addr string) (net.Listener, error) {
-	for end := time.Now().Add(bindFor); ; time.Sleep(bindEvery) {
-		ln, err := net.Listen("tcp", addr)
-		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) || ctx.Err() != nil {
-			return ln, err
-		}
-	}
-}
-
 // longest is the longest deadline of a class.
 func longest(classes []decide.Class) time.Duration {
 	most := int64(0)
--- a/cmd/damsonscale/ops_test.go
+++ b/cmd/damsonscale/ops_test.go
@@ -5,7 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -131,3 +135,171 @@
 		t.Fatalf("%v %s", err, p.log.String())
 	}
 }
+
+// beside starts the program a second time beside p: the same addresses, another door, the same folder.
+func (p *program) beside(t *testing.T) *program {
+	t.Helper()
+	conf := map[string]any{}
+	for k, v := range p.conf {
+		conf[k] = v
+	}
+	next := start(t, "", nil, func(c map[string]any) {
+		clear(c)
+		for k, v := range conf {
+			c[k] = v
+		}
+		withAdmin(t)(c)
+	})
+	next.addr = p.addr
+	return next
+}
+
+// serves waits until the program's door says that it can serve.
+func (p *program) serves(t *testing.T) {
+	t.Helper()
+	eventually(t, "yes at the door", func() bool {
+		resp, err := http.Get("http://" + p.conf["admin"].(string) + "/healthcheck")
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		return resp.StatusCode == 200
+	})
+}
+
+// In an upgrade no request meets a closed door: clients that open a connection for each request, and clients that keep
+// theirs, are served all the while, and the old process ends. Twice in a row.
+func TestUpgradeLosesNothing(t *testing.T) {
+	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }, withAdmin(t))
+	p.serves(t)
+	stop, failed := make(chan bool), make(chan string, 64)
+	var clients sync.WaitGroup
+	for range 4 {
+		clients.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				resp, err := client.Do(request(t, p.addr, "GET", "/look", ""))
+				if err != nil {
+					failed <- err.Error()
+					return
+				}
+				io.Copy(io.Discard, resp.Body)
+				resp.Body.Close()
+				if resp.StatusCode != 200 {
+					failed <- resp.Status
+					return
+				}
+			}
+		})
+	}
+	kept := p.dial(t)
+	if s, last := kept.look(t); s != 200 || last {
+		t.Fatal(s, last)
+	}
+	old := p
+	for range 2 {
+		next := old.beside(t)
+		next.serves(t)
+		old.cmd.Process.Signal(syscall.SIGTERM)
+		eventually(t, "the end of the old one's accepting", func() bool { return strings.Contains(old.log.String(), "event=term") })
+		if s, last := kept.look(t); s != 200 || !last {
+			t.Fatalf("a kept connection: %d, last %t", s, last)
+		}
+		if err := <-old.done; err != nil {
+			t.Fatal(err, old.log.String())
+		}
+		kept = next.dial(t)
+		if s, last := kept.look(t); s != 200 || last {
+			t.Fatal(s, last)
+		}
+		old = next
+	}
+	close(stop)
+	clients.Wait()
+	close(failed)
+	for f := range failed {
+		t.Error(f)
+	}
+}
+
+// One that starts beside and dies before it serves, or starts again, changes nothing for the one that is there.
+func TestUpgradeThatDies(t *testing.T) {
+	p, d := oneWith(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }, withAdmin(t))
+	p.serves(t)
+	p.conf["known"] = nil // the new one must ask before it can serve
+	for range 2 {
+		next := p.beside(t)
+		p.expect(t, "event=handover stage=starts")
+		next.expect(t, "event=start")
+		next.cmd.Process.Kill()
+		<-next.done
+		if s, _ := p.look(t); s != 200 {
+			t.Fatal(s)
+		}
+	}
+	next := p.beside(t)
+	next.expect(t, "event=start")
+	p.cmd.Process.Kill() // the old one dies in the middle: the new one takes what comes
+	<-p.done
+	eventually(t, "an answer", func() bool { return p.status("/health/ready") == 503 })
+	addr := serveHTTP(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "new") })
+	d.tell(t, list{Seq: 50, Whole: true, Hosts: []host{hostAt("s2", addr, "Ready")}})
+	next.serves(t)
+	if s, body := next.look(t); s != 200 || body != "new" {
+		t.Fatal(s, body)
+	}
+}
+
+// A file where the processes meet that is no hand-over's changes nothing: the address is shared, and the log says so.
+func TestUpgradeWithoutHandover(t *testing.T) {
+	dir := t.TempDir()
+	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }, func(c map[string]any) {
+		withAdmin(t)(c)
+		c["environment"] = "TMPDIR=" + dir
+	})
+	p.serves(t)
+	left, err := filepath.Glob(filepath.Join(dir, "damsonscale-*.sock"))
+	if err != nil || len(left) != 1 {
+		t.Fatal(left, err)
+	}
+	if err := os.Remove(left[0]); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(left[0], []byte("stale"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p.conf["environment"] = "TMPDIR=" + dir
+	next := p.beside(t)
+	next.serves(t)
+	next.expect(t, "beside=true")
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if err := <-p.done; err != nil {
+		t.Fatal(err)
+	}
+	if s, _ := next.look(t); s != 200 {
+		t.Fatal(s)
+	}
+}
+
+// A drain goes on in the process that follows, and is ended there.
+func TestUpgradeOfADrainedOne(t *testing.T) {
+	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }, withAdmin(t))
+	p.serves(t)
+	p.operator(t, "POST", "/healthcheck/fail")
+	next := p.beside(t)
+	next.serves(t)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	if err := <-p.done; err != nil {
+		t.Fatal(err)
+	}
+	if s := next.status("/health/ready"); s != 503 {
+		t.Fatal(s)
+	}
+	next.operator(t, "POST", "/healthcheck/ok")
+	next.ready(t)
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -48,12 +49,13 @@
 	classes  map[string]int
 	tenants  map[string]int
 	server   *fasthttp.Server
-	sockets  int
+	sockets  atomic.Int64 // connections past which a new one takes an idle one's place
 	life     *lifecycle.Owner
 	room     chan struct{} // a token for each connection that may still be accepted
 
 	mu         sync.Mutex
 	conns      map[*clientConn]bool
+	withheld   int // tokens of room that nobody may have
 	lastAccept time.Time
 }
 
@@ -61,8 +63,9 @@
 func New(side *sidecar.Sidecar, life *lifecycle.Owner, settings *decide.Settings, sockets int) *Frontend {
 	f := &Frontend{
 		side: side, life: life, settings: settings, classes: map[string]int{}, tenants: map[string]int{},
-		sockets: int(softPart * float64(sockets)), conns: map[*clientConn]bool{}, room: make(chan struct{}, sockets),
+		conns: map[*clientConn]bool{}, room: make(chan struct{}, sockets),
 	}
+	f.Hold(sockets)
 	for i, c := range settings.Classes {
 		f.classes[c.Name] = i
 	}
@@ -86,6 +89,24 @@
 	return f
 }
 
+// Hold keeps to so many connections from now on, at most as many as New was told. Of those open, as many as can be
+// spared close when new ones come.
+func (f *Frontend) Hold(sockets int) {
+	f.sockets.Store(int64(softPart * float64(sockets)))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for ; f.withheld > cap(f.room)-sockets; f.withheld-- {
+		<-f.room
+	}
+	for ; f.withheld < cap(f.room)-sockets; f.withheld++ {
+		select {
+		case f.room <- struct{}{}:
+		default: // all are in use
+			return
+		}
+	}
+}
+
 // quiet drops what fasthttp would log a line a connection for.
 type quiet struct{}
 
@@ -137,7 +158,7 @@
 	f.mu.Lock()
 	f.conns[c] = true
 	f.lastAccept = now
-	over := len(f.conns) > f.sockets
+	over := int64(len(f.conns)) > f.sockets.Load()
 	f.mu.Unlock()
 	if over {
 		f.closeIdlest()
@@ -272,13 +293,16 @@
 	return graceIdle, unusedAfter
 }
 
-// Drain answers all that is taken, takes what still comes for a while, and returns when nothing is left or
-// ctx ends. fasthttp's Shutdown would close the listener at once, while clients still come.
-func (f *Frontend) Drain(ctx context.Context, ln net.Listener) {
-	f.closeIdle(graceIdle, false)
-	began, listening := time.Now(), true
+// Drain answers all that is taken and returns when nothing is left or ctx ends. It takes what still comes for a while,
+// unless it is followed by another process that does; ln is nil where it has not served yet. fasthttp's Shutdown would
+// close the listener at once, while clients still come.
+func (f *Frontend) Drain(ctx context.Context, ln net.Listener, followed bool) {
+	began, listening := time.Now(), ln != nil
+	if listening && followed {
+		ln.Close()
+		listening = false
+	}
 	for ctx.Err() == nil {
-		time.Sleep(drainStep)
 		conns, quiet := f.open()
 		switch {
 		case listening && stopsAccepting(time.Since(began), quiet):
@@ -289,9 +313,14 @@
 		case conns == 0:
 			log.Printf("event=drained after_ms=%d", time.Since(began).Milliseconds())
 			return
+		case followed: // clients have another to come to
+			used, unused := spared(time.Since(began))
+			f.closeIdle(used, false)
+			f.closeIdle(unused, true)
 		default:
 			f.closeIdle(graceIdle, true)
 		}
+		time.Sleep(drainStep)
 	}
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -67,6 +67,9 @@
 // Ready tells whether any server is known.
 func (s *Sidecar) Ready() bool { return s.list.Roster.Known() }
 
+// Hold keeps to so many connections to servers from now on.
+func (s *Sidecar) Hold(sockets int) { s.shared.Budget.Hold(sockets) }
+
 // Known is closed once any server has been known.
 func (s *Sidecar) Known() <-chan struct{} { return s.known }
 
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -19,15 +19,22 @@
 
 // Budget counts the sockets that all peers may hold.
 type Budget struct {
-	limit int64
+	limit atomic.Int64
 	used  atomic.Int64
 }
 
 // NewBudget makes a budget of that many sockets.
-func NewBudget(limit int) *Budget { return &Budget{limit: int64(limit)} }
+func NewBudget(limit int) *Budget {
+	b := &Budget{}
+	b.Hold(limit)
+	return b
+}
+
+// Hold keeps to so many sockets from now on; of those open none is closed for it.
+func (b *Budget) Hold(limit int) { b.limit.Store(int64(limit)) }
 
 func (b *Budget) take() bool {
-	if b.used.Add(1) > b.limit {
+	if b.used.Add(1) > b.limit.Load() {
 		b.used.Add(-1)
 		return false
 	}
