--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -75,7 +76,9 @@
 		return err
 	}
 	go front.Tend(term)
-	go reload(hup, conf, side)
+	var most atomic.Int64 // the longest deadline of any settings so far
+	most.Store(longest(conf.Settings.Classes))
+	go reload(hup, conf, side, front, &most)
 	log.Printf("event=start name=%s listen=%s discovery=%s", conf.Name, conf.Listen, conf.Discovery)
 	select {
 	case err := <-failed:
@@ -84,31 +87,37 @@
 	}
 	life.End()
 	log.Printf("event=term name=%s", conf.Name)
-	ctx, cancel := context.WithTimeout(context.Background(), longest(conf.Settings.Classes)+drainMore)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(most.Load())*time.Microsecond+drainMore)
 	defer cancel()
 	up.drain(ctx)
 	return nil
 }
 
 // reload reads the configuration again at each SIGHUP, also while draining. A faulty file changes nothing.
-func reload(hup <-chan os.Signal, conf *config.Config, side *sidecar.Sidecar) {
-	for range hup {
+func reload(hup <-chan os.Signal, conf *config.Config, side *sidecar.Sidecar, front *frontend.Frontend, most *atomic.Int64) {
+	for version := 2; ; {
+		<-hup
 		next, restart, err := conf.Reload(os.Getenv)
 		if err != nil {
 			log.Printf("event=reload_failed err=%q", err)
 			continue
 		}
-		log.Printf("event=reload discovery=%s was=%s needs_restart=%q", next.Discovery, conf.Discovery, strings.Join(restart, ","))
+		retuned := next.Retuned(conf)
+		if retuned {
+			most.Store(max(most.Load(), longest(next.Settings.Classes)))
+			side.Retune(next, front.Retune)
+		}
 		side.Discover(next.Discovery)
-		conf = next
+		log.Printf("event=reload version=%d retuned=%t discovery=%s was=%s needs_restart=%q", version, retuned,
+			next.Discovery, conf.Discovery, strings.Join(restart, ","))
+		conf, version = next, version+1
 	}
 }
 
-// longest is the longest deadline of a class.
-func longest(classes []decide.Class) time.Duration {
-	most := int64(0)
+// longest is the longest deadline of a class, in µs.
+func longest(classes []decide.Class) (most int64) {
 	for _, c := range classes {
 		most = max(most, c.Deadline)
 	}
-	return time.Duration(most) * time.Microsecond
+	return most
 }
--- a/cmd/damsonscale/ops_test.go
+++ b/cmd/damsonscale/ops_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -9,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -303,3 +305,60 @@
 	next.operator(t, "POST", "/healthcheck/ok")
 	next.ready(t)
 }
+
+// A reload takes other classes: a new one is served, a dropped one is not, and a request that is open keeps its rules.
+// A broken file then changes nothing.
+func TestRetuneByReload(t *testing.T) {
+	var tries atomic.Int64
+	came, finish := make(chan bool, 8), make(chan bool)
+	p, d := one(t, func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasPrefix(r.URL.Path, "/look") {
+			io.WriteString(w, "yes")
+			return
+		}
+		if tries.Add(1) == 1 {
+			came <- true
+			<-finish
+			w.WriteHeader(500) // safe under the settings it came with: it is tried again
+			return
+		}
+		io.WriteString(w, "again")
+	})
+	<-d.watches
+	answer := make(chan string, 1)
+	go func() {
+		resp, err := http.DefaultClient.Do(request(t, p.addr, "GET", "/look", ""))
+		if err != nil {
+			answer <- err.Error()
+			return
+		}
+		defer resp.Body.Close()
+		b, _ := io.ReadAll(resp.Body)
+		answer <- resp.Status + " " + string(b)
+	}()
+	<-came
+	turn := strings.NewReplacer(`"look","Semantics":"idempotent"`, `"look","Semantics":"at_most_once"`, `"make"`, `"put"`)
+	p.conf["settings"] = json.RawMessage(turn.Replace(settings))
+	p.reload(t, d.addr)
+	p.expect(t, "event=reload version=2 retuned=true")
+	finish <- true
+	if a := <-answer; a != "200 OK again" {
+		t.Fatalf("the open request: %q", a)
+	}
+	check := func() {
+		t.Helper()
+		for _, c := range []struct {
+			method, path string
+			want         int
+		}{{"POST", "/put", 200}, {"POST", "/make", 404}, {"GET", "/look", 405}, {"POST", "/look", 200}} {
+			if s, body := do(t, request(t, p.addr, c.method, c.path, "x")); s != c.want {
+				t.Errorf("%s %s: %d %s", c.method, c.path, s, body)
+			}
+		}
+	}
+	check()
+	p.conf["settings"] = json.RawMessage(strings.Replace(settings, `"MaxAttempts":4`, `"MaxAttempts":0`, 1))
+	p.reload(t, "127.0.0.1:1")
+	p.expect(t, "event=reload_failed err=\"config: settings.Limits.MaxAttempts")
+	check()
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -70,7 +70,7 @@
 // Goal tells how the service is judged: weights of its parts, and the share of late answers that the tail bears.
 type Goal struct{ Whole, WorstWindow, WorstClass, WorstTenant, Tail, BorneMisses float64 }
 
-// Settings is what a balancer knows at its start.
+// Settings is what a balancer knows at its start, or from a Retune on.
 type Settings struct {
 	Classes        []Class
 	Tenants        []Tenant
@@ -92,10 +92,13 @@
 	if len(s.Classes) == 0 {
 		return fmt.Errorf("settings: no classes")
 	}
+	met := map[string]bool{}
 	for _, c := range s.Classes {
 		switch {
 		case c.Name == "":
 			return fmt.Errorf("settings: a class without a name")
+		case met[c.Name]:
+			return fmt.Errorf("settings: class %s: there twice", c.Name)
 		case c.Aim < 0 || c.Deadline < 0:
 			return fmt.Errorf("settings: class %s: negative aim or deadline", c.Name)
 		case c.Window < 0:
@@ -103,6 +106,7 @@
 		case !(c.Worth >= 0) || !(c.LateShare >= 0) || !(c.AimStretch >= 0):
 			return fmt.Errorf("settings: class %s: negative worth, late share or aim stretch", c.Name)
 		}
+		met[c.Name] = true
 	}
 	for _, t := range s.Tenants {
 		if !(t.Allowance >= 0) {
@@ -225,6 +229,7 @@
 //	Probed(now, probe)            a probe ended
 //	Told(now, from, word)         another balancer's message
 //	Timer(now, token)             a timer of the Balancer's came due
+//	Retune(now, settings)         other settings hold from now on; classes are the same by name
 
 // Actions is what a Balancer can do. Its methods must not call back into the Balancer.
 type Actions interface {
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -78,32 +78,18 @@
 
 // New makes a balancer that has seen nothing yet.
 func New(set Settings, seed uint64, act Actions) *Balancer {
-	if set.Limits.MaxAttempts == 0 {
-		set.Limits.MaxAttempts = triesMost
-	}
 	b := &Balancer{
-		set: set, act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
-		known: map[string]*server{}, open: map[string]*request{}, tenants: make([]float64, len(set.Tenants)),
+		act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
+		known: map[string]*server{}, open: map[string]*request{},
 		learnRate: gamma, density: limitStart / float64(max(1, set.Balancers)),
 		idleSafe: 1e16, idleTold: 1e16,
 		byTag: map[[2]byte]*server{},
 	}
+	b.adopt(set)
 	if b.talks() { // a start anew draws from the same servers, as the others know
 		b.salt = mix(uint64(set.Me) + 1)
 		b.density = limitStart / 2
 	}
-	for _, c := range set.Classes {
-		if c.Deadline == 0 {
-			c.Deadline = 60 * second // a class that sets none: longer than a call between services takes
-		}
-		if c.Aim == 0 {
-			c.Aim = c.Deadline
-		}
-		aim := float64(c.Aim)
-		b.classes = append(b.classes, classState{
-			Class: c, mark: aim / 2, calm: aim / 2, base: aim / 2, half: aim / 4, value: c.Worth,
-		})
-	}
 	return b
 }
 
@@ -120,8 +106,9 @@
 
 // Request takes a request; it is sent, waits, or is refused at once.
 func (b *Balancer) Request(now int64, in Request) {
-	class := &b.classes[in.Class]
-	r := &request{Request: in, class: class, taken: now, value: class.value, home: b.replica(in.Key)}
+	class := b.classes[in.Class]
+	r := &request{Request: in, class: class, rules: class.Class, most: b.set.Limits.MaxAttempts, taken: now,
+		value: class.value, home: b.replica(in.Key)}
 	r.aim = int64(min(float64(class.Aim)+class.AimStretch*float64(max(0, in.Work)), float64(class.Deadline)))
 	if r.Left < 0 {
 		r.Left = class.Deadline
@@ -186,7 +173,7 @@
 // mayTry tells whether a further attempt is allowed at all, whatever the server.
 func (b *Balancer) mayTry(now int64, r *request) bool {
 	return !r.ended && !r.started && now < r.deadline && r.out == 0 &&
-		len(r.tries) < b.set.Limits.MaxAttempts
+		len(r.tries) < r.most
 }
 
 // roomMayCome tells whether r lacks only room: some arm could take it without harm.
@@ -261,7 +248,7 @@
 func (b *Balancer) timeout(now int64, r *request) int64 {
 	left := r.deadline - now
 	t := max(int64(timeoutMark*r.class.mark), minTimeout)
-	last := len(r.tries) >= b.set.Limits.MaxAttempts || r.class.Stream || r.class.Semantics == AtMostOnce
+	last := len(r.tries) >= r.most || r.rules.Stream || r.rules.Semantics == AtMostOnce
 	if last || t >= left || now-r.taken+t+int64(r.class.half) > r.aim {
 		return left
 	}
@@ -368,13 +355,13 @@
 // mayRepeat is rule 2 for a send: it tells whether s cannot cause the effect a second time.
 func (r *request) mayRepeat(now int64, s *server) bool {
 	first := r.effect()
-	if first == nil || r.class.Semantics == Idempotent {
+	if first == nil || r.rules.Semantics == Idempotent {
 		return true
 	}
-	if r.class.Semantics == AtMostOnce || now-first.sentAt >= r.class.Window {
+	if r.rules.Semantics == AtMostOnce || now-first.sentAt >= r.rules.Window {
 		return false
 	}
-	switch r.class.Group {
+	switch r.rules.Group {
 	case ScopeZone:
 		return s.Zone == first.zone
 	case ScopeCell:
@@ -386,8 +373,8 @@
 // mayRefuse is rule 2 for a refusal: it tells whether a new try of the client is harmless.
 func (r *request) mayRefuse(now int64) bool {
 	first := r.effect()
-	return first == nil || r.class.Semantics == Idempotent ||
-		r.class.Semantics == Deduplicated && r.class.Group == ScopeAll && now-first.sentAt < r.class.Window
+	return first == nil || r.rules.Semantics == Idempotent ||
+		r.rules.Semantics == Deduplicated && r.rules.Group == ScopeAll && now-first.sentAt < r.rules.Window
 }
 
 // ---- EXP3
@@ -571,7 +558,7 @@
 	if o.Result != Served {
 		return 0
 	}
-	return min(1, payoffShare*r.class.base*float64(r.aim)/float64(r.class.Aim*max(1, o.Latency)))
+	return min(1, payoffShare*r.class.base*float64(r.aim)/float64(r.rules.Aim*max(1, o.Latency)))
 }
 
 // ---- Limits of what is out
--- a/decide/decide_test.go
+++ b/decide/decide_test.go
@@ -14,6 +14,12 @@
 	}
 }
 
+// plain is a request of the first class that has done nothing yet.
+func plain(b *Balancer) *request {
+	c := b.classes[0]
+	return &request{class: c, rules: c.Class, most: b.set.Limits.MaxAttempts}
+}
+
 // The design's formula by hand: weights 1, 2, 1 give (1-0.07)*2/4 + 0.07/3 = 0.488333.
 func TestProbabilityOfADraw(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(3)...)
@@ -21,7 +27,7 @@
 	want := []float64{0.255833, 0.488333, 0.255833}
 	seen := map[string]float64{}
 	for range 200 {
-		w.b.candidates(w.now, &request{class: &w.b.classes[0]}, nil)
+		w.b.candidates(w.now, plain(w.b), nil)
 		s, p := w.b.pick(4, 3, nil)
 		seen[s.ID] = p
 	}
@@ -37,7 +43,7 @@
 	list := fleet(3)
 	list[0].Size = 4
 	w := newWorld(t, set, list...)
-	w.b.candidates(w.now, &request{class: &w.b.classes[0]}, nil)
+	w.b.candidates(w.now, plain(w.b), nil)
 	for range 200 {
 		if s, p := w.b.pick(3, 3, nil); s.ID == "s0" {
 			near(t, "p of the big server", p, 4.0/6, 1e-9)
@@ -82,8 +88,8 @@
 // A request whose aim is stretched to twice the class's may take twice as long.
 func TestPayoff(t *testing.T) {
 	class := &classState{Class: Class{Aim: 400_000}, base: 100_000}
-	c := &request{aim: 400_000, class: class}
-	long := &request{aim: 800_000, class: class}
+	c := &request{aim: 400_000, class: class, rules: class.Class}
+	long := &request{aim: 800_000, class: class, rules: class.Class}
 	near(t, "payoff of a long one", long.payoff(Outcome{Result: Served, Latency: 240_000}), 0.5, 1e-12)
 	for _, v := range []struct {
 		result  Result
@@ -193,7 +199,7 @@
 	for _, s := range w.b.servers {
 		sum += s.weight
 	}
-	r := &request{class: &w.b.classes[0]}
+	r := plain(w.b)
 	for range n {
 		s, _ := w.b.draw(w.now, r)
 		hits[s.ID]++
@@ -238,7 +244,7 @@
 	}
 	away := 0
 	for range 100 {
-		if s, _ := w.b.draw(w.now, &request{class: &w.b.classes[0]}); s.ID == "s1" {
+		if s, _ := w.b.draw(w.now, plain(w.b)); s.ID == "s1" {
 			away++
 		}
 	}
@@ -473,7 +479,7 @@
 		}
 		list[2].Zone = "home"
 		w := newWorld(t, set, list...)
-		r := &request{class: &w.b.classes[0]}
+		r := plain(w.b)
 		met := false
 		for range 200 {
 			if s, p := w.b.draw(w.now, r); s.Zone == "home" {
@@ -507,7 +513,7 @@
 // a third of the requests was refused. In a jam answers are late as well: there a time-out still cuts.
 func TestALoneTimeOutCutsNoLimit(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(1)...)
-	s, c := w.b.servers[0], &w.b.classes[0]
+	s, c := w.b.servers[0], w.b.classes[0]
 	end := func(result Result, latency int64) float64 {
 		before := s.limit
 		w.now += second
@@ -542,8 +548,9 @@
 // The failure: time-outs at a multiple of the latency mark fed a jam, as late work goes on at the servers.
 func TestNoEarlyTimeoutOnceARetryWouldMissTheAim(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(2)...)
-	c := &w.b.classes[0]
-	r := &request{class: c, aim: c.Aim, taken: w.now, deadline: w.now + 2*second}
+	c := w.b.classes[0]
+	r := plain(w.b)
+	r.aim, r.taken, r.deadline = c.Aim, w.now, w.now+2*second
 	c.mark, c.half = 100_000, 50_000
 	if got := w.b.timeout(w.now, r); got != 200_000 {
 		t.Errorf("time-out %d, want 200000: a retry still fits", got)
@@ -735,7 +742,7 @@
 		set.Limits.RetryAfter, set.Limits.MaxRetryAfter = told, 50_000
 		w := newWorld(t, set)
 		w.b.classes[0].half = 80_000
-		got, want := w.b.retryAfter(&request{class: &w.b.classes[0]}), int64(0)
+		got, want := w.b.retryAfter(plain(w.b)), int64(0)
 		if told {
 			want = 50_000
 		}
@@ -761,7 +768,7 @@
 	jammed := w.b.servers[0]
 	jammed.limit = 0.1
 	for range 400 {
-		if s, p := w.b.draw(w.now, &request{class: &w.b.classes[0]}); s == jammed {
+		if s, p := w.b.draw(w.now, plain(w.b)); s == jammed {
 			near(t, "p of the jammed server", p, 0.93*0.1/1.1+0.07/2, 1e-9)
 			return
 		}
@@ -819,7 +826,8 @@
 	set := testSettings()
 	set.WarmKeys = true
 	w := newWorld(t, set, fleet(10)...)
-	r := &request{class: &w.b.classes[0], home: hash("key") | 1}
+	r := plain(w.b)
+	r.home = hash("key") | 1
 	home := w.b.home(r)
 	for range 100 {
 		if s, p := w.b.draw(w.now, r); s == home {
--- /dev/null
+++ b/decide/retune_test.go
@@ -0,0 +1,156 @@
+package decide
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+// retuned are test settings with other classes.
+func retuned(classes ...Class) Settings {
+	set := testSettings()
+	set.Classes = classes
+	return set
+}
+
+func (w *world) retune(set Settings) {
+	w.set = set
+	w.b.Retune(w.now, set)
+}
+
+// What was learned of servers and of classes that stay is kept, wherever the class now stands; a new one starts as new.
+// Guards against a balancer that learns anew at each reload.
+func TestRetuneKeepsWhatWasLearned(t *testing.T) {
+	set := testSettings()
+	w := newWorld(t, set, fleet(4)...)
+	w.traffic(200, func(f *flight) (Result, bool) { return Served, w.now-f.sent >= 20_000 })
+	weights, limits := map[string]float64{}, map[string]float64{}
+	for id, s := range w.b.known {
+		weights[id], limits[id] = s.log, s.limit
+	}
+	first := *w.b.classes[0]
+	fresh := Class{Name: "fresh", Worth: 1, Aim: 100_000, Deadline: second}
+	slower := set.Classes[0]
+	slower.Deadline *= 2
+	w.retune(retuned(fresh, slower))
+	for id, s := range w.b.known {
+		if s.log != weights[id] || s.limit != limits[id] || len(s.health) != 2 {
+			t.Errorf("%s: log %v was %v, limit %v was %v, %d classes", id, s.log, weights[id], s.limit, limits[id], len(s.health))
+		}
+	}
+	if c := w.b.classes[1]; c.mark != first.mark || c.half != first.half || c.Deadline != slower.Deadline {
+		t.Errorf("the class that stays: %+v was %+v", *c, first)
+	}
+	if c := w.b.classes[0]; c.Name != "fresh" || c.mark != 50_000 {
+		t.Errorf("the new class: %+v", *c)
+	}
+}
+
+// Open requests keep the rules and the attempts they were taken with, new ones get the new: a safe class becomes unsafe,
+// attempts get fewer.
+func TestOpenRequestsKeepTheirRules(t *testing.T) {
+	set := testSettings()
+	set.Limits.MaxAttempts = 3
+	w := newWorld(t, set, fleet(4)...)
+	name := set.Classes[0].Name
+	old := w.request("old", 0, 2*second)
+	next := retuned(Class{Name: name, Worth: 1, Aim: second, Deadline: 2 * second, Semantics: AtMostOnce})
+	next.Limits.MaxAttempts = 1
+	w.b.Retune(w.now, next) // the checker of the world goes by the old settings: the open request does
+	for len(old.tries) < 3 {
+		n := len(old.tries)
+		w.settle(old.tries[n-1], Errored)
+		if len(old.tries) == n {
+			t.Fatalf("an open request got %d attempts, want 3", n)
+		}
+	}
+	w.settle(old.tries[2], Errored)
+	if old.answered != "refuse" {
+		t.Fatalf("a safe request was %q", old.answered)
+	}
+	w.set = next
+	fresh := w.request("new", 0, 2*second)
+	w.settle(fresh.tries[0], Errored)
+	if len(fresh.tries) != 1 || fresh.answered != "fail" {
+		t.Fatalf("a request of now: %d attempts, %q", len(fresh.tries), fresh.answered)
+	}
+}
+
+// A class that is dropped is forgotten when its last request ends, not before; its failures until then are its own.
+func TestDroppedClassIsForgotten(t *testing.T) {
+	set := testSettings()
+	a, z := Class{Name: "a", Worth: 1, Aim: second, Deadline: 2 * second}, Class{Name: "z", Worth: 1, Aim: second, Deadline: 2 * second}
+	set.Classes = []Class{a, z}
+	w := newWorld(t, set, fleet(4)...)
+	open := w.request("open", 0, 2*second)
+	w.retune(retuned(z))
+	w.advance(second)
+	if len(w.b.classes) != 2 || w.b.open["open"].Class != 1 {
+		t.Fatalf("%d classes while a request is open, its class %d", len(w.b.classes), w.b.open["open"].Class)
+	}
+	w.settle(open.tries[0], Served)
+	w.advance(second)
+	if len(w.b.classes) != 1 {
+		t.Fatalf("%d classes", len(w.b.classes))
+	}
+	for id, s := range w.b.known {
+		if len(s.health) != 1 || s.health[0].out != 0 {
+			t.Errorf("%s: health %+v", id, s.health)
+		}
+	}
+	w.traffic(50, func(f *flight) (Result, bool) { return Served, true })
+}
+
+// A server that is out of the draw for every class is not tried anew for a class that is new.
+func TestSuspendedServerStaysSoForANewClass(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(4)...)
+	w.traffic(200, func(f *flight) (Result, bool) {
+		if f.server.ID == "s0" {
+			return ConnectFailed, true
+		}
+		return Served, true
+	})
+	if !w.b.known["s0"].suspended {
+		t.Fatal("the dead server is in the draw")
+	}
+	set := testSettings()
+	w.retune(retuned(append(set.Classes, Class{Name: "fresh", Worth: 1, Aim: second, Deadline: 2 * second})...))
+	s := w.b.known["s0"]
+	if h := s.health[len(s.health)-1]; !h.suspended || !s.suspended {
+		t.Fatalf("%+v", h)
+	}
+}
+
+// Tenants go by name.
+func TestRetunedTenants(t *testing.T) {
+	set := testSettings()
+	set.Tenants = []Tenant{{"a", 1}, {"b", 1}}
+	w := newWorld(t, set, fleet(2)...)
+	w.b.tenants[1] = 7
+	set.Tenants = []Tenant{{"c", 1}, {"b", 1}, {"a", 1}}
+	w.retune(set)
+	if want := []float64{0, 7, 0}; !reflect.DeepEqual(w.b.tenants, want) {
+		t.Fatal(w.b.tenants)
+	}
+}
+
+// The same settings again change no decision, and fifty turns leave nothing behind.
+func TestRetuneToTheSameChangesNothing(t *testing.T) {
+	play := func(retune bool) []string {
+		w := newWorld(t, testSettings(), fleet(5)...)
+		for i := range 50 {
+			w.traffic(4, func(f *flight) (Result, bool) { return Served, w.now-f.sent >= 15_000 })
+			if retune {
+				w.retune(testSettings())
+				if n := len(w.b.classes); n != len(testSettings().Classes) {
+					t.Fatalf("turn %d: %d classes", i, n)
+				}
+			}
+		}
+		return w.acts
+	}
+	a, b := play(false), play(true)
+	if fmt.Sprint(a) != fmt.Sprint(b) {
+		t.Fatal("decisions differ")
+	}
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -38,7 +38,7 @@
 	taken   int       // requests this second
 	rate    float64   // requests a second of late
 	known   map[string]*server
-	classes []classState
+	classes []*classState // of the settings in force, then those that only open requests still have
 	open    map[string]*request
 	queue   []*request   // waiting for room, worthiest first
 	out     int          // own attempts out now
@@ -129,6 +129,8 @@
 type request struct {
 	Request
 	class    *classState
+	rules    Class // as they were when it was taken
+	most     int   // attempts that it may have
 	taken    int64
 	deadline int64
 	aim      int64   // the class's, stretched by the work hinted
@@ -155,6 +157,102 @@
 	neverRan bool
 }
 
+// adopt takes settings over; classes and tenants known by name keep what was learned of them.
+func (b *Balancer) adopt(set Settings) {
+	if set.Limits.MaxAttempts == 0 {
+		set.Limits.MaxAttempts = triesMost
+	}
+	classes, tenants := make([]*classState, len(set.Classes)), make([]float64, len(set.Tenants))
+	for i, c := range set.Classes {
+		classes[i] = newClass(c)
+		for _, k := range b.classes {
+			if k.Name == c.Name {
+				if k.Deadline != classes[i].Deadline {
+					k.firstLeft = 0
+				}
+				k.Class, classes[i] = classes[i].Class, k
+			}
+		}
+	}
+	for i, t := range set.Tenants {
+		if at := slices.IndexFunc(b.set.Tenants, func(o Tenant) bool { return o.Name == t.Name }); at >= 0 {
+			tenants[i] = b.tenants[at]
+		}
+	}
+	b.set, b.classes, b.tenants = set, classes, tenants
+}
+
+// newClass starts the memory of a class.
+func newClass(c Class) *classState {
+	if c.Deadline == 0 {
+		c.Deadline = 60 * second // a class that sets none: longer than a call between services takes
+	}
+	if c.Aim == 0 {
+		c.Aim = c.Deadline
+	}
+	aim := float64(c.Aim)
+	return &classState{Class: c, mark: aim / 2, calm: aim / 2, base: aim / 2, half: aim / 4, value: c.Worth}
+}
+
+// Retune takes other settings in force from now on. Open requests keep the rules they were taken under, and their place
+// among the classes as long as they are open, also where their class is none any more. Guards against a request that
+// changes its effect between two attempts, and against a balancer that learns anew.
+func (b *Balancer) Retune(now int64, set Settings) {
+	old := b.classes
+	b.adopt(set)
+	servers := map[*server]bool{}
+	for _, s := range b.known {
+		servers[s] = true
+	}
+	used := map[*classState]bool{}
+	for _, r := range b.open {
+		used[r.class] = true
+		for i := range r.tries {
+			servers[r.tries[i].server] = true // it may be forgotten by now
+		}
+	}
+	for _, c := range old {
+		if used[c] && !slices.Contains(b.classes, c) {
+			b.classes = append(b.classes, c)
+		}
+	}
+	for _, r := range b.open {
+		r.Class = slices.Index(b.classes, r.class)
+	}
+	for s := range servers {
+		was := s.health
+		s.health = make([]health, len(b.classes))
+		for i, c := range b.classes {
+			if at := slices.Index(old, c); at >= 0 {
+				s.health[i] = was[at]
+			} else if s.suspended { // one that serves no class is not tried anew for another
+				s.health[i] = was[0]
+				s.health[i].out = 0
+			}
+		}
+	}
+	b.valueClasses()
+	b.takeArms(now)
+}
+
+// forgetClasses drops classes that no request has any more.
+func (b *Balancer) forgetClasses() {
+	n := len(b.set.Classes)
+	if len(b.classes) == n {
+		return
+	}
+	for _, r := range b.open {
+		if r.Class >= n {
+			return
+		}
+	}
+	b.classes = b.classes[:n:n]
+	for _, s := range b.known {
+		s.health = s.health[:n:n]
+		s.suspended = !slices.ContainsFunc(s.health, func(h health) bool { return !h.suspended })
+	}
+}
+
 // meet returns what is known of a listed server; a new one starts at the mean log-weight, not yet silent.
 func (b *Balancer) meet(now int64, in Server) *server {
 	s, met := b.known[in.ID]
@@ -311,8 +409,8 @@
 // silent tells whether attempts at s have gone without an answer for longer than answers take.
 func (b *Balancer) silent(now int64, s *server) bool {
 	patience := 0.0
-	for i := range b.classes {
-		patience = max(patience, b.classes[i].mark)
+	for _, c := range b.classes {
+		patience = max(patience, c.mark)
 	}
 	return s.inFlight > 0 && float64(now-s.heardAt) > patience
 }
@@ -346,8 +444,8 @@
 
 // forgetService lets old counts of requests fade, and the uncrowded mark rise.
 func (b *Balancer) forgetService() {
-	for i := range b.classes {
-		c := &b.classes[i]
+	b.forgetClasses()
+	for _, c := range b.classes {
 		c.taken, c.served, c.base = c.taken*keepService, c.served*keepService, c.base*baseRise
 	}
 	for i := range b.heat {
@@ -401,16 +499,14 @@
 // valueClasses sets what an answer of each class adds to the goal, for the time it takes. Where the goal
 // weighs the worst served class, that class earns its part besides its worth; else it would get nothing.
 func (b *Balancer) valueClasses() {
-	worth, taken, worst := 1e-9, 1e-9, &b.classes[0]
-	for i := range b.classes {
-		c := &b.classes[i]
+	worth, taken, worst := 1e-9, 1e-9, b.classes[0]
+	for _, c := range b.classes[:len(b.set.Classes)] {
 		worth, taken = worth+c.Worth*c.taken, taken+c.taken
 		if c.served*worst.taken < worst.served*c.taken {
 			worst = c
 		}
 	}
-	for i := range b.classes {
-		c := &b.classes[i]
+	for _, c := range b.classes[:len(b.set.Classes)] {
 		c.value = (b.set.Goal.Whole + b.set.Goal.WorstWindow) * c.Worth * taken / worth
 		if c == worst {
 			c.value += b.set.Goal.WorstClass * taken / max(c.taken, 1)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -47,6 +47,7 @@
 	Watch     *Watch // nil: off
 
 	listedAt string // discovery as the file itself has it
+	text     []byte // the file
 }
 
 // Watch is a second set of settings that is judged beside the first, without effect.
@@ -93,7 +94,7 @@
 	if err := json.Unmarshal(text, &in); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c := &Config{listedAt: in.Discovery}
+	c := &Config{listedAt: in.Discovery, text: text}
 	override(&in.Name, env("PROXY_NAME"))
 	override(&in.Listen, env("PROXY_LISTEN"))
 	override(&in.Discovery, env("PROXY_DISCOVERY"))
@@ -157,12 +158,21 @@
 	return &Watch{Settings: set, Every: time.Duration(every * float64(time.Second))}, nil
 }
 
-// Reload reads the file again and names the keys that changed and count from the next start on. A discovery that
-// the file did not name before goes before PROXY_DISCOVERY: that variable is as old as the program's start.
+// Reload reads the file again, checks it whole, and names the keys that changed and count from the next start on. A
+// discovery that the file did not name before goes before PROXY_DISCOVERY: that variable is as old as the program's
+// start. Guards against a file that is half written: a key of the file in force that it lacks is an error.
 func (c *Config) Reload(env func(string) string) (next *Config, restart []string, err error) {
 	if next, err = Load(env); err != nil {
 		return nil, nil, err
 	}
+	if key, err := lacks(c.text, next.text); err != nil {
+		return nil, nil, fmt.Errorf("config: %w", err)
+	} else if key != "" {
+		return nil, nil, fmt.Errorf("config: %s is missing, the file in force has it", key)
+	}
+	if err := next.bounded(); err != nil {
+		return nil, nil, err
+	}
 	next.Discovery = c.Discovery
 	if next.listedAt != c.listedAt {
 		override(&next.Discovery, next.listedAt)
@@ -174,10 +184,9 @@
 		key  string
 		same bool
 	}{
-		{"name", next.Name == c.Name}, {"listen", next.Listen == c.Listen}, {"admin", next.Admin == c.Admin}, {"seed", next.Seed == c.Seed},
-		{"limits", next.Limits == c.Limits},
-		{"settings", reflect.DeepEqual(next.Settings, c.Settings) && next.Transport == c.Transport},
-		{"watch", reflect.DeepEqual(next.Watch, c.Watch)},
+		{"name", next.Name == c.Name}, {"listen", next.Listen == c.Listen}, {"admin", next.Admin == c.Admin},
+		{"seed", next.Seed == c.Seed}, {"limits", next.Limits == c.Limits},
+		{"watch", (next.Watch == nil) == (c.Watch == nil) && (c.Watch == nil || next.Watch.Every == c.Watch.Every)},
 	} {
 		if !k.same {
 			restart = append(restart, k.key)
@@ -186,6 +195,25 @@
 	return next, restart, nil
 }
 
+// Retuned tells whether settings differ from those of another configuration.
+func (c *Config) Retuned(other *Config) bool {
+	return !reflect.DeepEqual(c.Settings, other.Settings) || c.Transport != other.Transport ||
+		!reflect.DeepEqual(c.Watch, other.Watch)
+}
+
+// bounded refuses what a start would put a default for: in a file that replaces another it is a mistake.
+func (c *Config) bounded() error {
+	for _, k := range c.Settings.Classes {
+		if k.Deadline <= 0 {
+			return fmt.Errorf("config: settings: class %s: DeadlineUs: expected over 0, got %d", k.Name, k.Deadline)
+		}
+	}
+	if n := c.Settings.Limits.MaxAttempts; n <= 0 {
+		return fmt.Errorf("config: settings.Limits.MaxAttempts: expected over 0, got %d", n)
+	}
+	return nil
+}
+
 func (c *Config) checkDiscovery() error {
 	if _, err := netip.ParseAddrPort(c.Discovery); err != nil {
 		return fmt.Errorf("config: discovery: expected address:port, got %q", c.Discovery)
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -44,14 +44,12 @@
 
 // Frontend is the sidecar's side towards its client.
 type Frontend struct {
-	side     *sidecar.Sidecar
-	settings *decide.Settings
-	classes  map[string]int
-	tenants  map[string]int
-	server   *fasthttp.Server
-	sockets  atomic.Int64 // connections past which a new one takes an idle one's place
-	life     *lifecycle.Owner
-	room     chan struct{} // a token for each connection that may still be accepted
+	side    *sidecar.Sidecar
+	now     atomic.Pointer[snapshot]
+	server  *fasthttp.Server
+	sockets atomic.Int64 // connections past which a new one takes an idle one's place
+	life    *lifecycle.Owner
+	room    chan struct{} // a token for each connection that may still be accepted
 
 	mu         sync.Mutex
 	conns      map[*clientConn]bool
@@ -59,19 +57,32 @@
 	lastAccept time.Time
 }
 
+// snapshot is a set of settings with the places of its names. It is never changed.
+type snapshot struct {
+	settings *decide.Settings
+	classes  map[string]int
+	tenants  map[string]int
+}
+
+// Retune takes settings in force for requests that are read from now on. They must not be changed any more.
+func (f *Frontend) Retune(settings *decide.Settings) {
+	s := &snapshot{settings: settings, classes: map[string]int{}, tenants: map[string]int{}}
+	for i, c := range settings.Classes {
+		s.classes[c.Name] = i
+	}
+	for i, t := range settings.Tenants {
+		s.tenants[t.Name] = i
+	}
+	f.now.Store(s)
+}
+
 // New makes a frontend that holds at most so many client connections.
 func New(side *sidecar.Sidecar, life *lifecycle.Owner, settings *decide.Settings, sockets int) *Frontend {
 	f := &Frontend{
-		side: side, life: life, settings: settings, classes: map[string]int{}, tenants: map[string]int{},
-		conns: map[*clientConn]bool{}, room: make(chan struct{}, sockets),
+		side: side, life: life, conns: map[*clientConn]bool{}, room: make(chan struct{}, sockets),
 	}
 	f.Hold(sockets)
-	for i, c := range settings.Classes {
-		f.classes[c.Name] = i
-	}
-	for i, t := range settings.Tenants {
-		f.tenants[t.Name] = i
-	}
+	f.Retune(settings)
 	f.server = &fasthttp.Server{
 		Handler:                      f.handle,
 		ErrorHandler:                 badInput,
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -35,13 +35,14 @@
 	if wrong := framing(h); wrong != nil {
 		return nil, wrong
 	}
+	now := f.now.Load()
 	uri := h.RequestURI()
 	path, query, _ := bytes.Cut(uri, []byte{'?'})
-	class, ok := f.class(path)
+	class, ok := now.class(path)
 	if !ok {
 		return nil, bad(fasthttp.StatusNotFound, "unknown class")
 	}
-	if wrong := f.method(h, class); wrong != nil {
+	if wrong := now.method(h, class); wrong != nil {
 		return nil, wrong
 	}
 	id := h.Peek("Req-Id")
@@ -55,12 +56,12 @@
 	r := decide.Request{
 		ID: string(id), Class: class, Tenant: -1, Key: key(query), IsRetry: string(h.Peek("Req-Retry")) == "1",
 	}
-	if t, ok := f.tenants[string(h.Peek("Req-Owner"))]; ok {
+	if t, ok := now.tenants[string(h.Peek("Req-Owner"))]; ok {
 		r.Tenant = t
 	}
 	body := ctx.Request.Body()
 	m := upstream.Message{Head: head(h, uri, body), Body: body}
-	return sidecar.NewCall(r, m, at, time.Duration(left)*time.Millisecond), nil
+	return sidecar.NewCall(now.settings, r, m, at, time.Duration(left)*time.Millisecond), nil
 }
 
 // framing refuses what servers could read otherwise than fasthttp does: folded lines and two lengths. Guards
@@ -85,15 +86,15 @@
 }
 
 // class is the first part of the path.
-func (f *Frontend) class(path []byte) (int, bool) {
+func (s *snapshot) class(path []byte) (int, bool) {
 	name, _, _ := strings.Cut(strings.TrimPrefix(string(path), "/"), "/")
-	i, ok := f.classes[name]
+	i, ok := s.classes[name]
 	return i, ok
 }
 
 // method checks that the request comes as its class does.
-func (f *Frontend) method(h *fasthttp.RequestHeader, class int) *fault {
-	switch f.settings.Classes[class].Semantics {
+func (s *snapshot) method(h *fasthttp.RequestHeader, class int) *fault {
+	switch s.settings.Classes[class].Semantics {
 	case decide.Idempotent:
 		if !h.IsGet() {
 			return bad(fasthttp.StatusMethodNotAllowed, "expected GET")
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -26,7 +26,7 @@
 	a := &upstream.Attempt{
 		Host: server, Message: &c.Message, Gate: &c.gate, Sent: now, Deadline: c.until(now, timeout),
 	}
-	if k := s.conf.Settings.Classes[c.Request.Class]; k.Semantics == decide.Deduplicated && !c.effectAt.IsZero() {
+	if k := c.class; k.Semantics == decide.Deduplicated && !c.effectAt.IsZero() {
 		a.WriteBy = c.effectAt.Add(time.Duration(k.Window) * time.Microsecond) // rule 2 at the moment of writing
 	}
 	a.Done = func(a *upstream.Attempt, r upstream.Report) {
@@ -74,7 +74,7 @@
 // Probe asks a server for its state or load.
 func (x actions) Probe(server string) {
 	s := x.s
-	s.offer(upstream.Probe(server, s.conf.Transport.ProbeLoad, probeTimeout, func(a *upstream.Attempt, r upstream.Report) {
+	s.offer(upstream.Probe(server, s.transport.ProbeLoad, probeTimeout, func(a *upstream.Attempt, r upstream.Report) {
 		s.box <- func(now int64) {
 			s.peers[server].out--
 			s.balancer.Probed(now, decide.Probe{
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -31,8 +31,10 @@
 	Request decide.Request // Left is set when the module takes it
 	Message upstream.Message
 
-	giveUp   time.Time // when the module's time for it ends
-	last     time.Time // when it is answered, whatever the module does
+	settings *decide.Settings // that it was admitted under
+	class    *decide.Class    // as it was then
+	giveUp   time.Time        // when the module's time for it ends
+	last     time.Time        // when it is answered, whatever the module does
 	gate     upstream.Gate
 	answer   chan Answer // holds the one answer of the module
 	attempts []*upstream.Attempt
@@ -48,10 +50,10 @@
 	answerBefore, answerPart = 12 * time.Millisecond, 14
 )
 
-// NewCall makes a call of a request that had come by a time and is to be answered within left.
-func NewCall(r decide.Request, m upstream.Message, came time.Time, left time.Duration) *Call {
+// NewCall makes a call of a request that had come by a time, under settings, and is to be answered within left.
+func NewCall(set *decide.Settings, r decide.Request, m upstream.Message, came time.Time, left time.Duration) *Call {
 	return &Call{
-		Request: r, Message: m, answer: make(chan Answer, 1),
+		Request: r, Message: m, settings: set, class: &set.Classes[r.Class], answer: make(chan Answer, 1),
 		giveUp: came.Add(left - min(giveUpBefore, left/giveUpPart)),
 		last:   came.Add(left - min(answerBefore, left/answerPart)),
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,18 +25,20 @@
 // Clients, peers, the list and timers post events and wait for room. The actor itself never waits: what it
 // hands to a peer or to the list is offered, and an attempt that finds a peer's mailbox full ends as unwritten.
 type Sidecar struct {
-	conf     *config.Config
-	balancer *decide.Balancer
-	watch    *watch.Watch // nil: off
-	acts     []watch.Act  // of the event at hand, while watched
-	list     *discovery.Client
-	shared   upstream.Shared
-	box      chan func(now int64)
-	start    time.Time
-	calls    map[string]*Call
-	peers    map[string]*peer
-	known    chan struct{} // closed once any server is known
-	first    sync.Once     // closes it
+	conf      *config.Config   // of the start
+	settings  *decide.Settings // in force
+	transport config.Transport
+	balancer  *decide.Balancer
+	watch     *watch.Watch // nil: off
+	acts      []watch.Act  // of the event at hand, while watched
+	list      *discovery.Client
+	shared    upstream.Shared
+	box       chan func(now int64)
+	start     time.Time
+	calls     map[string]*Call
+	peers     map[string]*peer
+	known     chan struct{} // closed once any server is known
+	first     sync.Once     // closes it
 }
 
 // peer is a server's actor with what the module has out there.
@@ -47,15 +50,15 @@
 // New makes the actor; sockets is how many connections to servers it may hold.
 func New(conf *config.Config, sockets int) *Sidecar {
 	s := &Sidecar{
-		conf: conf, box: make(chan func(int64), mailbox), start: time.Now(),
+		conf: conf, settings: &conf.Settings, transport: conf.Transport, box: make(chan func(int64), mailbox), start: time.Now(),
 		calls: map[string]*Call{}, peers: map[string]*peer{},
 		known: make(chan struct{}),
 	}
 	s.list = discovery.New(conf.Discovery, conf.Known, s)
 	s.shared = upstream.Shared{
-		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address,
-		DialTimeout: conf.Transport.DialTimeout, ConnIdle: conf.Transport.ConnIdle, Short: s.short,
+		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address, Short: s.short,
 	}
+	s.shared.Retune(conf.Transport.DialTimeout, conf.Transport.ConnIdle)
 	s.tellKnown()
 	s.balancer = decide.New(conf.Settings, conf.Seed, actions{s})
 	if conf.Watch != nil {
@@ -151,12 +154,56 @@
 		c.finish(Answer{Verdict: Duplicate})
 		return
 	}
+	if !s.admitted(c) {
+		c.finish(Answer{Verdict: Refused}) // it has gone nowhere: a new try is harmless
+		return
+	}
 	s.calls[c.Request.ID] = c
 	c.Request.Left = max(0, s.at(c.giveUp)-now)
 	request := c.Request
 	s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Request(now, request) }})
 }
 
+// admitted finds the places of a call that was read just before the settings changed; false: its class means another
+// thing now, or nothing.
+func (s *Sidecar) admitted(c *Call) bool {
+	if c.settings == s.settings {
+		return true
+	}
+	class, tenant := -1, -1
+	for i := range s.settings.Classes {
+		if k := &s.settings.Classes[i]; k.Name == c.class.Name && k.Semantics == c.class.Semantics {
+			class, c.class = i, k
+		}
+	}
+	if at := c.Request.Tenant; at >= 0 {
+		name := c.settings.Tenants[at].Name
+		tenant = slices.IndexFunc(s.settings.Tenants, func(t decide.Tenant) bool { return t.Name == name })
+	}
+	c.settings, c.Request.Class, c.Request.Tenant = s.settings, class, tenant
+	return class >= 0
+}
+
+// Retune takes the settings of a configuration in force, for the module and, by tell, for those who read requests. It
+// returns once that is done.
+func (s *Sidecar) Retune(conf *config.Config, tell func(*decide.Settings)) {
+	done := make(chan struct{})
+	s.box <- func(now int64) {
+		defer close(done)
+		s.settings, s.transport = &conf.Settings, conf.Transport
+		s.shared.Retune(conf.Transport.DialTimeout, conf.Transport.ConnIdle)
+		set := conf.Settings
+		e := watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Retune(now, set) }}
+		if conf.Watch != nil {
+			second := conf.Watch.Settings
+			e.Second = func(b *decide.Balancer) { b.Retune(now, second) }
+		}
+		s.tell(e)
+		tell(s.settings)
+	}
+	<-done
+}
+
 func (s *Sidecar) left(now int64, c *Call) {
 	if c.answered || s.calls[c.Request.ID] != c {
 		return
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -22,15 +24,19 @@
 		Discovery: "127.0.0.1:1",
 		Known:     &discovery.List{Seq: 1, Hosts: []discovery.Entry{{Host: "s1", Dial: addr, Health: discovery.Ready}}},
 		Transport: config.Transport{ConnIdle: time.Minute, DialTimeout: time.Second},
-		Settings: decide.Settings{
-			Classes: []decide.Class{
-				{Name: "look", Worth: 1}, {Name: "make", Worth: 1, Semantics: decide.Deduplicated, Window: 1_000_000},
-			},
-			Limits: decide.Limits{Cancel: true},
-		},
+		Settings:  testSettings(),
 	}, 8)
 }
 
+func testSettings() decide.Settings {
+	return decide.Settings{
+		Classes: []decide.Class{
+			{Name: "look", Worth: 1}, {Name: "make", Worth: 1, Semantics: decide.Deduplicated, Window: 1_000_000},
+		},
+		Limits: decide.Limits{Cancel: true},
+	}
+}
+
 func run(t *testing.T, s *Sidecar) {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -39,7 +45,8 @@
 
 func call(id string, class int, left time.Duration) *Call {
 	m := upstream.Message{Head: []byte("GET /look HTTP/1.1\r\nHost: h\r\nReq-Id: " + id + "\r\n")}
-	return NewCall(decide.Request{ID: id, Class: class, Tenant: -1}, m, time.Now(), left)
+	set := testSettings()
+	return NewCall(&set, decide.Request{ID: id, Class: class, Tenant: -1}, m, time.Now(), left)
 }
 
 // ask runs f on the actor.
@@ -210,3 +217,45 @@
 		}
 	}
 }
+
+// A call that was read just before the settings changed finds its class by name; where that is gone or has another
+// effect it is refused, as it has gone nowhere. Guards against one that is served under the rules of another class.
+func TestReadBeforeARetune(t *testing.T) {
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }))
+	run(t, s)
+	next := &config.Config{Settings: testSettings(), Transport: s.conf.Transport}
+	next.Settings.Classes = []decide.Class{
+		{Name: "make", Worth: 1, Semantics: decide.AtMostOnce}, {Name: "new", Worth: 1}, {Name: "look", Worth: 1},
+	}
+	var told *decide.Settings
+	s.Retune(next, func(set *decide.Settings) { told = set })
+	if told != &next.Settings {
+		t.Fatal("those who read requests were not told")
+	}
+	look, dropped := call("a", 0, time.Minute), call("b", 1, time.Minute)
+	if a, _ := s.Do(look, nil); a.Verdict != Served || look.Request.Class != 2 {
+		t.Fatalf("%+v as class %d", a, look.Request.Class)
+	}
+	if a, _ := s.Do(dropped, nil); a.Verdict != Refused {
+		t.Fatalf("%+v", a)
+	}
+}
+
+// Fifty retunes leave no goroutine and no class behind.
+func TestManyRetunes(t *testing.T) {
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }))
+	run(t, s)
+	if a, _ := s.Do(call("a", 0, time.Minute), nil); a.Verdict != Served {
+		t.Fatalf("%+v", a)
+	}
+	before := runtime.NumGoroutine()
+	for i := range 50 {
+		next := &config.Config{Settings: testSettings(), Transport: s.conf.Transport}
+		next.Settings.Classes[1].Name = fmt.Sprint("make", i)
+		s.Retune(next, func(*decide.Settings) {})
+	}
+	eventually(t, func() bool { return runtime.NumGoroutine() <= before })
+	if a, _ := s.Do(call("a", 0, time.Minute), nil); a.Verdict != Served {
+		t.Fatalf("%+v", a)
+	}
+}
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -65,11 +65,18 @@
 
 // Shared is what all peers have in common.
 type Shared struct {
-	Budget      *Budget
-	Find        func(host string) (dial string, ready bool) // as listed at this moment
-	DialTimeout time.Duration
-	ConnIdle    time.Duration // the servers' idle limit
-	Short       func()        // asks all peers to shed; it may block
+	Budget *Budget
+	Find   func(host string) (dial string, ready bool) // as listed at this moment
+	Short  func()                                      // asks all peers to shed; it may block
+
+	dialTimeout atomic.Int64
+	connIdle    atomic.Int64 // the servers' idle limit
+}
+
+// Retune sets how long a dial may take, and how long servers keep idle connections.
+func (s *Shared) Retune(dialTimeout, connIdle time.Duration) {
+	s.dialTimeout.Store(int64(dialTimeout))
+	s.connIdle.Store(int64(connIdle))
 }
 
 // Peer is a server's actor: it owns the idle connections and starts attempts on them.
@@ -184,7 +191,7 @@
 }
 
 func (p *Peer) young(c *conn) bool {
-	return time.Since(c.idleSince) < time.Duration(idlePart*float64(p.shared.ConnIdle))
+	return time.Since(c.idleSince) < time.Duration(idlePart*float64(p.shared.connIdle.Load()))
 }
 
 // sweep closes idle connections that are old, closed by the server, or to one that wants nothing new.
@@ -241,7 +248,7 @@
 // dial opens a connection for an attempt.
 func (p *Peer) dial(a *Attempt) (*conn, End) {
 	addr, ready := p.shared.Find(p.Host)
-	ctx, cancel := context.WithTimeout(a.ctx, p.shared.DialTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, time.Duration(p.shared.dialTimeout.Load()))
 	defer cancel()
 	if !ready || !p.shared.Budget.await(ctx, p.shared.Short) {
 		return nil, Unwritten
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -69,7 +69,8 @@
 
 func peerOf(t *testing.T, find func(string) (string, bool)) (*Peer, *Shared) {
 	t.Helper()
-	sh := &Shared{Budget: NewBudget(8), Find: find, DialTimeout: time.Second, ConnIdle: time.Hour, Short: func() {}}
+	sh := &Shared{Budget: NewBudget(8), Find: find, Short: func() {}}
+	sh.Retune(time.Second, time.Hour)
 	p := NewPeer("s1", sh)
 	t.Cleanup(p.Stop)
 	return p, sh
@@ -264,7 +265,7 @@
 	}{
 		"the server says close":  {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 3\r\n\r\nyes", nil},
 		"bytes after the answer": {yes + "HTTP/1.1 200 OK\r\n", nil},
-		"idle for too long":      {yes, func(s *Shared) { s.ConnIdle = 1 }},
+		"idle for too long":      {yes, func(s *Shared) { s.Retune(time.Second, 1) }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := listen(t, always(c.answer, false))
@@ -321,7 +322,8 @@
 // A peer short of a socket waits for one as long as for a connection; idle ones of others are closed for it.
 func TestWaitsForASocket(t *testing.T) {
 	s := listen(t, always(yes, false))
-	sh := &Shared{Budget: NewBudget(1), Find: at(s.Addr().String()), DialTimeout: time.Minute, ConnIdle: time.Hour}
+	sh := &Shared{Budget: NewBudget(1), Find: at(s.Addr().String())}
+	sh.Retune(time.Minute, time.Hour)
 	other, p := NewPeer("s2", sh), NewPeer("s1", sh)
 	defer other.Stop()
 	defer p.Stop()
--- a/internal/watch/watch.go
+++ b/internal/watch/watch.go
@@ -57,8 +57,9 @@
 type Event struct {
 	Now     int64
 	Apply   func(*decide.Balancer)
-	Settles string // the request of which an attempt ended
-	Ends    string // the request that this ended
+	Second  func(*decide.Balancer) // for the second balancer, where that is told otherwise; nil: Apply
+	Settles string                 // the request of which an attempt ended
+	Ends    string                 // the request that this ended
 	Acts    []Act
 }
 
@@ -119,7 +120,11 @@
 	for _, a := range e.Acts {
 		known[a.Request] = a.Request != "" && j.balancer.Open(a.Request)
 	}
-	e.Apply(j.balancer)
+	if e.Second != nil {
+		e.Second(j.balancer)
+	} else {
+		e.Apply(j.balancer)
+	}
 	if e.Settles != "" {
 		if j.out[e.Settles]--; j.out[e.Settles] <= 0 {
 			delete(j.out, e.Settles)
