--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -24,6 +24,7 @@
 
 const (
 	heapPart   = 0.6 // of the memory limit: the rest is for stacks, the runtime and the program itself
+	bodyPart   = 0.2 // of the heap, for bodies that are held
 	ownSockets = 12  // the runtime's, the log, the listener, the watch
 	clientPart = 0.5 // of the other sockets: each request out holds one on either side
 
@@ -64,11 +65,12 @@
 	}
 	up := takeOver(term, conf)
 	side := sidecar.New(conf, servers)
-	front := frontend.New(side, life, &conf.Settings, clients)
+	heap := heapPart * float64(limits.MemoryMB) * (1 << 20)
+	front := frontend.New(side, life, &conf.Settings, clients, int64(bodyPart*heap))
 	up.side, up.front, up.life, up.failed = side, front, life, failed
 	up.share = &share{
 		front: front, side: side, clients: clients, servers: servers,
-		memory: heapPart * float64(limits.MemoryMB) * (1 << 20),
+		memory: heap,
 	}
 	up.share.set()
 	go side.Run(context.Background())
--- /dev/null
+++ b/cmd/damsonscale/stream_test.go
@@ -0,0 +1,274 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// script is a server that answers each connection's first request by hand.
+func script(t *testing.T, serve func(r *http.Request, c net.Conn)) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				c.SetDeadline(time.Now().Add(patience))
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					serve(r, c)
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// scripted starts a sidecar with one known server that answers by hand.
+func scripted(t *testing.T, serve func(r *http.Request, c net.Conn), change func(map[string]any)) *program {
+	t.Helper()
+	d := startDiscovery(t)
+	addr := script(t, serve)
+	p := start(t, d.addr, &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", addr, "Ready")}}, change)
+	p.ready(t)
+	return p
+}
+
+// pattern is n bytes of which each part differs from the others.
+func pattern(n int) []byte {
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = byte(i>>8) ^ byte(i*7)
+	}
+	return b
+}
+
+// Bodies and answers of far more than the memory granted pass through whole, many at once.
+func TestBulkPassesThrough(t *testing.T) {
+	body := pattern(8 << 20)
+	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) {
+		got, err := io.ReadAll(r.Body)
+		if err != nil || !bytes.Equal(got, body) {
+			w.WriteHeader(500)
+			return
+		}
+		w.Write(got)
+	}, func(c map[string]any) { c["limits"].(map[string]any)["memory_mb"] = 24 })
+	failed := make(chan error, 8)
+	for i := range cap(failed) {
+		go func() {
+			r := request(t, p.addr, "POST", "/make", "")
+			r.Body = io.NopCloser(bytes.NewReader(body))
+			if r.ContentLength = int64(len(body)); i%2 == 0 {
+				r.ContentLength = -1 // in chunks
+			}
+			resp, err := http.DefaultClient.Do(r)
+			if err == nil {
+				defer resp.Body.Close()
+				var got []byte
+				if got, err = io.ReadAll(resp.Body); err == nil && (resp.StatusCode != 200 || !bytes.Equal(got, body)) {
+					err = fmt.Errorf("answered %d with %d bytes", resp.StatusCode, len(got))
+				}
+			}
+			failed <- err
+		}()
+	}
+	for range cap(failed) {
+		if err := <-failed; err != nil {
+			t.Error(err)
+		}
+	}
+	status, err := io.ReadAll(openProc(t, p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var peak int
+	for line := range strings.SplitSeq(string(status), "\n") {
+		fmt.Sscanf(line, "VmHWM: %d kB", &peak)
+	}
+	if peak > 128<<10 { // eight bodies and as many answers are 128 MB; the race detector takes its part besides
+		t.Errorf("%d kB of memory", peak)
+	}
+}
+
+// A client is answered as the server goes on: the first bytes of a long answer come while the server still waits.
+func TestAnswerBeginsWithItsFirstBytes(t *testing.T) {
+	for name, head := range map[string]string{
+		"long": "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n", "chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n11170\r\n",
+		"to its end": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0": "HTTP/1.0 200 OK\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			first, goOn := pattern(70000)[:5], make(chan bool)
+			p := scripted(t, func(r *http.Request, c net.Conn) {
+				io.WriteString(c, head)
+				c.Write(first)
+				<-goOn
+				c.Write(pattern(70000)[5:])
+				if name == "chunked" {
+					io.WriteString(c, "\r\n0\r\nTrailer: x\r\n\r\n")
+				}
+			}, nil)
+			resp, err := http.DefaultClient.Do(request(t, p.addr, "GET", "/look", ""))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer resp.Body.Close()
+			got := make([]byte, 5)
+			if _, err := io.ReadFull(resp.Body, got); err != nil || !bytes.Equal(got, first) {
+				t.Fatalf("%q %v", got, err)
+			}
+			close(goOn)
+			rest, err := io.ReadAll(resp.Body)
+			if err != nil || !bytes.Equal(rest, pattern(70000)[5:]) {
+				t.Fatalf("%d bytes, %v", len(rest), err)
+			}
+		})
+	}
+}
+
+// An answer that has begun and then breaks is cut so that the client can tell, and nothing is sent a second time.
+func TestBrokenAnswerIsToldApart(t *testing.T) {
+	for name, c := range map[string]struct{ head, version string }{
+		"long":        {"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n", "1.1"},
+		"chunked":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n30d40\r\n", "1.1"},
+		"to HTTP/1.0": {"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n", "1.0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var tries atomic.Int64
+			p := scripted(t, func(r *http.Request, conn net.Conn) {
+				tries.Add(1)
+				io.WriteString(conn, c.head)
+				conn.Write(pattern(100000))
+			}, nil)
+			conn := p.dial(t)
+			fmt.Fprintf(conn, "GET /look HTTP/%s\r\nHost: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: 20000\r\n\r\n", c.version)
+			resp, err := http.ReadResponse(conn.br, nil)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatal(resp, err)
+			}
+			if got, err := io.ReadAll(resp.Body); err == nil {
+				t.Fatalf("%d bytes passed for a whole answer", len(got))
+			}
+			if n := tries.Load(); n != 1 {
+				t.Fatalf("%d attempts", n)
+			}
+		})
+	}
+}
+
+// A body that is held is sent again after a failure that allows it; one of which a part has gone is not.
+func TestOnlyAHeldBodyIsSentAgain(t *testing.T) {
+	for _, c := range []struct {
+		size   int
+		want   int
+		status int
+	}{{60_000, 2, 200}, {200_000, 1, 502}} {
+		var tries atomic.Int64
+		p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {
+			n, _ := io.Copy(io.Discard, r.Body)
+			if tries.Add(1) == 1 || n != int64(c.size) {
+				w.WriteHeader(500)
+			}
+		})
+		r := request(t, p.addr, "POST", "/make", strings.Repeat("x", c.size))
+		s, _ := do(t, r)
+		if int(tries.Load()) != c.want || s != c.status && (c.status == 200 || s < 500) {
+			t.Errorf("%d bytes: %d attempts, want %d; answered %d, want %d", c.size, tries.Load(), c.want, s, c.status)
+		}
+	}
+}
+
+// All that HTTP/1.1 allows of a request is taken, in pieces cut anywhere, two requests in one go among them.
+func TestFormsOfRequests(t *testing.T) {
+	const head = "Host: h\r\nReq-Id: a%d\r\nReq-Deadline-Ms: 20000\r\nIdempotency-Key: k\r\n"
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {
+		b, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s %s %q %s", r.Method, r.RequestURI, b, r.Header.Get("X-Hop"))
+	})
+	id := 0
+	for name, c := range map[string]struct{ text, want string }{
+		"chunks with extensions and trailers": {"POST /make?obj=1 HTTP/1.1\r\n" + head +
+			"Transfer-Encoding: chunked\r\n\r\n1;x=y\r\na\r\n2 \r\nbc\r\n0\r\nT: u\r\n\r\n", `POST /make?obj=1 "abc" `},
+		"no body":       {"POST /make HTTP/1.1\r\n" + head + "\r\n", `POST /make "" `},
+		"empty chunks":  {"POST /make HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", `POST /make "" `},
+		"absolute form": {"GET http://app.svc:80/look?obj=7 HTTP/1.1\r\n" + head + "\r\n", `GET /look?obj=7 "" `},
+		"a token":       {"GET /look HTTP/1.1\r\n" + head + "X-Hop: secret\r\nConnection: a, X-Hop\r\n\r\n", `GET /look "" `},
+		"HTTP/1.0":      {"GET /look HTTP/1.0\r\n" + head + "\r\n", `GET /look "" `},
+	} {
+		for _, piece := range []int{1, 7, 1 << 20} {
+			conn := p.dial(t)
+			id++
+			text := fmt.Sprintf(c.text, id)
+			for len(text) > 0 {
+				n := min(piece, len(text))
+				io.WriteString(conn, text[:n])
+				text = text[n:]
+			}
+			resp, err := http.ReadResponse(conn.br, nil)
+			if err != nil {
+				t.Fatalf("%s in pieces of %d: %v", name, piece, err)
+			}
+			if b, err := io.ReadAll(resp.Body); err != nil || resp.StatusCode != 200 || string(b) != c.want {
+				t.Errorf("%s in pieces of %d: %d %q %v, want %q", name, piece, resp.StatusCode, b, err, c.want)
+			}
+			conn.Close()
+		}
+	}
+	conn := p.dial(t)
+	fmt.Fprintf(conn, "GET /look?obj=1 HTTP/1.1\r\n"+head+"\r\nPOST /make HTTP/1.1\r\n"+head+"Content-Length: 2\r\n\r\nhi", 1001, 1002)
+	for _, want := range []string{`GET /look?obj=1 "" `, `POST /make "hi" `} {
+		resp, err := http.ReadResponse(conn.br, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if b, _ := io.ReadAll(resp.Body); string(b) != want {
+			t.Errorf("%q, want %q", b, want)
+		}
+	}
+	fmt.Fprintf(conn, "POST /make HTTP/1.1\r\n"+head+"Expect: 100-continue\r\nContent-Length: 2\r\n\r\n", 1003)
+	if line, err := conn.br.ReadString('\n'); err != nil || !strings.HasPrefix(line, "HTTP/1.1 100") {
+		t.Fatal(line, err)
+	}
+	conn.br.ReadString('\n')
+	io.WriteString(conn, "ok")
+	if resp, err := http.ReadResponse(conn.br, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+}
+
+// A client that sends half a long body and no more is told or cut off, and holds no server for good.
+func TestStalledBody(t *testing.T) {
+	p := scripted(t, func(r *http.Request, c net.Conn) { io.Copy(io.Discard, r.Body) }, nil)
+	conn := p.dial(t)
+	io.WriteString(conn, "POST /make HTTP/1.1\r\nHost: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: 900\r\nIdempotency-Key: k\r\n"+
+		"Content-Length: 300000\r\n\r\n"+strings.Repeat("x", 100000))
+	resp, err := http.ReadResponse(conn.br, nil)
+	if err != nil || resp.StatusCode != 408 {
+		t.Fatal(resp, err)
+	}
+}
+
+func openProc(t *testing.T, pid int) io.Reader {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes.NewReader(b)
+}
--- a/decide/api.go
+++ b/decide/api.go
@@ -166,6 +166,7 @@
 	Key     string
 	IsRetry bool
 	Work    int64 // work hinted; 0: none
+	Once    bool  // its body is not held: once some of it has gone it can't be sent again; its time runs from its end
 }
 
 // Result is how an attempt ended.
@@ -206,6 +207,7 @@
 	Result  Result
 	Latency int64
 	Closed  bool // the request has its final answer
+	Spent   bool // the request's body has gone and can't be sent again
 	Load    *Load
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -248,7 +248,7 @@
 func (b *Balancer) timeout(now int64, r *request) int64 {
 	left := r.deadline - now
 	t := max(int64(timeoutMark*r.class.mark), minTimeout)
-	last := len(r.tries) >= r.most || r.rules.Stream || r.rules.Semantics == AtMostOnce
+	last := len(r.tries) >= r.most || r.rules.Stream || r.Once || r.rules.Semantics == AtMostOnce
 	if last || t >= left || now-r.taken+t+int64(r.class.half) > r.aim {
 		return left
 	}
@@ -280,7 +280,7 @@
 	case o.Result == Rejected: // others would too: guards against bad requests that use up the retries
 		b.act.Fail(r.ID)
 		b.end(r)
-	case now < r.deadline && b.affordRetry(a):
+	case !o.Spent && now < r.deadline && b.affordRetry(a):
 		b.try(now, r, false)
 	default:
 		b.giveUp(now, r)
@@ -303,7 +303,7 @@
 // Started hands an attempt to the client: its stream has no deadline and gets no further attempt.
 func (b *Balancer) Started(now int64, id string, n int) {
 	if r := b.open[id]; r != nil && !r.ended && n < len(r.tries) {
-		r.started = true
+		r.started, r.tries[n].server.heardAt = true, now
 	}
 }
 
@@ -532,7 +532,7 @@
 	}
 	if o.Result == Served {
 		b.answers++
-		if now-r.taken+r.spent <= r.aim {
+		if a.sentAt+o.Latency-r.taken+r.spent <= r.aim { // a stream ends later
 			r.class.served++
 		}
 		a.server.answered++
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -99,16 +99,26 @@
 	return gone
 }
 
-// unwatch ends the background read.
+// unwatch ends the background read, if there is one.
 func (c *clientConn) unwatch() {
+	if c.done == nil {
+		return
+	}
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
 	<-c.done
+	c.done = nil
 	c.Conn.SetReadDeadline(time.Time{})
 	if c.has {
 		c.readAt = time.Now()
 	}
 }
 
+// Write writes as long as the client takes something now and then.
+func (c *clientConn) Write(p []byte) (int, error) {
+	c.Conn.SetWriteDeadline(time.Now().Add(writeStall))
+	return c.Conn.Write(p)
+}
+
 // Close closes the connection and gives its socket back, once.
 func (c *clientConn) Close() error {
 	err := c.Conn.Close()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"log"
 	"net"
 	"strconv"
@@ -21,12 +23,13 @@
 )
 
 const (
-	maxBody      = 64 << 10
-	readBuffer   = 8 << 10                 // holds the longest head taken
-	readTimeout  = 2500 * time.Millisecond // for a whole request, from its connection's start or its first byte
-	idleTimeout  = 2200 * time.Millisecond // clients may count on 2 s; past that a kept socket is one that another lacks
-	writeTimeout = 5 * time.Second
-	softPart     = 0.5 // of the sockets; past it a new connection takes the place of one that is idle. Guards against
+	readBuffer  = 8 << 10                 // holds the longest head taken
+	readTimeout = 2500 * time.Millisecond // for a request's head, from its connection's start or its first byte
+	bodyTimeout = 1500 * time.Millisecond // for the first 8 KiB of a body
+	bodyStall   = 1200 * time.Millisecond // without a byte of a body
+	idleTimeout = 2200 * time.Millisecond // clients may count on 2 s; past that a kept socket is one that another lacks
+	writeStall  = 5 * time.Second         // a client that takes nothing of its answer for so long has left
+	softPart    = 0.5                     // of the sockets; past it a new connection takes the place of one that is idle. Guards against
 	// clients that reach their own limit first, with connections that have asked once, and then ask no more
 
 	acceptAfterTerm = 700 * time.Millisecond  // clients go on coming for a while after SIGTERM
@@ -46,6 +49,7 @@
 type Frontend struct {
 	side    *sidecar.Sidecar
 	now     atomic.Pointer[snapshot]
+	held    budget // of bodies under way
 	server  *fasthttp.Server
 	sockets atomic.Int64 // connections past which a new one takes an idle one's place
 	life    *lifecycle.Owner
@@ -76,21 +80,25 @@
 	f.now.Store(s)
 }
 
-// New makes a frontend that holds at most so many client connections.
-func New(side *sidecar.Sidecar, life *lifecycle.Owner, settings *decide.Settings, sockets int) *Frontend {
+// New makes a frontend that holds at most so many client connections, and so many bytes of bodies that are coming.
+func New(side *sidecar.Sidecar, life *lifecycle.Owner, settings *decide.Settings, sockets int, held int64) *Frontend {
 	f := &Frontend{
 		side: side, life: life, conns: map[*clientConn]bool{}, room: make(chan struct{}, sockets),
 	}
 	f.Hold(sockets)
 	f.Retune(settings)
+	f.held.give(held)
 	f.server = &fasthttp.Server{
-		Handler:                      f.handle,
-		ErrorHandler:                 badInput,
-		MaxRequestBodySize:           maxBody,
-		ReadBufferSize:               readBuffer,
-		ReadTimeout:                  readTimeout,
-		IdleTimeout:                  idleTimeout,
-		WriteTimeout:                 writeTimeout,
+		Handler:            f.handle,
+		ErrorHandler:       badInput,
+		StreamRequestBody:  true,
+		MaxRequestBodySize: upstream.HeldMost, // past it fasthttp reads nothing ahead
+		ReadBufferSize:     readBuffer,
+		ReadTimeout:        readTimeout,
+		IdleTimeout:        idleTimeout,
+		HeaderReceived: func(*fasthttp.RequestHeader) fasthttp.RequestConfig {
+			return fasthttp.RequestConfig{ReadTimeout: bodyTimeout}
+		},
 		Concurrency:                  1 << 20, // never reached: its 503 would count as a refusal of ours
 		DisablePreParseMultipartForm: true,    // the body goes on as it came
 		NoDefaultServerHeader:        true,
@@ -353,22 +361,46 @@
 		return
 	}
 	defer c.finished()
-	at := c.readAt
-	if path, _, _ := bytes.Cut(ctx.Request.Header.RequestURI(), []byte{'?'}); string(path) == "/health/ready" {
+	if path, _, _ := bytes.Cut(target(&ctx.Request.Header), []byte{'?'}); string(path) == "/health/ready" {
 		f.ready(ctx)
-	} else if call, bad := f.parse(ctx, at); bad != nil {
+	} else {
+		f.serve(ctx, c)
+	}
+	if f.emptying() {
+		ctx.SetConnectionClose()
+	}
+}
+
+// serve answers one request for servers.
+func (f *Frontend) serve(ctx *fasthttp.RequestCtx, c *clientConn) {
+	h := &ctx.Request.Header
+	body := f.body(ctx, c)
+	defer body.release()
+	parsed, bad := f.parse(h)
+	if bad == nil {
+		bad = body.hold()
+	}
+	if bad != nil {
 		ctx.Error(bad.text, bad.status)
 		ctx.SetConnectionClose() // one that sends this is of no more use, and its socket is
+		return
+	}
+	call := parsed.call(h, body, c.readAt)
+	var gone <-chan struct{}
+	if call.Message.Rest == nil {
+		gone = c.watch()
+	}
+	call.Whole = c.watch
+	a, left := f.side.Do(call, gone)
+	broken := body.close()
+	c.unwatch()
+	if left && broken != nil {
+		bad := body.fault(broken)
+		ctx.Error(bad.text, bad.status)
 	} else {
-		gone := c.watch()
-		a, left := f.side.Do(call, gone)
-		c.unwatch()
-		if left {
-			ctx.SetConnectionClose()
-		}
-		answer(ctx, a)
+		answer(ctx, c, a)
 	}
-	if f.emptying() {
+	if left || broken != nil {
 		ctx.SetConnectionClose()
 	}
 }
@@ -388,14 +420,22 @@
 }
 
 // answer writes the final answer.
-func answer(ctx *fasthttp.RequestCtx, a sidecar.Answer) {
+func answer(ctx *fasthttp.RequestCtx, c *clientConn, a sidecar.Answer) {
 	switch a.Verdict {
 	case sidecar.Served:
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		if len(a.ContentType) > 0 {
 			ctx.Response.Header.SetContentTypeBytes(a.ContentType)
 		}
-		ctx.Response.SetBodyRaw(a.Body)
+		switch {
+		case a.Stream == nil:
+			ctx.Response.SetBodyRaw(a.Body)
+		case ctx.Request.Header.IsHTTP11():
+			ctx.Response.ImmediateHeaderFlush = true
+			ctx.Response.SetBodyStream(a.Stream, -1) // chunked, each written as it comes; a broken one lacks its last chunk
+		default:
+			toTheEnd(ctx, c, a)
+		}
 	case sidecar.Refused:
 		refuse(ctx, a)
 	case sidecar.Duplicate:
@@ -407,6 +447,25 @@
 	}
 }
 
+// toTheEnd passes an answer on to a client of HTTP/1.0, which takes no chunks: the connection's end is the answer's. One
+// that breaks ends in a reset.
+func toTheEnd(ctx *fasthttp.RequestCtx, c *clientConn, a sidecar.Answer) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(net.Conn) {
+		defer a.Stream.Close()
+		_, err := fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nConnection: close\r\nContent-Type: %s\r\n\r\n", a.ContentType)
+		if err == nil {
+			_, err = io.Copy(onlyWriter{c}, a.Stream)
+		}
+		if tcp, ok := c.Conn.(*net.TCPConn); ok && err != nil {
+			tcp.SetLinger(0)
+		}
+	})
+}
+
+// onlyWriter hides what else a connection can do.
+type onlyWriter struct{ io.Writer }
+
 func refuse(ctx *fasthttp.RequestCtx, a sidecar.Answer) {
 	ctx.Error("refused, trying again is harmless", fasthttp.StatusServiceUnavailable)
 	if a.RetryAfter > 0 {
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -29,14 +29,21 @@
 	return &fault{status, fmt.Sprintf(format, args...)}
 }
 
-// parse takes out the fields that decisions need; at is when the request had come.
-func (f *Frontend) parse(ctx *fasthttp.RequestCtx, at time.Time) (*sidecar.Call, *fault) {
-	h := &ctx.Request.Header
+// parsed is what the head of a request tells.
+type parsed struct {
+	now     *snapshot
+	request decide.Request
+	left    time.Duration
+	uri     []byte
+}
+
+// parse takes out the fields that decisions need.
+func (f *Frontend) parse(h *fasthttp.RequestHeader) (*parsed, *fault) {
 	if wrong := framing(h); wrong != nil {
 		return nil, wrong
 	}
 	now := f.now.Load()
-	uri := h.RequestURI()
+	uri := target(h)
 	path, query, _ := bytes.Cut(uri, []byte{'?'})
 	class, ok := now.class(path)
 	if !ok {
@@ -59,9 +66,32 @@
 	if t, ok := now.tenants[string(h.Peek("Req-Owner"))]; ok {
 		r.Tenant = t
 	}
-	body := ctx.Request.Body()
-	m := upstream.Message{Head: head(h, uri, body), Body: body}
-	return sidecar.NewCall(now.settings, r, m, at, time.Duration(left)*time.Millisecond), nil
+	return &parsed{now: now, request: r, left: time.Duration(left) * time.Millisecond, uri: uri}, nil
+}
+
+// call makes the call of a request whose body is held as far as it will be; at is when its last byte had come.
+func (p *parsed) call(h *fasthttp.RequestHeader, b *body, at time.Time) *sidecar.Call {
+	m := upstream.Message{Head: head(h, p.uri, b), Body: b.held, Rest: b.rest}
+	return sidecar.NewCall(p.now.settings, p.request, m, at, p.left)
+}
+
+// target is the request's target in origin form: of an absolute one, what follows the authority.
+func target(h *fasthttp.RequestHeader) []byte {
+	uri := h.RequestURI()
+	if len(uri) > 0 && uri[0] == '/' {
+		return uri
+	}
+	scheme, rest, ok := bytes.Cut(uri, []byte("://"))
+	if !ok || !bytes.EqualFold(scheme, []byte("http")) && !bytes.EqualFold(scheme, []byte("https")) {
+		return uri
+	}
+	if i := bytes.IndexAny(rest, "/?"); i < 0 {
+		return []byte{'/'}
+	} else if rest[i] == '?' {
+		return append([]byte{'/'}, rest[i:]...)
+	} else {
+		return rest[i:]
+	}
 }
 
 // framing refuses what servers could read otherwise than fasthttp does: folded lines and two lengths. Guards
@@ -133,29 +163,44 @@
 	return header == "content-length" || strings.EqualFold(header, upstream.DeadlineHeader)
 }
 
-// head makes the bytes that go on: request line and headers as they came, but for those that end here.
-func head(h *fasthttp.RequestHeader, uri, body []byte) []byte {
+// head makes the bytes that go on: request line and headers as they came, but for those that end here. The target goes on
+// in origin form; a request of HTTP/1.0 that names no host goes on with an empty name, as one of HTTP/1.1 must have it.
+func head(h *fasthttp.RequestHeader, uri []byte, body *body) []byte {
 	raw := h.RawHeaders()
 	b := make([]byte, 0, len(raw)+len(uri)+64)
 	b = append(append(b, h.Method()...), ' ')
 	b = append(append(b, uri...), " HTTP/1.1\r\n"...)
-	drop := strings.ToLower(string(h.Peek("Connection")))
+	drop := strings.ToLower(string(bytes.Join(h.PeekAll("Connection"), []byte{','})))
+	host := false
 	for line := range bytes.SplitSeq(raw, []byte{'\n'}) {
 		line = bytes.TrimSuffix(line, []byte{'\r'})
 		name, _, ok := bytes.Cut(line, []byte{':'})
 		low := strings.ToLower(string(name))
+		host = host || low == "host"
 		if !ok || endsHere(low) || named(drop, low) {
 			continue
 		}
 		b = append(append(b, line...), "\r\n"...)
 	}
-	if len(body) > 0 || !h.IsGet() {
-		b = append(b, "Content-Length: "...)
-		b = append(strconv.AppendInt(b, int64(len(body)), 10), "\r\n"...)
+	if !host {
+		b = append(b, "Host:\r\n"...)
+	}
+	switch {
+	case body.rest != nil && body.length < 0:
+		return append(b, "Transfer-Encoding: chunked\r\n"...)
+	case body.rest != nil:
+		return length(b, body.length)
+	case len(body.held) > 0 || !h.IsGet():
+		return length(b, int64(len(body.held)))
 	}
 	return b
 }
 
+func length(b []byte, n int64) []byte {
+	b = append(b, "Content-Length: "...)
+	return append(strconv.AppendInt(b, n, 10), "\r\n"...)
+}
+
 // named tells whether a Connection header names a header as one that ends here.
 func named(connection, header string) bool {
 	for token := range strings.SplitSeq(connection, ",") {
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -24,7 +24,12 @@
 	now := time.Now()
 	n := len(c.attempts)
 	a := &upstream.Attempt{
-		Host: server, Message: &c.Message, Gate: &c.gate, Sent: now, Deadline: c.until(now, timeout),
+		Host: server, Message: &c.Message, Gate: &c.gate, Sent: now, Began: s.began(c, n),
+	}
+	if c.Message.Rest == nil {
+		a.Deadline = c.until(now, timeout)
+	} else if a.Wait = c.wait(); timeout > 0 {
+		a.Wait = min(a.Wait, time.Duration(timeout)*time.Microsecond)
 	}
 	if k := c.class; k.Semantics == decide.Deduplicated && !c.effectAt.IsZero() {
 		a.WriteBy = c.effectAt.Add(time.Duration(k.Window) * time.Microsecond) // rule 2 at the moment of writing
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -22,6 +22,7 @@
 type Answer struct {
 	Verdict     Verdict
 	Body        []byte
+	Stream      *upstream.Stream // with Served, where the body is not held; it must be closed
 	ContentType []byte
 	RetryAfter  time.Duration // with Refused; 0: no advice
 }
@@ -31,9 +32,13 @@
 	Request decide.Request // Left is set when the module takes it
 	Message upstream.Message
 
+	// Whole is called once a body that is not held has come to its end, and returns what is closed when the client leaves.
+	Whole func() <-chan struct{}
+
 	settings *decide.Settings // that it was admitted under
 	class    *decide.Class    // as it was then
-	giveUp   time.Time        // when the module's time for it ends
+	left     time.Duration    // from its last byte on
+	giveUp   time.Time        // when the module's time for it ends; zero: its last byte has not come yet
 	last     time.Time        // when it is answered, whatever the module does
 	gate     upstream.Gate
 	answer   chan Answer // holds the one answer of the module
@@ -50,13 +55,28 @@
 	answerBefore, answerPart = 12 * time.Millisecond, 14
 )
 
-// NewCall makes a call of a request that had come by a time, under settings, and is to be answered within left.
+// longestBody is how long a body that is not held may keep coming, however steadily.
+const longestBody = 15 * time.Minute
+
+// NewCall makes a call of a request that had come by a time, under settings, and is to be answered within left. Where
+// a part of its body is not held its time counts from the last byte of that.
 func NewCall(set *decide.Settings, r decide.Request, m upstream.Message, came time.Time, left time.Duration) *Call {
-	return &Call{
-		Request: r, Message: m, settings: set, class: &set.Classes[r.Class], answer: make(chan Answer, 1),
-		giveUp: came.Add(left - min(giveUpBefore, left/giveUpPart)),
-		last:   came.Add(left - min(answerBefore, left/answerPart)),
+	c := &Call{
+		Request: r, Message: m, settings: set, class: &set.Classes[r.Class], answer: make(chan Answer, 1), left: left,
+	}
+	if m.Rest != nil {
+		c.Request.Once, c.last = true, came.Add(longestBody)
+		return c
 	}
+	c.giveUp, c.last = came.Add(c.wait()), c.lastAfter(came)
+	return c
+}
+
+// wait is the module's time for it.
+func (c *Call) wait() time.Duration { return c.left - min(giveUpBefore, c.left/giveUpPart) }
+
+func (c *Call) lastAfter(came time.Time) time.Time {
+	return came.Add(c.left - min(answerBefore, c.left/answerPart))
 }
 
 // finish gives the call its answer, once.
@@ -68,3 +88,14 @@
 	c.answer <- a
 	return true
 }
+
+// dropAnswer ends an answer that nobody takes any more. Guards against a stream that waits for its reader for good.
+func (c *Call) dropAnswer() {
+	select {
+	case a := <-c.answer:
+		if a.Stream != nil {
+			a.Stream.Close()
+		}
+	default:
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -135,13 +135,10 @@
 	case <-last.C: // the module's mailbox is full: nothing was sent, nothing will be
 		return Answer{Verdict: Late}, false
 	}
-	select {
-	case a = <-c.answer:
+	a, left, answered := s.await(c, gone, last)
+	if answered {
 		c.gate.Close()
 		return a, false
-	case <-gone:
-		left = true
-	case <-last.C:
 	}
 	// The module calls back what is out; a write under way would hold the gate until its own time ends.
 	go func() { s.box <- func(now int64) { s.left(now, c) } }()
@@ -149,6 +146,32 @@
 	return Answer{Verdict: Late}, left
 }
 
+// await waits for the module's answer, for the client's end, or for the end of the request's time.
+func (s *Sidecar) await(c *Call, gone <-chan struct{}, last *time.Timer) (a Answer, left, answered bool) {
+	var coming <-chan struct{}
+	if c.Message.Rest != nil {
+		coming = c.Message.Rest.Ended()
+	}
+	for {
+		select {
+		case a = <-c.answer:
+			return a, false, true
+		case <-gone:
+			return a, true, false
+		case <-last.C:
+			return a, false, false
+		case <-coming:
+			coming = nil
+			at, err := c.Message.Rest.Whole()
+			if err != nil {
+				return a, true, false
+			}
+			last.Reset(time.Until(c.lastAfter(at)))
+			gone = c.Whole()
+		}
+	}
+}
+
 func (s *Sidecar) take(now int64, c *Call) {
 	if s.calls[c.Request.ID] != nil { // Guards against two requests of one id, whose attempts could not be told apart
 		c.finish(Answer{Verdict: Duplicate})
@@ -159,7 +182,9 @@
 		return
 	}
 	s.calls[c.Request.ID] = c
-	c.Request.Left = max(0, s.at(c.giveUp)-now)
+	if c.Request.Left = c.wait().Microseconds(); !c.Request.Once {
+		c.Request.Left = max(0, s.at(c.giveUp)-now)
+	}
 	request := c.Request
 	s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Request(now, request) }})
 }
@@ -206,6 +231,7 @@
 
 func (s *Sidecar) left(now int64, c *Call) {
 	if c.answered || s.calls[c.Request.ID] != c {
+		c.dropAnswer()
 		return
 	}
 	c.answered = true
@@ -214,6 +240,20 @@
 	s.forget(c)
 }
 
+// began makes what hands an answer that begins to its client.
+func (s *Sidecar) began(c *Call, n int) func(*upstream.Attempt, *upstream.Stream) {
+	return func(_ *upstream.Attempt, st *upstream.Stream) {
+		s.box <- func(now int64) {
+			if !c.finish(Answer{Verdict: Served, Stream: st, ContentType: st.ContentType}) {
+				st.Close()
+				return
+			}
+			id := c.Request.ID
+			s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Started(now, id, n) }})
+		}
+	}
+}
+
 // forget drops a call that is answered and has nothing out.
 func (s *Sidecar) forget(c *Call) {
 	if c.answered && c.out == 0 && s.calls[c.Request.ID] == c {
@@ -317,9 +357,13 @@
 	if result == decide.Served {
 		c.finish(Answer{Verdict: Served, Body: r.Body, ContentType: r.ContentType})
 	}
+	sent := a.Sent
+	if !r.SentAt.IsZero() { // no server could begin before
+		sent = r.SentAt
+	}
 	o := decide.Outcome{
 		Request: c.Request.ID, Attempt: n, Server: a.Host, Result: result,
-		Latency: r.At.Sub(a.Sent).Microseconds(), Closed: c.answered, Load: r.Load,
+		Latency: r.At.Sub(sent).Microseconds(), Closed: c.answered, Load: r.Load, Spent: r.Spent,
 	}
 	e := watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Outcome(now, o) }, Settles: o.Request}
 	if o.Closed {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -14,8 +14,12 @@
 type Message struct {
 	Head []byte // request line and headers without the closing empty line and without DeadlineHeader
 	Body []byte
+	Rest *Rest // of the body, which is not held; nil: Body is all of it
 }
 
+// chunks tells whether the body goes on in chunks.
+func (m *Message) chunks() bool { return m.Rest != nil && m.Rest.Length < 0 }
+
 // DeadlineHeader tells a server how long the sidecar will wait.
 const DeadlineHeader = "Req-Deadline-Ms"
 
@@ -25,6 +29,10 @@
 	head = append(append(head, m.Head...), DeadlineHeader+": "...)
 	head = strconv.AppendInt(head, max(1, left.Milliseconds()), 10)
 	head = append(head, "\r\n\r\n"...)
+	if m.chunks() && len(m.Body) > 0 {
+		head = append(strconv.AppendInt(head, int64(len(m.Body)), 16), "\r\n"...)
+		return net.Buffers{head, m.Body, []byte("\r\n")}, int64(len(head) + len(m.Body) + 2)
+	}
 	return net.Buffers{head, m.Body}, int64(len(head) + len(m.Body))
 }
 
@@ -59,12 +67,15 @@
 	Message  *Message
 	Gate     *Gate
 	Sent     time.Time // when the decision was made
-	Deadline time.Time // when the wait ends
-	WriteBy  time.Time // when even a first byte would be too late; zero: never
+	Deadline time.Time // when the wait ends; zero: Wait after the last byte of the body has gone
+	Wait     time.Duration
+	WriteBy  time.Time               // when even a first byte would be too late; zero: never
+	Began    func(*Attempt, *Stream) // an answer begins that is not held; nil: all are
 	Done     func(*Attempt, Report)
 
 	ctx    context.Context
-	cancel context.CancelFunc
+	cancel context.CancelCauseFunc
+	wait   *time.Timer
 }
 
 // Report is what came of an attempt.
@@ -75,17 +86,41 @@
 	Body        []byte
 	ContentType []byte
 	Load        *decide.Load
+	SentAt      time.Time // when the last byte of a body that was not held had gone; zero: at once
+	Spent       bool      // a part of the body has gone that is not held: it can't be sent again
 }
 
 // Cancel calls an attempt back. It never blocks.
-func (a *Attempt) Cancel() { a.cancel() }
+func (a *Attempt) Cancel() { a.cancel(context.Canceled) }
 
 // arm starts the attempt's clock.
-func (a *Attempt) arm() { a.ctx, a.cancel = context.WithDeadline(context.Background(), a.Deadline) }
+func (a *Attempt) arm() {
+	a.ctx, a.cancel = context.WithCancelCause(context.Background())
+	if !a.Deadline.IsZero() {
+		a.expire(time.Until(a.Deadline))
+	}
+}
+
+// expire ends the wait after a time.
+func (a *Attempt) expire(in time.Duration) {
+	a.wait = time.AfterFunc(in, func() { a.cancel(context.DeadlineExceeded) })
+}
+
+// disarm stops the attempt's clock; false: it has ended the wait.
+func (a *Attempt) disarm() bool { return a.wait == nil || a.wait.Stop() }
+
+// over frees what the clock holds.
+func (a *Attempt) over() {
+	a.disarm()
+	a.cancel(context.Canceled)
+}
+
+// withdrawn tells that the attempt was called back.
+func (a *Attempt) withdrawn() bool { return context.Cause(a.ctx) == context.Canceled }
 
 // interrupted tells why the context cut a wait, after the last byte was written.
 func (a *Attempt) interrupted() End {
-	if a.ctx.Err() == context.Canceled {
+	if a.withdrawn() {
 		return Withdrawn
 	}
 	return Expired
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -13,7 +14,6 @@
 )
 
 const (
-	maxBody    = 64 << 10 // of an answer
 	readBuffer = 16 << 10 // holds the longest head of an answer
 	maxInterim = 8        // answers of the 100 kind before the real one
 )
@@ -22,6 +22,7 @@
 	errNoAnswer = errors.New("no answer of HTTP/1.1")
 	errNoLength = errors.New("answer of no stated length")
 	past        = time.Unix(1, 0)
+	crlf        = []byte("\r\n")
 )
 
 // conn is a connection that one attempt, or its peer's idle list, owns.
@@ -67,9 +68,16 @@
 	defer func() {
 		if !stop() { // the deadline was, or is about to be, cut: what is read next would fail
 			reuse = false
+		} else if reuse {
+			c.SetDeadline(time.Time{})
 		}
 	}()
 	r.End = c.write(a, mayWrite)
+	if r.End == Answered && a.Message.Rest != nil {
+		if r.End = c.writeRest(a); r.End == Answered {
+			r.SentAt = time.Now()
+		}
+	}
 	if r.End != Answered {
 		return r, false
 	}
@@ -77,7 +85,7 @@
 	return r, reuse
 }
 
-// write sends the attempt's bytes; Answered means that all of them are written.
+// write sends the attempt's bytes, of its body those that are held; Answered means that all of them are written.
 func (c *conn) write(a *Attempt, mayWrite func() bool) (end End) {
 	end = Unwritten
 	a.Gate.pass(func() {
@@ -85,11 +93,15 @@
 		if a.ctx.Err() != nil || !mayWrite() || !a.WriteBy.IsZero() && !now.Before(a.WriteBy) {
 			return
 		}
-		parts, size := a.Message.render(a.Deadline.Sub(now))
+		left := a.Wait
+		if !a.Deadline.IsZero() {
+			left = a.Deadline.Sub(now)
+		}
+		parts, size := a.Message.render(left)
 		switch n, err := parts.WriteTo(c.Conn); {
 		case n == size:
 			end = Answered
-		case err != nil && a.ctx.Err() == context.Canceled:
+		case err != nil && a.withdrawn():
 			end = Unwritten
 		default:
 			end = Unreachable // the last byte was not written: it never ran
@@ -98,28 +110,157 @@
 	return end
 }
 
-// read reads one whole answer; anything short of one may have run.
+// writeRest sends the part of the body that is not held, as it comes, and starts the attempt's clock at its last byte.
+// The gate is passed anew for each piece: the client's last answer may come meanwhile, and waits for none of it.
+func (c *conn) writeRest(a *Attempt) (end End) {
+	buf := copyBuffers.Get().(*[copyBuffer]byte)
+	defer copyBuffers.Put(buf)
+	for {
+		n, err := a.Message.Rest.Read(buf[:])
+		if err != nil && err != io.EOF {
+			return Unwritten // the client's fault
+		}
+		last := err == io.EOF
+		end = Unwritten
+		a.Gate.pass(func() {
+			end = c.writePiece(a, buf[:n], last)
+		})
+		if end != Answered {
+			return end
+		}
+		if last {
+			c.SetWriteDeadline(time.Time{})
+			a.expire(a.Wait)
+			return Answered
+		}
+	}
+}
+
+// writePiece sends one piece of a body.
+func (c *conn) writePiece(a *Attempt, piece []byte, last bool) End {
+	c.SetWriteDeadline(time.Now().Add(stalled))
+	if a.ctx.Err() != nil { // the cut may have come before that deadline
+		return Unwritten
+	}
+	parts := net.Buffers{piece}
+	if a.Message.chunks() {
+		parts = nil
+		if len(piece) > 0 {
+			parts = net.Buffers{strconv.AppendInt(nil, int64(len(piece)), 16), crlf, piece, crlf}
+		}
+		if last {
+			parts = append(parts, []byte("0\r\n\r\n"))
+		}
+	}
+	if _, err := parts.WriteTo(c.Conn); err != nil {
+		if a.withdrawn() {
+			return Unwritten
+		}
+		return Unreachable // the last byte was not written: it never ran
+	}
+	return Answered
+}
+
+// read reads one answer: held whole where it is short, else handed on as it comes. Anything short of a whole one may
+// have run.
 func (c *conn) read(a *Attempt, r *Report) (reuse bool) {
 	resp := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(resp)
-	err := readAnswer(c.br, resp)
-	r.At = time.Now()
+	toTheEnd, err := readHead(c.br, resp)
+	if err == nil {
+		r.End = end(resp)
+		r.Load = parseLoad(resp.Header.Peek("Srv-Load"))
+		if r.End == Answered {
+			r.ContentType = append([]byte(nil), resp.Header.ContentType()...)
+		}
+		err = c.readBody(a, r, resp, toTheEnd)
+	}
+	if r.At.IsZero() {
+		r.At = time.Now()
+	}
 	if err != nil {
-		r.End = Spoilt
-		if a.ctx.Err() != nil {
+		r.Body, r.End = nil, Spoilt
+		switch {
+		case a.ctx.Err() != nil:
 			r.End = a.interrupted()
-		} else if brokeOff(err) {
+		case err == errStopped: // the client's end
+			r.End = Withdrawn
+		case brokeOff(err):
 			r.End = Broken
 		}
 		return false
 	}
-	r.End = end(resp)
-	r.Load = parseLoad(resp.Header.Peek("Srv-Load"))
-	if r.End == Answered {
-		r.Body = append([]byte(nil), resp.Body()...)
-		r.ContentType = append([]byte(nil), resp.Header.ContentType()...)
+	return !resp.ConnectionClose() && string(resp.Header.Protocol()) != "HTTP/1.0" && c.br.Buffered() == 0
+}
+
+// readBody reads the body of an answer whose head was read.
+func (c *conn) readBody(a *Attempt, r *Report, resp *fasthttp.Response, toTheEnd bool) error {
+	if s := resp.StatusCode(); s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
+		return nil
+	}
+	body, length, err := answerBody(c.br, resp, toTheEnd)
+	if err != nil {
+		return err
+	}
+	mayBegin := r.End == Answered && a.Began != nil
+	if length > HeldMost && mayBegin {
+		if _, err := c.br.Peek(1); err != nil { // its first byte is timed
+			return err
+		}
+		return c.begin(a, r, nil, body)
+	}
+	held, whole, err := c.hold(a, body, length, mayBegin)
+	if whole || err != nil {
+		r.Body = held
+		return err
+	}
+	if !mayBegin {
+		return errTooLong
+	}
+	return c.begin(a, r, held, body)
+}
+
+// hold reads a body as long as it is held: to its end, or, where its length is not known, for a while.
+func (c *conn) hold(a *Attempt, body io.Reader, length int64, mayBegin bool) (held []byte, whole bool, err error) {
+	held = make([]byte, 0, max(512, min(length, HeldMost)+1))
+	until := time.Time{}
+	for {
+		if len(held) == cap(held) {
+			held = append(held, 0)[:len(held)]
+		}
+		n, err := body.Read(held[len(held):min(cap(held), HeldMost+1)])
+		held = held[:len(held)+n]
+		switch {
+		case len(held) > HeldMost && (err == nil || err == io.EOF):
+			return held, false, nil
+		case err == io.EOF:
+			return held, true, nil
+		case until.IsZero() && length < 0 && mayBegin && err == nil:
+			until = time.Now().Add(holdFor)
+			c.SetReadDeadline(until)
+			if a.ctx.Err() != nil { // the cut may have come before that deadline
+				return nil, false, errStopped
+			}
+		case err != nil && !until.IsZero() && timedOut(a.ctx, err):
+			return held, false, nil
+		case err != nil:
+			return nil, false, err
+		}
 	}
-	return !resp.ConnectionClose() && c.br.Buffered() == 0
+}
+
+// begin hands an answer to the client as it comes, and waits for its end.
+func (c *conn) begin(a *Attempt, r *Report, held []byte, body io.Reader) error {
+	if !a.disarm() { // the time was up
+		return errStopped
+	}
+	r.At = time.Now()
+	s := &Stream{ContentType: r.ContentType, a: a, c: c, head: held, body: body, sum: int64(len(held)), done: make(chan error, 1)}
+	a.Began(a, s)
+	if err := <-s.done; err != io.EOF {
+		return err
+	}
+	return nil
 }
 
 // brokeOff tells whether a read ended because the connection did.
@@ -145,30 +286,18 @@
 	return Failed
 }
 
-// readAnswer reads head and body. An answer whose end only the connection's end would mark is refused: a
-// short one could not be told from a whole one.
-func readAnswer(br *bufio.Reader, resp *fasthttp.Response) error {
+// readHead reads the head of the answer, past those of the 100 kind; toTheEnd: it says that the answer ends with its
+// connection.
+func readHead(br *bufio.Reader, resp *fasthttp.Response) (toTheEnd bool, err error) {
 	for n := 0; ; n++ {
+		toTheEnd = endsWithConnection(br)
 		if err := resp.Header.Read(br); err != nil {
-			return err
+			return false, err
 		}
 		if s := resp.StatusCode(); s >= 200 {
-			break
+			return toTheEnd, nil
 		} else if s == fasthttp.StatusSwitchingProtocols || n == maxInterim {
-			return errNoAnswer
+			return false, errNoAnswer
 		}
 	}
-	if s := resp.StatusCode(); s == fasthttp.StatusNoContent || s == fasthttp.StatusNotModified {
-		return nil
-	}
-	if resp.Header.ContentLength() < -1 {
-		return errNoLength
-	}
-	if err := resp.ReadBody(br, maxBody); err != nil {
-		return err
-	}
-	if resp.Header.ContentLength() == -1 {
-		return resp.Header.ReadTrailer(br)
-	}
-	return nil
 }
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -115,7 +115,7 @@
 	case p.box <- a:
 		return true
 	default:
-		a.cancel()
+		a.over()
 		return false
 	}
 }
@@ -166,7 +166,7 @@
 			m.c.idleSince = time.Now()
 			p.idle = append(p.idle, m.c)
 		}
-		m.a.cancel()
+		m.a.over()
 		m.a.Done(m.a, m.r)
 	case shed:
 		p.shed(min(1, len(p.idle)))
@@ -233,6 +233,7 @@
 		}
 	}
 	r.Fresh = fresh
+	r.Spent = a.Message.Rest != nil && a.Message.Rest.Taken()
 	if r.At.IsZero() {
 		r.At = time.Now()
 	}
@@ -257,7 +258,7 @@
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.shared.Budget.give()
-		if a.ctx.Err() == context.Canceled || OutOfSockets(err) {
+		if a.withdrawn() || OutOfSockets(err) {
 			return nil, Unwritten
 		}
 		return nil, Unreachable
