--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -218,11 +218,11 @@
 		}
 		return n
 	}
-	eventually(t, func() bool { return halfway() == 2 })
+	eventually(t, "two on their way", func() bool { return halfway() == 2 })
 	time.Sleep(2 * unusedAfter)
 	before := time.Now().UnixMicro()
 	io.WriteString(slow, look[1:2])
-	eventually(t, func() bool { // it has been read
+	eventually(t, "its second byte read", func() bool { // by the server
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		for c := range f.conns {
