--- a/cmd/damsonscale/stream_test.go
+++ b/cmd/damsonscale/stream_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -272,3 +273,47 @@
 	}
 	return bytes.NewReader(b)
 }
+
+// In an upgrade a long answer that is under way goes on in the process that follows, and comes whole; the old one ends.
+func TestStreamGoesOnInAnUpgrade(t *testing.T) {
+	body := pattern(300_000)
+	for name, c := range map[string]struct{ head, tail, version string }{
+		"length":     {"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n", "", "1.1"},
+		"chunks":     {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n", "\r\n0\r\nT: u\r\n\r\n", "1.1"},
+		"to the end": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "", "1.1"},
+		"HTTP/1.0":   {"HTTP/1.1 200 OK\r\nContent-Length: 300000\r\n\r\n", "", "1.0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			goOn := make(chan bool)
+			p := scripted(t, func(r *http.Request, conn net.Conn) {
+				io.WriteString(conn, c.head)
+				conn.Write(body[:100_000])
+				<-goOn
+				conn.Write(body[100_000:])
+				io.WriteString(conn, c.tail)
+			}, withAdmin(t))
+			p.serves(t)
+			conn := p.dial(t)
+			fmt.Fprintf(conn, "GET /look HTTP/%s\r\nHost: h\r\nReq-Id: a1\r\nReq-Deadline-Ms: 20000\r\n\r\n", c.version)
+			resp, err := http.ReadResponse(conn.br, nil)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatal(resp, err)
+			}
+			got := make([]byte, 50_000)
+			if _, err := io.ReadFull(resp.Body, got); err != nil {
+				t.Fatal(err)
+			}
+			next := p.beside(t)
+			next.serves(t)
+			p.cmd.Process.Signal(syscall.SIGTERM)
+			if err := <-p.done; err != nil { // it does not wait for the server
+				t.Fatal(err)
+			}
+			close(goOn)
+			rest, err := io.ReadAll(resp.Body)
+			if got = append(got, rest...); err != nil || !bytes.Equal(got, body) {
+				t.Fatalf("%d bytes, %v\n%s", len(got), err, next.log.String())
+			}
+		})
+	}
+}
--- a/cmd/damsonscale/upgrade.go
+++ b/cmd/damsonscale/upgrade.go
@@ -28,6 +28,7 @@
 	life   *lifecycle.Owner
 	share  *share
 	failed chan<- error
+	works  chan handover.Work // that the process before hands over
 
 	mu    sync.Mutex
 	ln    net.Listener // nil: it does not accept yet
@@ -41,10 +42,10 @@
 
 // takeOver asks the process that is there for its socket.
 func takeOver(ctx context.Context, conf *config.Config) *upgrade {
-	u := &upgrade{id: handover.ID{Name: conf.Name, Listen: conf.Listen}}
+	u := &upgrade{id: handover.ID{Name: conf.Name, Listen: conf.Listen}, works: make(chan handover.Work, 16)}
 	u.path = u.id.Path(os.TempDir())
 	var err error
-	if u.before, err = handover.Take(ctx, u.path, u.id); err == nil {
+	if u.before, err = handover.Take(ctx, u.path, u.id, func(w handover.Work) { u.works <- w }); err == nil {
 		return u
 	}
 	if !errors.Is(err, handover.ErrNone) {
@@ -64,6 +65,11 @@
 			u.life.Drain()
 		}
 		u.share.other(true)
+		go func() {
+			for w := range u.works {
+				u.front.GoOn(w.About, w.Client, w.Server)
+			}
+		}()
 		go func() {
 			<-u.before.Gone()
 			u.share.other(false)
@@ -138,9 +144,12 @@
 	u.mu.Lock()
 	ln, offer := u.ln, u.offer
 	u.mu.Unlock()
-	followed := offer.Heir() == handover.Serves
+	var pass frontend.Pass
+	if offer.Heir() == handover.Serves {
+		pass = offer.Pass
+	}
 	offer.Close()
-	u.front.Drain(ctx, ln, followed)
+	u.front.Drain(ctx, ln, pass)
 }
 
 // share divides what the machine grants between this process and others of the same sidecar.
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -25,7 +25,7 @@
 	has       bool
 	failed    error
 	closed    atomic.Bool
-	streams   atomic.Bool // a long answer is being written to it
+	stream    atomic.Pointer[upstream.Stream] // the long answer that is being written to it, until it is to end soon
 }
 
 // What idleSince holds besides a time.
@@ -126,12 +126,20 @@
 	return c.Conn.Write(p)
 }
 
-// widen lets the system hold as much of a long answer as it may, once. Guards against an answer that is cut because its
-// client reads slowly while this process has to end: the system delivers what it holds all the same.
-func (c *clientConn) widen() {
-	if tcp, ok := c.Conn.(*net.TCPConn); ok && c.streams.CompareAndSwap(true, false) {
+// hurry makes a long answer go on in the process that follows, where there is one, and lets the system hold as much of it
+// as it may. Guards against an answer that is cut because its client reads slowly while this process has to end: the
+// system delivers what it holds all the same.
+func (c *clientConn) hurry(followed bool) {
+	s := c.stream.Swap(nil)
+	if s == nil {
+		return
+	}
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		tcp.SetWriteBuffer(upstream.LongestBody)
 	}
+	if followed {
+		s.Detach()
+	}
 }
 
 // Close closes the connection and gives its socket back, once.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
-	"io"
 	"log"
 	"net"
 	"strconv"
@@ -36,6 +34,7 @@
 	acceptMost      = 1000 * time.Millisecond // whatever comes
 	quietBefore     = 300 * time.Millisecond  // without a new connection, before the listener is closed
 	drainStep       = 10 * time.Millisecond
+	lastAnswers     = 150 * time.Millisecond // before the end of the time for it, what is still open is answered
 	unusedAfter     = 300 * time.Millisecond // a new connection that has sent nothing for so long counts as idle
 	graceIdle       = 50 * time.Millisecond  // a connection idle for this long has no request on its way
 	idleSoft        = 300 * time.Millisecond // the same, where there is time to wait for its next request
@@ -49,7 +48,9 @@
 type Frontend struct {
 	side    *sidecar.Sidecar
 	now     atomic.Pointer[snapshot]
-	held    budget // of bodies under way
+	held    budget               // of bodies under way
+	pass    atomic.Pointer[Pass] // to the process that follows, while this one ends
+	resumed atomic.Int64         // answers that the process before began
 	server  *fasthttp.Server
 	sockets atomic.Int64 // connections past which a new one takes an idle one's place
 	life    *lifecycle.Owner
@@ -314,16 +315,23 @@
 }
 
 // Drain answers all that is taken and returns when nothing is left or ctx ends. It takes what still comes for a while,
-// unless it is followed by another process that does; ln is nil where it has not served yet. fasthttp's Shutdown would
-// close the listener at once, while clients still come.
-func (f *Frontend) Drain(ctx context.Context, ln net.Listener, followed bool) {
-	began, listening := time.Now(), ln != nil
+// unless it is followed by another process that does: then pass is not nil. ln is nil where it has not served yet.
+// fasthttp's Shutdown would close the listener at once, while clients still come.
+func (f *Frontend) Drain(ctx context.Context, ln net.Listener, pass Pass) {
+	began, listening, followed := time.Now(), ln != nil, pass != nil
+	if followed {
+		f.pass.Store(&pass)
+	}
 	if listening && followed {
 		ln.Close()
 		listening = false
 	}
 	for ctx.Err() == nil {
-		f.widen()
+		if end, ok := ctx.Deadline(); ok && time.Until(end) < lastAnswers {
+			f.side.End()
+			f.stopReading()
+		}
+		f.hurry(followed)
 		conns, quiet := f.open()
 		switch {
 		case listening && stopsAccepting(time.Since(began), quiet):
@@ -331,7 +339,7 @@
 			listening = false
 		case listening:
 			f.closeIdle(graceIdle, false)
-		case conns == 0:
+		case conns == 0 && f.resumed.Load() == 0:
 			log.Printf("event=drained after_ms=%d", time.Since(began).Milliseconds())
 			return
 		case followed: // clients have another to come to
@@ -345,11 +353,22 @@
 	}
 }
 
-func (f *Frontend) widen() {
+// stopReading answers requests that are not whole yet, too late. Guards against one whose last bytes come while this process
+// ends: it would have been taken and never answered.
+func (f *Frontend) stopReading() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// hurry makes the long answers under way end soon.
+func (f *Frontend) hurry(followed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		c.widen()
+		c.hurry(followed)
 	}
 }
 
@@ -408,7 +427,7 @@
 		bad := body.fault(broken)
 		ctx.Error(bad.text, bad.status)
 	} else {
-		answer(ctx, c, a)
+		f.answer(ctx, c, a)
 	}
 	if left || broken != nil {
 		ctx.SetConnectionClose()
@@ -430,22 +449,17 @@
 }
 
 // answer writes the final answer.
-func answer(ctx *fasthttp.RequestCtx, c *clientConn, a sidecar.Answer) {
+func (f *Frontend) answer(ctx *fasthttp.RequestCtx, c *clientConn, a sidecar.Answer) {
 	switch a.Verdict {
 	case sidecar.Served:
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		if len(a.ContentType) > 0 {
 			ctx.Response.Header.SetContentTypeBytes(a.ContentType)
 		}
-		c.streams.Store(a.Stream != nil)
-		switch {
-		case a.Stream == nil:
+		if a.Stream != nil {
+			f.stream(ctx, c, a)
+		} else {
 			ctx.Response.SetBodyRaw(a.Body)
-		case ctx.Request.Header.IsHTTP11():
-			ctx.Response.ImmediateHeaderFlush = true
-			ctx.Response.SetBodyStream(a.Stream, -1) // chunked, each written as it comes; a broken one lacks its last chunk
-		default:
-			toTheEnd(ctx, c, a)
 		}
 	case sidecar.Refused:
 		refuse(ctx, a)
@@ -458,25 +472,6 @@
 	}
 }
 
-// toTheEnd passes an answer on to a client of HTTP/1.0, which takes no chunks: the connection's end is the answer's. One
-// that breaks ends in a reset.
-func toTheEnd(ctx *fasthttp.RequestCtx, c *clientConn, a sidecar.Answer) {
-	ctx.HijackSetNoResponse(true)
-	ctx.Hijack(func(net.Conn) {
-		defer a.Stream.Close()
-		_, err := fmt.Fprintf(c, "HTTP/1.0 200 OK\r\nConnection: close\r\nContent-Type: %s\r\n\r\n", a.ContentType)
-		if err == nil {
-			_, err = io.Copy(onlyWriter{c}, a.Stream)
-		}
-		if tcp, ok := c.Conn.(*net.TCPConn); ok && err != nil {
-			tcp.SetLinger(0)
-		}
-	})
-}
-
-// onlyWriter hides what else a connection can do.
-type onlyWriter struct{ io.Writer }
-
 func refuse(ctx *fasthttp.RequestCtx, a sidecar.Answer) {
 	ctx.Error("refused, trying again is harmless", fasthttp.StatusServiceUnavailable)
 	if a.RetryAfter > 0 {
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -28,6 +28,8 @@
 	maxHello = 4 << 10
 	maxState = 1 << 20
 
+	workFiles = 2 // of a piece of work: the client's connection and the server's
+
 	helloTimeout = 500 * time.Millisecond
 	heirWait     = 10 * time.Second // for one that is there before to serve or to end
 	heirStep     = 50 * time.Millisecond
@@ -50,6 +52,7 @@
 	Version int `json:"version"`
 	ID
 	Busy  bool            `json:"busy,omitempty"`  // another is starting: ask again
+	Takes bool            `json:"takes,omitempty"` // the new one goes on with pieces of work
 	State json.RawMessage `json:"state,omitempty"` // what the one that is there tells
 }
 
@@ -78,15 +81,22 @@
 	gone chan struct{}
 }
 
+// Work is a piece of work that another process goes on with: what it is, and its two connections.
+type Work struct {
+	About          json.RawMessage
+	Client, Server net.Conn
+}
+
 // ErrNone tells that no other process is there.
 var ErrNone = errors.New("no process is there")
 
 var errBusy = errors.New("another is starting")
 
-// Take asks the process that is there for the listening socket. ErrNone: there is none.
-func Take(ctx context.Context, path string, id ID) (*Before, error) {
+// Take asks the process that is there for the listening socket. ErrNone: there is none. Pieces of work that it hands over
+// later are given to goOn, one call after another; nil: none are taken.
+func Take(ctx context.Context, path string, id ID, goOn func(Work)) (*Before, error) {
 	for end := time.Now().Add(heirWait); ; {
-		b, err := take(path, id)
+		b, err := take(path, id, goOn)
 		if !errors.Is(err, errBusy) || time.Now().After(end) {
 			return b, err
 		}
@@ -98,7 +108,7 @@
 	}
 }
 
-func take(path string, id ID) (*Before, error) {
+func take(path string, id ID, goOn func(Work)) (*Before, error) {
 	nc, err := net.DialTimeout("unix", path, helloTimeout)
 	if err != nil {
 		if errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.ECONNREFUSED) {
@@ -107,7 +117,7 @@
 		return nil, fmt.Errorf("hand-over: %w", err)
 	}
 	conn := nc.(*net.UnixConn)
-	b, err := ask(conn, id)
+	b, err := ask(conn, id, goOn != nil)
 	if err != nil {
 		conn.Close()
 		return nil, fmt.Errorf("hand-over: %w", err)
@@ -115,21 +125,24 @@
 	conn.SetDeadline(time.Time{})
 	go func() {
 		defer close(b.gone)
-		io.Copy(io.Discard, conn) // it says nothing more
+		if err := receiveWork(conn, goOn); err != nil {
+			log.Printf("event=handover_of_work err=%q", err)
+		}
+		io.Copy(io.Discard, conn)
 		conn.Close()
 	}()
 	return b, nil
 }
 
-func ask(conn *net.UnixConn, id ID) (*Before, error) {
+func ask(conn *net.UnixConn, id ID, takes bool) (*Before, error) {
 	conn.SetDeadline(time.Now().Add(helloTimeout))
 	if err := sameUser(conn); err != nil {
 		return nil, err
 	}
-	if err := say(conn, hello{Version: version, ID: id}, nil); err != nil {
+	if err := say(conn, hello{Version: version, ID: id, Takes: takes}); err != nil {
 		return nil, err
 	}
-	line, files, err := receive(conn)
+	line, files, err := (&receiver{conn: conn}).next(0)
 	if err != nil {
 		closeAll(files)
 		return nil, err
@@ -154,27 +167,91 @@
 	return &Before{Listener: ln, State: h.State, conn: conn, gone: make(chan struct{})}, nil
 }
 
-// receive reads one line and the descriptors that came with it.
-func receive(conn *net.UnixConn) (line []byte, files []int, err error) {
+// receiver reads lines and the descriptors that come with them. They come in order, those of a line with its first bytes;
+// but the system puts the end of a long line and the beginning of the next together.
+type receiver struct {
+	conn  *net.UnixConn
+	rest  []byte
+	files []int
+}
+
+// next returns the next line and the first of the descriptors that have come, as many as a line has; 0: all. Guards
+// against descriptors of the next line that are taken for this one's.
+func (r *receiver) next(each int) (line []byte, files []int, err error) {
 	buf, oob := make([]byte, 16<<10), make([]byte, syscall.CmsgSpace(4*16))
 	for {
-		n, on, _, _, err := conn.ReadMsgUnix(buf, oob)
-		files = append(files, descriptors(oob[:on])...)
-		line = append(line, buf[:n]...)
-		if i := bytes.IndexByte(line, '\n'); i >= 0 {
-			return line[:i], files, nil
+		if i := bytes.IndexByte(r.rest, '\n'); i >= 0 {
+			line, r.rest = r.rest[:i:i], r.rest[i+1:]
+			n := len(r.files)
+			if each > 0 {
+				n = min(n, each)
+			}
+			files, r.files = r.files[:n:n], r.files[n:]
+			return line, files, nil
 		}
-		switch {
-		case err != nil:
+		if len(r.rest) > maxState {
+			err = fmt.Errorf("over %d bytes", maxState)
+		}
+		var n, on int
+		if err == nil {
+			n, on, _, _, err = r.conn.ReadMsgUnix(buf, oob)
+			r.files = append(r.files, descriptors(oob[:on])...)
+			r.rest = append(r.rest, buf[:n]...)
+			if err == nil && n == 0 {
+				err = io.ErrUnexpectedEOF
+			}
+		}
+		if err != nil {
+			files, r.files = r.files, nil
 			return nil, files, fmt.Errorf("cut off: %w", err)
-		case n == 0:
-			return nil, files, fmt.Errorf("cut off: %w", io.ErrUnexpectedEOF)
-		case len(line) > maxState:
-			return nil, files, fmt.Errorf("over %d bytes", maxState)
 		}
 	}
 }
 
+// receiveWork hands on what the process before hands over, until that ends.
+func receiveWork(conn *net.UnixConn, goOn func(Work)) error {
+	if goOn == nil {
+		return nil
+	}
+	r := receiver{conn: conn}
+	for {
+		line, files, err := r.next(workFiles)
+		if err != nil {
+			closeAll(files)
+			if len(r.rest) == 0 && (errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF)) {
+				return nil
+			}
+			return err
+		}
+		if len(files) != workFiles {
+			closeAll(files)
+			closeAll(r.files)
+			return fmt.Errorf("%d connections came, expected %d", len(files), workFiles)
+		}
+		w := Work{About: line}
+		if w.Client, err = connOf(files[0]); err == nil {
+			w.Server, err = connOf(files[1])
+		} else {
+			syscall.Close(files[1])
+		}
+		if err != nil {
+			if w.Client != nil {
+				w.Client.Close()
+			}
+			return err
+		}
+		goOn(w)
+	}
+}
+
+// connOf makes a connection of a descriptor.
+func connOf(fd int) (net.Conn, error) {
+	syscall.CloseOnExec(fd)
+	f := os.NewFile(uintptr(fd), "handed over")
+	defer f.Close()
+	return net.FileConn(f)
+}
+
 // descriptors are those in control messages, each to be closed by the caller.
 func descriptors(oob []byte) (all []int) {
 	messages, err := syscall.ParseSocketControlMessage(oob)
@@ -249,8 +326,12 @@
 	state  func() any
 	heard  func(Heir)
 
-	mu   sync.Mutex
-	heir Heir
+	mu    sync.Mutex
+	heir  Heir
+	conn  *net.UnixConn // to the heir
+	takes bool          // it goes on with pieces of work
+
+	passing sync.Mutex // one piece of work is written at a time
 }
 
 // Heir is how far a process beside this one has come.
@@ -355,9 +436,9 @@
 		return err
 	}
 	answer := hello{Version: version, ID: o.id}
-	if !o.claim() {
+	if !o.claim(conn, h.Takes) {
 		answer.Busy = true
-		say(conn, answer, nil)
+		say(conn, answer)
 		return errBusy
 	}
 	if answer.State, err = json.Marshal(o.state()); err == nil {
@@ -370,11 +451,11 @@
 }
 
 // claim makes a process the heir unless there is one.
-func (o *Offer) claim() bool {
+func (o *Offer) claim(conn *net.UnixConn, takes bool) bool {
 	o.mu.Lock()
 	free := o.heir == NoHeir
 	if free {
-		o.heir = Starts
+		o.heir, o.conn, o.takes = Starts, conn, takes
 	}
 	o.mu.Unlock()
 	if free {
@@ -390,33 +471,71 @@
 	o.heard(h)
 }
 
-// say writes a line, with a socket attached unless that is nil.
-func say(conn *net.UnixConn, h hello, socket *net.TCPListener) error {
-	line, err := json.Marshal(h)
-	if err != nil {
-		return err
+// ErrNoHeir tells that no other process takes work.
+var ErrNoHeir = errors.New("no process takes work")
+
+// Pass hands a piece of work with its two connections to the process that follows. Once it has returned nil this process
+// must close both without a word.
+func (o *Offer) Pass(about any, client, server syscall.Conn) error {
+	if o == nil {
+		return ErrNoHeir
 	}
-	line = append(line, '\n')
-	if socket == nil {
-		_, err = conn.Write(line)
-		return err
+	o.mu.Lock()
+	conn, ready := o.conn, o.heir == Serves && o.takes
+	o.mu.Unlock()
+	if !ready {
+		return ErrNoHeir
 	}
-	raw, err := socket.SyscallConn()
+	line, err := json.Marshal(about)
 	if err != nil {
 		return err
 	}
-	var sent int
-	var failed error
-	// The descriptor itself, not a copy by File: making that copy would set the shared socket to blocking.
-	if err := raw.Control(func(fd uintptr) {
-		sent, _, failed = conn.WriteMsgUnix(line, syscall.UnixRights(int(fd)), nil)
-	}); err != nil {
+	o.passing.Lock()
+	defer o.passing.Unlock()
+	conn.SetWriteDeadline(time.Now().Add(helloTimeout))
+	return send(conn, append(line, '\n'), client, server)
+}
+
+// say writes a hello, with sockets attached.
+func say(conn *net.UnixConn, h hello, sockets ...syscall.Conn) error {
+	line, err := json.Marshal(h)
+	if err != nil {
 		return err
 	}
-	if failed == nil && sent < len(line) {
-		_, failed = conn.Write(line[sent:])
+	return send(conn, append(line, '\n'), sockets...)
+}
+
+// send writes a line with sockets attached: the descriptors themselves, not copies by File, since making such a copy would
+// set the shared socket to blocking.
+func send(conn *net.UnixConn, line []byte, sockets ...syscall.Conn) (err error) {
+	var fds []int
+	var within func(rest []syscall.Conn) error
+	within = func(rest []syscall.Conn) error { // all are held open until the line has gone
+		if len(rest) == 0 {
+			var oob []byte
+			if len(fds) > 0 {
+				oob = syscall.UnixRights(fds...)
+			}
+			n, _, err := conn.WriteMsgUnix(line, oob, nil)
+			if err == nil && n < len(line) {
+				_, err = conn.Write(line[n:])
+			}
+			return err
+		}
+		raw, err := rest[0].SyscallConn()
+		if err != nil {
+			return err
+		}
+		var failed error
+		if err := raw.Control(func(fd uintptr) {
+			fds = append(fds, int(fd))
+			failed = within(rest[1:])
+		}); err != nil {
+			return err
+		}
+		return failed
 	}
-	return failed
+	return within(sockets)
 }
 
 // sameUser tells whether the other side is this program's user.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -40,7 +41,7 @@
 // connections that die with a queue.
 func TestNothingInTheQueueIsLost(t *testing.T) {
 	id, path, ln, o, heirs := offered(t)
-	b, err := Take(context.Background(), path, id)
+	b, err := Take(context.Background(), path, id, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -79,7 +80,7 @@
 // A handed socket does not make the accepting one block a thread: it stays non-blocking, and closing it ends Accept.
 func TestOldSocketStaysUsable(t *testing.T) {
 	id, path, ln, _, _ := offered(t)
-	b, err := Take(context.Background(), path, id)
+	b, err := Take(context.Background(), path, id, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -98,11 +99,11 @@
 // While one starts another must wait; once the first has died it is served.
 func TestOneHeirAtATime(t *testing.T) {
 	id, path, _, _, heirs := offered(t)
-	first, err := take(path, id)
+	first, err := take(path, id, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := take(path, id); !errors.Is(err, errBusy) {
+	if _, err := take(path, id, nil); !errors.Is(err, errBusy) {
 		t.Fatal(err)
 	}
 	<-heirs
@@ -110,7 +111,7 @@
 	if h := <-heirs; h != NoHeir {
 		t.Fatal(h)
 	}
-	second, err := Take(context.Background(), path, id)
+	second, err := Take(context.Background(), path, id, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -120,7 +121,7 @@
 // The new process sees the old one's end, and offers at the same path meanwhile.
 func TestEndOfTheOldOne(t *testing.T) {
 	id, path, _, o, _ := offered(t)
-	b, err := Take(context.Background(), path, id)
+	b, err := Take(context.Background(), path, id, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -137,7 +138,7 @@
 	o.Close()
 	b.conn.CloseRead() // as its end does
 	<-b.Gone()
-	if after, err := Take(context.Background(), path, id); err != nil {
+	if after, err := Take(context.Background(), path, id, nil); err != nil {
 		t.Fatal(err)
 	} else {
 		after.conn.Close()
@@ -148,7 +149,7 @@
 func TestNobodyThere(t *testing.T) {
 	id := ID{Name: "n1", Listen: "127.0.0.1:1"}
 	path := id.Path(t.TempDir())
-	if _, err := Take(context.Background(), path, id); err != ErrNone {
+	if _, err := Take(context.Background(), path, id, nil); err != ErrNone {
 		t.Fatal(err)
 	}
 	left, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
@@ -157,7 +158,7 @@
 	}
 	left.SetUnlinkOnClose(false)
 	left.Close()
-	if _, err := Take(context.Background(), path, id); err != ErrNone {
+	if _, err := Take(context.Background(), path, id, nil); err != ErrNone {
 		t.Fatal(err)
 	}
 	(*Before)(nil).Serving()
@@ -220,7 +221,7 @@
 			n, _, _ := conn.WriteMsgUnix([]byte(c.text), oob, nil)
 			conn.Write([]byte(c.text)[n:])
 		}()
-		if b, err := take(path, id); err == nil || errors.Is(err, ErrNone) {
+		if b, err := take(path, id, nil); err == nil || errors.Is(err, ErrNone) {
 			t.Errorf("%s: taken: %v %v", name, b, err)
 		}
 		door.Close()
@@ -257,7 +258,7 @@
 	if o.Heir() != NoHeir {
 		t.Fatal(o.Heir())
 	}
-	b, err := Take(context.Background(), path, id)
+	b, err := Take(context.Background(), path, id, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -304,8 +305,67 @@
 		}
 		ends[0].Write(text)
 		ends[0].CloseWrite()
-		if b, err := ask(ends[1], ID{Name: "n1", Listen: "127.0.0.1:1"}); err == nil {
+		if b, err := ask(ends[1], ID{Name: "n1", Listen: "127.0.0.1:1"}, true); err == nil {
 			t.Fatalf("taken without a socket: %v", b)
 		}
 	})
 }
+
+// A piece of work goes on in the process that follows: both connections come, and stay open when the one before closes
+// its own. What is no work ends the taking, and leaves no descriptor.
+func TestWorkGoesOn(t *testing.T) {
+	id, path, ln, o, heirs := offered(t)
+	works := make(chan Work, 16)
+	b, err := Take(context.Background(), path, id, func(w Work) { works <- w })
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-heirs
+	pair := func() (here, there net.Conn) {
+		there, err := net.Dial("tcp", id.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if here, err = ln.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { here.Close(); there.Close() })
+		return
+	}
+	client, atClient := pair()
+	server, atServer := pair()
+	if err := o.Pass("early", client.(*net.TCPConn), server.(*net.TCPConn)); err != ErrNoHeir {
+		t.Fatalf("handed to one that does not serve: %v", err)
+	}
+	b.Serving()
+	<-heirs
+	// Long ones, at once: the system puts the end of one and the beginning of the next together.
+	var passing sync.WaitGroup
+	for range cap(works) {
+		passing.Go(func() {
+			if err := o.Pass(strings.Repeat("x", 100_000), client.(*net.TCPConn), server.(*net.TCPConn)); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	var w, again Work
+	for range cap(works) {
+		w, again = again, <-works
+		if len(again.About) != 100_002 {
+			t.Fatalf("%d bytes", len(again.About))
+		}
+	}
+	passing.Wait()
+	client.Close()
+	server.Close()
+	for there, here := range map[net.Conn]net.Conn{atClient: w.Client, atServer: again.Server} {
+		there.Write([]byte("hello"))
+		text := make([]byte, 5)
+		if _, err := here.Read(text); err != nil || string(text) != "hello" {
+			t.Fatalf("%q %v", text, err)
+		}
+	}
+	if err := (*Offer)(nil).Pass("x", nil, nil); err != ErrNoHeir {
+		t.Fatal(err)
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -39,6 +39,8 @@
 	peers     map[string]*peer
 	known     chan struct{} // closed once any server is known
 	first     sync.Once     // closes it
+	ending    chan struct{} // closed by End
+	last      sync.Once     // closes it
 }
 
 // peer is a server's actor with what the module has out there.
@@ -52,7 +54,7 @@
 	s := &Sidecar{
 		conf: conf, settings: &conf.Settings, transport: conf.Transport, box: make(chan func(int64), mailbox), start: time.Now(),
 		calls: map[string]*Call{}, peers: map[string]*peer{},
-		known: make(chan struct{}),
+		known: make(chan struct{}), ending: make(chan struct{}),
 	}
 	s.list = discovery.New(conf.Discovery, conf.Known, s)
 	s.shared = upstream.Shared{
@@ -73,6 +75,10 @@
 // Hold keeps to so many connections to servers from now on.
 func (s *Sidecar) Hold(sockets int) { s.shared.Budget.Hold(sockets) }
 
+// End answers all that is open and all that still comes, at once. Guards against requests that this process has taken and
+// that its end leaves with none: their clients see a failure instead.
+func (s *Sidecar) End() { s.last.Do(func() { close(s.ending) }) }
+
 // Known is closed once any server has been known.
 func (s *Sidecar) Known() <-chan struct{} { return s.known }
 
@@ -160,6 +166,13 @@
 			return a, true, false
 		case <-last.C:
 			return a, false, false
+		case <-s.ending:
+			select { // an answer that is there goes before
+			case a = <-c.answer:
+				return a, false, true
+			default:
+				return a, false, false
+			}
 		case <-coming:
 			coming = nil
 			at, err := c.Message.Rest.Whole()
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -115,18 +116,22 @@
 type Stream struct {
 	ContentType []byte
 
-	a    *Attempt
-	c    *conn
-	head []byte // read already
-	body io.Reader
-	sum  int64
-	err  error
-	once sync.Once
-	done chan error // io.EOF: read to its end
+	a      *Attempt
+	c      *conn
+	detach atomic.Bool
+	head   []byte // read already
+	body   io.Reader
+	sum    int64
+	err    error
+	once   sync.Once
+	done   chan error // io.EOF: read to its end
 }
 
 // Read reads on. Its error is io.EOF after the last byte of a whole answer alone.
 func (s *Stream) Read(p []byte) (n int, err error) {
+	if s.detach.Load() && s.err == nil {
+		return 0, ErrDetached
+	}
 	if len(s.head) > 0 {
 		n = copy(p, s.head)
 		s.head = s.head[n:]
@@ -140,7 +145,17 @@
 		s.err = errStopped
 		return 0, s.err
 	}
+	if s.detach.Load() {
+		s.c.SetReadDeadline(past)
+	}
 	n, err = s.body.Read(p)
+	if s.detach.Load() && timedOut(s.a.ctx, err) {
+		s.sum += int64(n)
+		if n > 0 {
+			return n, nil
+		}
+		return 0, ErrDetached
+	}
 	if s.sum += int64(n); s.sum > LongestBody {
 		err = errTooLong
 	}
