--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -29,6 +29,8 @@
 	clientPart = 0.5 // of the other sockets: each request out holds one on either side
 
 	drainMore = 600 * time.Millisecond // past the longest deadline, after SIGTERM
+	drainMost = 3 * time.Second        // of that deadline: operators wait no longer before SIGKILL. Guards against a class of
+	// longer deadlines, whose open requests were cut off by it unanswered
 )
 
 func main() {
@@ -89,7 +91,7 @@
 	}
 	life.End()
 	log.Printf("event=term name=%s", conf.Name)
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(most.Load())*time.Microsecond+drainMore)
+	ctx, cancel := context.WithTimeout(context.Background(), drainFor(most.Load()))
 	defer cancel()
 	up.drain(ctx)
 	return nil
@@ -116,6 +118,11 @@
 	}
 }
 
+// drainFor is how long SIGTERM's drain may last, where the longest deadline is so many µs.
+func drainFor(longest int64) time.Duration {
+	return min(time.Duration(longest)*time.Microsecond, drainMost) + drainMore
+}
+
 // longest is the longest deadline of a class, in µs.
 func longest(classes []decide.Class) (most int64) {
 	for _, c := range classes {
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -241,3 +241,19 @@
 		t.Fatalf("%d requests on their way, want that of the slow writer", n)
 	}
 }
+
+// A request that is not whole when the time for a drain is over is answered before its connection ends. Guards against one
+// whose last bytes come just then: it would be taken and lost.
+func TestHalfARequestIsAnsweredAtTheEnd(t *testing.T) {
+	f, ln := serving(t, nil)
+	c := dial(t, ln)
+	io.WriteString(c, look[:20])
+	eventually(t, "a connection", func() bool { n, _ := f.open(); return n == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 2*lastAnswers)
+	defer cancel()
+	go f.Drain(ctx, ln, nil)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || resp.StatusCode != http.StatusRequestTimeout {
+		t.Fatal(resp, err)
+	}
+}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -259,3 +259,25 @@
 		t.Fatalf("%+v", a)
 	}
 }
+
+// End answers what is open at once, and what comes then. Guards against requests left with no answer by the process's end.
+func TestEndAnswersAll(t *testing.T) {
+	came, finish := make(chan bool, 1), make(chan bool)
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { came <- true; <-finish }))
+	defer close(finish)
+	run(t, s)
+	answer := make(chan Answer)
+	go func() {
+		a, _ := s.Do(call("a", 0, time.Minute), nil)
+		answer <- a
+	}()
+	<-came
+	s.End()
+	s.End()
+	if a := <-answer; a.Verdict != Late {
+		t.Fatalf("%+v", a)
+	}
+	if a, left := s.Do(call("b", 0, time.Minute), nil); a.Verdict != Late || left {
+		t.Fatalf("%+v", a)
+	}
+}
