--- a/cmd/damsonscale/ops_test.go
+++ b/cmd/damsonscale/ops_test.go
@@ -372,3 +372,37 @@
 		}
 	}
 }
+
+// A request that the old process still has under way is not run again by the new one under the same id.
+func TestIDsUnderWayInAnUpgrade(t *testing.T) {
+	came, finish := make(chan bool, 4), make(chan bool)
+	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) {
+		came <- true
+		<-finish
+		io.WriteString(w, "yes")
+	}, withAdmin(t))
+	p.serves(t)
+	const text = "POST /once HTTP/1.1\r\nHost: h\r\nReq-Id: same\r\nReq-Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n"
+	first := p.dial(t)
+	io.WriteString(first, text)
+	<-came
+	next := p.beside(t)
+	next.serves(t)
+	p.cmd.Process.Signal(syscall.SIGTERM)
+	p.expect(t, "event=term")
+	eventually(t, "409 for the same id", func() bool {
+		second := next.dial(t)
+		io.WriteString(second, text)
+		second.SetReadDeadline(time.Now().Add(200 * time.Millisecond)) // before the word has come it is taken, and waits
+		resp, err := http.ReadResponse(second.br, nil)
+		second.Close()
+		return err == nil && resp.StatusCode == 409
+	})
+	close(finish)
+	if resp, err := http.ReadResponse(first.br, nil); err != nil || resp.StatusCode != 200 {
+		t.Fatal(resp, err)
+	}
+	if err := <-p.done; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/cmd/damsonscale/upgrade.go
+++ b/cmd/damsonscale/upgrade.go
@@ -40,6 +40,11 @@
 	Drained bool `json:"drained"` // by operators
 }
 
+// ends is what a process that SIGTERM ends tells the one after it.
+type ends struct {
+	Open []string `json:"open"` // ids of the requests that it still has under way
+}
+
 // takeOver asks the process that is there for its socket.
 func takeOver(ctx context.Context, conf *config.Config) *upgrade {
 	u := &upgrade{id: handover.ID{Name: conf.Name, Listen: conf.Listen}, works: make(chan handover.Work, 16)}
@@ -67,11 +72,12 @@
 		u.share.other(true)
 		go func() {
 			for w := range u.works {
-				u.front.GoOn(w.About, w.Client, w.Server)
+				u.goOn(w)
 			}
 		}()
 		go func() {
 			<-u.before.Gone()
+			u.side.Foreign(nil)
 			u.share.other(false)
 		}()
 	} else if !u.held {
@@ -87,6 +93,25 @@
 	return nil
 }
 
+// goOn takes what the process before hands over or tells.
+func (u *upgrade) goOn(w handover.Work) {
+	if w.Client != nil {
+		u.front.GoOn(w.About, w.Client, w.Server)
+		return
+	}
+	var e ends
+	if err := json.Unmarshal(w.About, &e); err != nil {
+		log.Printf("event=handover_unreadable err=%q", err)
+		return
+	}
+	u.side.Foreign(e.Open)
+	select {
+	case <-u.before.Gone(): // perhaps before they were named: what it had under way has ended
+		u.side.Foreign(nil)
+	default:
+	}
+}
+
 // follow accepts once this process can serve, or the one that did has gone, and tells that it serves.
 func (u *upgrade) follow(ctx context.Context) error {
 	if u.before != nil {
@@ -147,6 +172,9 @@
 	var pass frontend.Pass
 	if offer.Heir() == handover.Serves {
 		pass = offer.Pass
+		if err := offer.Tell(ends{Open: u.side.Open()}); err != nil {
+			log.Printf("event=handover_not_told err=%q", err)
+		}
 	}
 	offer.Close()
 	u.front.Drain(ctx, ln, pass)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -81,12 +81,27 @@
 	gone chan struct{}
 }
 
-// Work is a piece of work that another process goes on with: what it is, and its two connections.
+// Work is a piece of work that another process goes on with: what it is, and its two connections; or news, which have none.
 type Work struct {
 	About          json.RawMessage
 	Client, Server net.Conn
 }
 
+// message is a line of the process that was there, after its hello.
+type message struct {
+	Work json.RawMessage `json:"work,omitempty"` // has two descriptors
+	News json.RawMessage `json:"news,omitempty"` // has none
+}
+
+// files is how many descriptors come with a line.
+func files(line []byte) int {
+	var m message
+	if json.Unmarshal(line, &m) == nil && m.Work != nil {
+		return workFiles
+	}
+	return 0
+}
+
 // ErrNone tells that no other process is there.
 var ErrNone = errors.New("no process is there")
 
@@ -142,7 +157,7 @@
 	if err := say(conn, hello{Version: version, ID: id, Takes: takes}); err != nil {
 		return nil, err
 	}
-	line, files, err := (&receiver{conn: conn}).next(0)
+	line, files, err := (&receiver{conn: conn}).next(nil)
 	if err != nil {
 		closeAll(files)
 		return nil, err
@@ -175,16 +190,16 @@
 	files []int
 }
 
-// next returns the next line and the first of the descriptors that have come, as many as a line has; 0: all. Guards
+// next returns the next line and the first of the descriptors that have come, as many as belong to it; nil: all. Guards
 // against descriptors of the next line that are taken for this one's.
-func (r *receiver) next(each int) (line []byte, files []int, err error) {
+func (r *receiver) next(belong func(line []byte) int) (line []byte, files []int, err error) {
 	buf, oob := make([]byte, 16<<10), make([]byte, syscall.CmsgSpace(4*16))
 	for {
 		if i := bytes.IndexByte(r.rest, '\n'); i >= 0 {
 			line, r.rest = r.rest[:i:i], r.rest[i+1:]
 			n := len(r.files)
-			if each > 0 {
-				n = min(n, each)
+			if belong != nil {
+				n = min(n, belong(line))
 			}
 			files, r.files = r.files[:n:n], r.files[n:]
 			return line, files, nil
@@ -215,24 +230,29 @@
 	}
 	r := receiver{conn: conn}
 	for {
-		line, files, err := r.next(workFiles)
+		line, fds, err := r.next(files)
 		if err != nil {
-			closeAll(files)
+			closeAll(fds)
 			if len(r.rest) == 0 && (errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF)) {
 				return nil
 			}
 			return err
 		}
-		if len(files) != workFiles {
-			closeAll(files)
+		var m message
+		if err := json.Unmarshal(line, &m); err != nil || len(fds) != files(line) {
+			closeAll(fds)
 			closeAll(r.files)
-			return fmt.Errorf("%d connections came, expected %d", len(files), workFiles)
+			return fmt.Errorf("unreadable, with %d connections: %v", len(fds), err)
 		}
-		w := Work{About: line}
-		if w.Client, err = connOf(files[0]); err == nil {
-			w.Server, err = connOf(files[1])
+		if m.Work == nil {
+			goOn(Work{About: m.News})
+			continue
+		}
+		w := Work{About: m.Work}
+		if w.Client, err = connOf(fds[0]); err == nil {
+			w.Server, err = connOf(fds[1])
 		} else {
-			syscall.Close(files[1])
+			syscall.Close(fds[1])
 		}
 		if err != nil {
 			if w.Client != nil {
@@ -477,6 +497,23 @@
 // Pass hands a piece of work with its two connections to the process that follows. Once it has returned nil this process
 // must close both without a word.
 func (o *Offer) Pass(about any, client, server syscall.Conn) error {
+	body, err := json.Marshal(about)
+	if err != nil {
+		return err
+	}
+	return o.write(message{Work: body}, client, server)
+}
+
+// Tell tells the process that follows.
+func (o *Offer) Tell(news any) error {
+	body, err := json.Marshal(news)
+	if err != nil {
+		return err
+	}
+	return o.write(message{News: body})
+}
+
+func (o *Offer) write(m message, sockets ...syscall.Conn) error {
 	if o == nil {
 		return ErrNoHeir
 	}
@@ -486,14 +523,17 @@
 	if !ready {
 		return ErrNoHeir
 	}
-	line, err := json.Marshal(about)
+	line, err := json.Marshal(m)
 	if err != nil {
 		return err
 	}
+	if len(line) >= maxState {
+		return fmt.Errorf("%d bytes, over %d", len(line), maxState)
+	}
 	o.passing.Lock()
 	defer o.passing.Unlock()
 	conn.SetWriteDeadline(time.Now().Add(helloTimeout))
-	return send(conn, append(line, '\n'), client, server)
+	return send(conn, append(line, '\n'), sockets...)
 }
 
 // say writes a hello, with sockets attached.
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -356,6 +356,12 @@
 		}
 	}
 	passing.Wait()
+	if err := o.Tell([]string{"news"}); err != nil {
+		t.Fatal(err)
+	}
+	if n := <-works; string(n.About) != `["news"]` || n.Client != nil || n.Server != nil {
+		t.Fatalf("%s %v", n.About, n.Client)
+	}
 	client.Close()
 	server.Close()
 	for there, here := range map[net.Conn]net.Conn{atClient: w.Client, atServer: again.Server} {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"log"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -36,6 +37,7 @@
 	box       chan func(now int64)
 	start     time.Time
 	calls     map[string]*Call
+	foreign   map[string]bool // ids that another process of this sidecar has under way
 	peers     map[string]*peer
 	known     chan struct{} // closed once any server is known
 	first     sync.Once     // closes it
@@ -185,8 +187,27 @@
 	}
 }
 
+// Open lists the requests under way.
+func (s *Sidecar) Open() []string {
+	back := make(chan []string, 1)
+	s.box <- func(int64) {
+		back <- slices.Collect(maps.Keys(s.calls))
+	}
+	return <-back
+}
+
+// Foreign names the requests that another process of this sidecar has under way, in place of those named before. Guards
+// against a request of the same id that would run beside it.
+func (s *Sidecar) Foreign(ids []string) {
+	foreign := map[string]bool{}
+	for _, id := range ids {
+		foreign[id] = true
+	}
+	s.box <- func(int64) { s.foreign = foreign }
+}
+
 func (s *Sidecar) take(now int64, c *Call) {
-	if s.calls[c.Request.ID] != nil { // Guards against two requests of one id, whose attempts could not be told apart
+	if s.calls[c.Request.ID] != nil || s.foreign[c.Request.ID] { // Guards against two requests of one id, whose attempts could not be told apart
 		c.finish(Answer{Verdict: Duplicate})
 		return
 	}
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -281,3 +281,34 @@
 		t.Fatalf("%+v", a)
 	}
 }
+
+// An id that another process of the sidecar has under way is not taken, until that one has gone.
+func TestForeignIDs(t *testing.T) {
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") }))
+	run(t, s)
+	for _, step := range []struct {
+		foreign []string
+		want    Verdict
+	}{{[]string{"a", "b"}, Duplicate}, {[]string{"b"}, Served}, {[]string{"a"}, Duplicate}, {nil, Served}} {
+		s.Foreign(step.foreign)
+		if a, _ := s.Do(call("a", 0, time.Minute), nil); a.Verdict != step.want {
+			t.Fatalf("beside %v: %+v", step.foreign, a)
+		}
+	}
+}
+
+// Open lists what is under way, and that alone.
+func TestOpenIDs(t *testing.T) {
+	came, finish := make(chan bool, 1), make(chan bool)
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { came <- true; <-finish }))
+	run(t, s)
+	done := make(chan bool)
+	go func() { s.Do(call("a", 0, time.Minute), nil); done <- true }()
+	<-came
+	if ids := s.Open(); len(ids) != 1 || ids[0] != "a" {
+		t.Fatal(ids)
+	}
+	close(finish)
+	<-done
+	eventually(t, func() bool { return len(s.Open()) == 0 })
+}
