--- a/decide/decide.go
+++ b/decide/decide.go
@@ -297,8 +297,9 @@
 	return true
 }
 
-// Started hands an attempt to the client: its stream has no deadline and gets no further attempt. Its server has
-// done its work. Guards against answers that slow clients take, in the place of requests that servers have room for.
+// Started hands an attempt to the client: its stream has no deadline and gets no further attempt. Its server
+// has done its work. Guards against slow clients whose long answers take the place of requests that servers
+// have room for.
 func (b *Balancer) Started(now int64, id string, n int) {
 	if r := b.open[id]; r != nil && !r.ended && n < len(r.tries) {
 		r.started, r.tries[n].server.heardAt = true, now
