--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -351,6 +351,8 @@
 		}
 		time.Sleep(drainStep)
 	}
+	f.side.End()
+	f.stopReading()
 }
 
 // stopReading answers requests that are not whole yet, too late. Guards against one whose last bytes come while this process
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -245,7 +245,7 @@
 // A request that is not whole when the time for a drain is over is answered before its connection ends. Guards against one
 // whose last bytes come just then: it would be taken and lost.
 func TestHalfARequestIsAnsweredAtTheEnd(t *testing.T) {
-	f, ln := serving(t, nil)
+	f, ln := serving(t, func(f *Frontend) { f.server.ReadTimeout = time.Minute })
 	c := dial(t, ln)
 	io.WriteString(c, look[:20])
 	eventually(t, "a connection", func() bool { n, _ := f.open(); return n == 1 })
