--- a/decide/decide.go
+++ b/decide/decide.go
@@ -673,7 +673,7 @@
 				sum += s.limit
 			}
 		}
-		if busy := b.perSize[1]*float64(second) >= learnAnswers; busy || float64(b.out) >= max(1, sum) {
+		if busy := b.perSize[1]*float64(second) >= learnAnswers; busy {
 			return float64(b.out) >= max(1, sum) // limits of a busy balancer learn by themselves
 		}
 	}
