--- a/decide/decide.go
+++ b/decide/decide.go
@@ -618,7 +618,7 @@
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case b.talks() || o.Result != Served && o.Result != TimedOut && o.Result != Full:
-	case o.Result != Served && s.early: // lost by itself, or turned away early: guards against cuts where nothing is crowded
+	case o.Result == TimedOut && s.early: // lost by itself: guards against cuts where nothing is crowded
 	case early && float64(s.inFlight+2) > s.limit && s.cutAt == 0:
 		s.limit *= limitFirst
 	case early && float64(s.inFlight+2) > s.limit:
