--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,7 +25,7 @@
 	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
 	warmBoost    = 2.0   // times all arms together weighs a key's home: with more, slow homes keep their keys
 
-	armsLeast = 2    // servers that a balancer draws from at the least: enough to spread losses and retries
+	armsLeast = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
 	armEach   = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
 	armsCover = 8.0  // balancers that have a server as an arm, on average: fewer leave servers unused
 	armsTold  = 14.0 // the same where balancers tell one another
@@ -571,6 +571,7 @@
 	if o.Result == Served || o.Result == Errored || o.Result == Full || o.Result == Rejected {
 		a.server.heardAt = now
 	}
+	b.hearLoad(a.server, o.Load)
 	if o.Result == Cancelled || o.Result == Moot || o.Result == Rejected {
 		return
 	}
@@ -847,6 +848,7 @@
 	b.valueClasses()
 	mean, answered, size := b.meanLog(), [2]int{}, [2]float64{}
 	keep := max(keepLog, math.Pow(keepAnswer, float64(b.answers)/float64(max(1, len(b.arms)))))
+	b.speeds()
 	b.rate += (float64(b.taken) - b.rate) / 4
 	b.taken = 0
 	b.takeArms(now)
--- a/decide/state.go
+++ b/decide/state.go
@@ -24,6 +24,8 @@
 	calmStep    = 0.05        // of the calm mark: one burst of late answers must not move it far
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
+	paceStep    = 0.25        // of what a server tells of its pace: one word of few requests is rough
+	speedMost   = 8.0         // times faster or slower than the mean that a server counts as
 	sizeMost    = 1e9         // of a listed size: a sum of a fleet of them stays exact enough
 )
 
@@ -103,7 +105,8 @@
 	coldSince  int64   // start of its latest warm-up; 0: warm
 	credit     float64 // while cold: sends that it may get, as of the time below
 	creditAt   int64
-	answered   int // own answers this second
+	answered   int     // own answers this second
+	pace       float64 // µs that work takes it without waiting, as it tells; 0: not told
 }
 
 // health is what a server's answers tell of it for one class.
@@ -336,6 +339,48 @@
 	}
 }
 
+// hearLoad takes in what a server tells of itself with an answer.
+func (b *Balancer) hearLoad(s *server, l *Load) {
+	if l == nil || !(l.Latency > 0 && l.Latency < 1e6) {
+		return
+	}
+	if s.pace == 0 {
+		s.pace = l.Latency
+	}
+	s.pace += (l.Latency - s.pace) * paceStep
+}
+
+// speed is how fast s works, as told, beside the mean of those that tell; of one that does not tell that of its kind.
+func (b *Balancer) speeds() {
+	type mean struct{ sum, n float64 }
+	kinds, all := map[string]mean{}, mean{}
+	for _, s := range b.servers {
+		if s.pace > 0 {
+			k := kinds[s.Kind]
+			kinds[s.Kind] = mean{k.sum + s.pace, k.n + 1}
+			all = mean{all.sum + s.pace, all.n + 1}
+		}
+	}
+	if all.n == 0 {
+		return
+	}
+	sum := 0.0
+	for _, s := range b.servers {
+		pace := s.pace
+		if k := kinds[s.Kind]; pace == 0 {
+			pace = all.sum / all.n
+			if k.n > 0 {
+				pace = k.sum / k.n
+			}
+		}
+		s.Size = s.listed * min(max(all.sum/all.n/pace, 1/speedMost), speedMost)
+		sum += s.Size
+	}
+	for _, s := range b.servers {
+		s.Size *= float64(len(b.servers)) / sum
+	}
+}
+
 // drop forgets the place of servers that left the list.
 func (b *Balancer) drop(now int64) {
 	b.servers = slices.DeleteFunc(b.servers, func(s *server) bool {
