--- a/decide/decide.go
+++ b/decide/decide.go
@@ -55,6 +55,7 @@
 	coldPart = 0.5 // of what would push a cold server over is its most: its warm-up as stated is the slowest
 
 	sickAfter    = 2          // failures in a row that suspend: one may be chance, a quiet balancer sees few
+	sickChance   = 0.03       // that so many errors in a row are not the server's, past which they are held for its own
 	suspendFirst = 0.5e6      // µs of a first suspension, doubled each time a trial fails
 	suspendMost  = 8e6        // µs: a server that is back is found within this and its jitter
 	silentIsCold = 2 * second // a server silent this long may have started anew: it counts as cold
@@ -587,6 +588,7 @@
 		r.class.sample(float64(o.Latency))
 	}
 	b.judge(now, r.Class, a.server, o.Result)
+	b.countErrors(o.Result)
 	b.adapt(now, r.class, a, o)
 	b.learn(a, r.payoff(o))
 }
@@ -747,7 +749,7 @@
 			h.bad = 0
 		default:
 			h.bad, h.cause = h.bad+1, result
-			if h.bad >= sickAfter && !(h.suspended && now < h.until) {
+			if float64(h.bad) >= b.sickAfter(result) && !(h.suspended && now < h.until) {
 				b.suspend(now, s, i)
 			}
 		}
@@ -757,6 +759,16 @@
 	}
 }
 
+// sickAfter is how many failures in a row tell that a server is at fault: so many that their chance, where errors
+// are as frequent as at all servers of late, is small. Guards against suspensions of all servers in turn for
+// errors that requests bring with them.
+func (b *Balancer) sickAfter(result Result) float64 {
+	if result != Errored || b.errors == 0 {
+		return sickAfter
+	}
+	return max(sickAfter, math.Log(sickChance)/math.Log(min(b.errors, 0.9)))
+}
+
 // suspend takes s out of the draw of a class for a while, longer each time a trial fails.
 func (b *Balancer) suspend(now int64, s *server, class int) {
 	h := &s.health[class]
