--- a/decide/decide.go
+++ b/decide/decide.go
@@ -498,7 +498,7 @@
 // under one counts as that part of it. Guards against many balancers that take turns at a jammed server and
 // keep it so: work they gave up on still goes on there.
 func (b *Balancer) armWeight(s, home *server) float64 {
-	w := s.Size * s.weight * min(1, b.bound(s)) * b.near(s.Zone)
+	w := s.Size * s.weight * min(1, b.bound(s)) * b.near(s.Zone) * b.ease(s)
 	if s == home {
 		return warmBoost * float64(len(b.arms)) * w
 	}
@@ -572,7 +572,7 @@
 	if o.Result == Served || o.Result == Errored || o.Result == Full || o.Result == Rejected {
 		a.server.heardAt = now
 	}
-	b.hearLoad(a.server, o.Load)
+	b.hearLoad(now, a.server, o.Load)
 	if o.Result == Cancelled || o.Result == Moot || o.Result == Rejected {
 		return
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -25,9 +25,10 @@
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	errorsOver  = 20.0        // answers, about, that the share of errors is taken over
-	paceStep    = 0.25        // of what a server tells of its pace: one word of few requests is rough
-	speedMost   = 8.0         // times faster or slower than the mean that a server counts as
-	sizeMost    = 1e9         // of a listed size: a sum of a fleet of them stays exact enough
+	easePower = 2.0
+	paceStep    = 0.25 // of what a server tells of its pace: one word of few requests is rough
+	speedMost   = 8.0  // times faster or slower than the mean that a server counts as
+	sizeMost    = 1e9  // of a listed size: a sum of a fleet of them stays exact enough
 )
 
 // Balancer decides for one sidecar. It knows only what its events told it.
@@ -57,6 +58,7 @@
 	drain     float64      // answers per µs
 	perSize   [2]float64   // answers that a warm server of size one gives this balancer, per µs: no arm, arm
 	seconds   float64      // since its start
+	told      float64      // requests that servers hold, as they tell, on average
 	errors    float64      // share of errors in the answers of all servers of late
 	beside    bool         // another process of this sidecar serves too
 	aloneFrom int64        // when the last such has left the books of the budget of attempts
@@ -108,6 +110,7 @@
 	credit     float64 // while cold: sends that it may get, as of the time below
 	creditAt   int64
 	answered   int     // own answers this second
+	told       float64 // requests that it holds or that wait there, as it tells
 	pace       float64 // µs that work takes it without waiting, as it tells; 0: not told
 }
 
@@ -351,8 +354,15 @@
 }
 
 // hearLoad takes in what a server tells of itself with an answer.
-func (b *Balancer) hearLoad(s *server, l *Load) {
-	if l == nil || !(l.Latency > 0 && l.Latency < 1e6) {
+func (b *Balancer) hearLoad(now int64, s *server, l *Load) {
+	if l == nil {
+		return
+	}
+	if n := max(l.InFlight, l.Queue); n >= 0 && n < 1e6 {
+		s.told = n
+		b.told += (n - b.told) / 20
+	}
+	if !(l.Latency > 0 && l.Latency < 1e6) {
 		return
 	}
 	if s.pace == 0 {
@@ -361,6 +371,11 @@
 	s.pace += (l.Latency - s.pace) * paceStep
 }
 
+// ease is how much more a server weighs for holding less than the mean, as told.
+func (b *Balancer) ease(s *server) float64 {
+	return math.Pow((b.told+1)/(s.told/s.Size+1), easePower)
+}
+
 // speed is how fast s works, as told, beside the mean of those that tell; of one that does not tell that of its kind.
 func (b *Balancer) speeds() {
 	type mean struct{ sum, n float64 }
