--- a/decide/decide.go
+++ b/decide/decide.go
@@ -617,7 +617,7 @@
 		b.tally.late++
 	}
 	s.early = early || o.Result != Served && s.early
-	b.crowding(now, s, o.Result == Served && float64(o.Latency) <= earlyShare*float64(c.Aim), o.Result)
+	b.crowding(now, s, early, o.Result)
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case b.talks() || o.Result != Served && o.Result != TimedOut && o.Result != Full:
