--- a/decide/decide.go
+++ b/decide/decide.go
@@ -47,7 +47,8 @@
 	limitFirst  = 1.10  // the same before a server's first late answer: the start is a guess
 	limitDown   = 0.92  // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6   // of the limit, kept when a server is full or its client gave up: one is plain enough
-	earlyShare  = 0.75  // of the aim: later answers warn of a crowd while there is time to act
+	earlyShare  = 0.6   // of the aim: later answers warn of a crowd while there is time to act
+	earlyTold   = 0.75  // the same where balancers tell one another what they hold
 	queueShare  = 0.25  // of the aim that a request may wait unsent: the rest is for its answer
 	roomTakers  = 2.0   // of those who hear that a server has room send what waits: words may be lost
 	queueLeast  = 4.0   // requests that may wait whatever the drain: a start knows none yet
@@ -617,6 +618,9 @@
 		b.tally.late++
 	}
 	s.early = early || o.Result != Served && s.early
+	if b.talks() { // the density is of what all hold there, and moves by little
+		early = o.Result == Served && float64(o.Latency) <= earlyTold*float64(c.Aim)
+	}
 	b.crowding(now, s, early, o.Result)
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
--- a/decide/state.go
+++ b/decide/state.go
@@ -25,7 +25,7 @@
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	errorsOver  = 20.0        // answers, about, that the share of errors is taken over
-	easePower = 2.0
+	easePower   = 2.0
 	paceStep    = 0.25 // of what a server tells of its pace: one word of few requests is rough
 	speedMost   = 8.0  // times faster or slower than the mean that a server counts as
 	sizeMost    = 1e9  // of a listed size: a sum of a fleet of them stays exact enough
