--- a/decide/decide.go
+++ b/decide/decide.go
@@ -625,7 +625,9 @@
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case b.talks() || o.Result != Served && o.Result != TimedOut && o.Result != Full:
-	case o.Result == TimedOut && s.early: // lost by itself: guards against cuts where nothing is crowded
+	case s.early && (o.Result == TimedOut || o.Result == Full && b.set.Rules.ResendSpan == 0):
+		// Lost by itself, or turned away early: guards against cuts where nothing is crowded. Where further
+		// attempts are rationed a full server costs one, and the cut keeps others away from it.
 	case early && float64(s.inFlight+2) > s.limit && s.cutAt == 0:
 		s.limit *= limitFirst
 	case early && float64(s.inFlight+2) > s.limit:
