--- a/decide/decide.go
+++ b/decide/decide.go
@@ -62,6 +62,12 @@
 	silentIsCold = 2 * second // a server silent this long may have started anew: it counts as cold
 	healthyLeast = 0.25       // of the servers in service stay in the draw: more ill ones share a cause
 
+	blameSure = 2.0  // standard deviations, and one, past which bad answers of a key are its own fault
+	badOver   = 50.0 // answers, about, that the share of bad ones is taken over
+	thinMore  = 0.8  // of a key's requests that still pass, kept for each bad answer; with thinLess it rests ...
+	thinLess  = 1.1  // where three in ten are bad
+	thinLeast = 0.05 // of them pass whatever comes, to see whether it is over
+
 	retryPerServed = 0.15 // retries earned by an answer: a storm of retries adds under a sixth more work
 	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
 
@@ -129,6 +135,10 @@
 	b.taken++
 	b.further.slot(now).taken++
 	b.open[in.ID] = r
+	if r.books = b.booksOf(in.Key); r.books != nil && r.books.thinned > 0 && b.rng.Float64() < r.books.thinned {
+		b.giveUp(now, r) // at fault of late: see blame
+		return
+	}
 	if class.LateShare == 0 && float64(r.aim-r.spent) < class.half {
 		b.giveUp(now, r) // worth nothing any more: guards against repeats that keep a jam going
 		return
@@ -300,7 +310,10 @@
 	b.release(now, r, a)
 	r.out--
 	b.probeIdle(now, a, o)
-	b.observe(now, r, a, o)
+	blamed := b.blame(r, o)
+	if !blamed {
+		b.observe(now, r, a, o)
+	}
 	switch {
 	case r.ended && r.out == 0:
 		delete(b.open, r.ID)
@@ -311,7 +324,7 @@
 	case o.Result == Rejected: // others would too: guards against bad requests that use up the retries
 		b.act.Fail(r.ID)
 		b.end(r)
-	case !o.Spent && now < r.deadline && b.affordRetry(a):
+	case !o.Spent && !blamed && now < r.deadline && b.affordRetry(a):
 		b.try(now, r, false)
 	default:
 		b.giveUp(now, r)
@@ -513,10 +526,10 @@
 		return 0
 	}
 	key := hash(name)
-	heat := &b.heat[key%uint64(len(b.heat))]
-	*heat++
+	books := b.booksOf(name)
+	books.heat++
 	b.heats++
-	more := int(homesPerPart * float64(len(b.servers)) * *heat / (b.heats + heatsLeast))
+	more := int(homesPerPart * float64(len(b.servers)) * books.heat / (b.heats + heatsLeast))
 	return mix(key+uint64(b.rng.IntN(1+more))) | 1
 }
 
@@ -568,6 +581,33 @@
 	}
 }
 
+// blame tells whether a bad outcome is the request's fault, not the server's: where the answers of its key are
+// bad more often than all others by more than chance. Such requests get no further attempt, and are thinned at
+// the door until those that pass are answered well. Guards against a lock behind all servers, clients that read
+// slowly and requests that any server finds in error: they held the places of the others everywhere, and all
+// servers were cut and suspended for them. It does harm where one key alone jams its home.
+func (b *Balancer) blame(r *request, o Outcome) bool {
+	bad := o.Result == Errored || o.Result == TimedOut || o.Result == Served && o.Latency > r.aim
+	k := r.books
+	if k == nil || !bad && o.Result != Served {
+		return false
+	}
+	k.answers++
+	if !bad {
+		k.thinned = 1 - min(1, (1-k.thinned)*thinLess)
+		b.badShare -= b.badShare / badOver
+		return false
+	}
+	k.bad++
+	chance := k.answers * b.badShare
+	if k.bad-chance <= blameSure*math.Sqrt(chance*(1-b.badShare))+1 {
+		b.badShare += (1 - b.badShare) / badOver
+		return false
+	}
+	k.thinned = 1 - max(thinLeast, (1-k.thinned)*thinMore)
+	return true
+}
+
 // observe takes in what an outcome tells of its server: a cancelled, unsent or rejected one tells nothing.
 func (b *Balancer) observe(now int64, r *request, a *attempt, o Outcome) {
 	if o.Result == Served || o.Result == Errored || o.Result == Full || o.Result == Rejected {
--- a/decide/state.go
+++ b/decide/state.go
@@ -15,6 +15,8 @@
 	logEvery    = 5 * second  // between two summary lines
 	keepGone    = 60 * second // a list may be stale by tens of seconds
 	keepService = 0.98        // of taken and served, kept each second: a judgement over most of a minute
+	keepBad     = 0.9         // of the answers of a key and the bad ones among them, kept each second
+	thinEase    = 1.03        // of a key's requests that pass, each second
 	idlePart    = 0.8         // of the idle time after which an attempt got no answer is held for safe
 	nearBoost   = 400.0 / 3   // of the price of crossing zones that a server of the own zone weighs more
 	markShare   = 0.95        // of the answers come before the latency mark: time-outs stand on it
@@ -44,24 +46,25 @@
 	known     map[string]*server
 	classes   []*classState // of the settings in force, then those that only open requests still have
 	open      map[string]*request
-	queue     []*request   // waiting for room, worthiest first
-	out       int          // own attempts out now
-	density   float64      // own attempts that may be out for each server of mean size
-	jammed    bool         // an answer was late
-	heat      [512]float64 // requests of late by key, in as many slots
-	heats     float64      // their sum
-	retries   float64      // retry budget
-	further   ration       // attempts beyond a request's first
-	asks      int          // failed asks for the list in a row
-	tenants   []float64    // requests of each tenant of late
-	answers   int          // this second
-	drain     float64      // answers per µs
-	perSize   [2]float64   // answers that a warm server of size one gives this balancer, per µs: no arm, arm
-	seconds   float64      // since its start
-	told      float64      // requests that servers hold, as they tell, on average
-	errors    float64      // share of errors in the answers of all servers of late
-	beside    bool         // another process of this sidecar serves too
-	aloneFrom int64        // when the last such has left the books of the budget of attempts
+	queue     []*request    // waiting for room, worthiest first
+	out       int           // own attempts out now
+	density   float64       // own attempts that may be out for each server of mean size
+	jammed    bool          // an answer was late
+	keys      [512]keyBooks // of late by key, in as many slots
+	heats     float64       // sum of their requests
+	retries   float64       // retry budget
+	further   ration        // attempts beyond a request's first
+	asks      int           // failed asks for the list in a row
+	tenants   []float64     // requests of each tenant of late
+	answers   int           // this second
+	drain     float64       // answers per µs
+	perSize   [2]float64    // answers that a warm server of size one gives this balancer, per µs: no arm, arm
+	seconds   float64       // since its start
+	told      float64       // requests that servers hold, as they tell, on average
+	badShare  float64       // share of bad answers of late, of requests that are not to blame
+	errors    float64       // share of errors in the answers of all servers of late
+	beside    bool          // another process of this sidecar serves too
+	aloneFrom int64         // when the last such has left the books of the budget of attempts
 
 	voices    []voice // by balancer, as far as heard of
 	byTag     map[[2]byte]*server
@@ -114,6 +117,13 @@
 	pace       float64 // µs that work takes it without waiting, as it tells; 0: not told
 }
 
+// keyBooks are the requests of the keys of one slot, of late.
+type keyBooks struct {
+	heat         float64 // where homes go by it
+	answers, bad float64
+	thinned      float64 // share of them that is refused at the door
+}
+
 // health is what a server's answers tell of it for one class.
 type health struct {
 	bad       int    // failures in a row
@@ -150,7 +160,8 @@
 	value    float64 // worth for the time it takes: who waits first and who is refused last
 	tries    []attempt
 	out      int
-	home     uint64 // hash of the replica of its key; 0: none
+	books    *keyBooks // of its key; nil: it has none
+	home     uint64    // hash of the replica of its key; 0: none
 	ended    bool
 	started  bool // its stream has begun
 	followed int  // tries that were really sent, where another balancer is watched
@@ -524,8 +535,12 @@
 	for _, c := range b.classes {
 		c.taken, c.served, c.base = c.taken*keepService, c.served*keepService, c.base*baseRise
 	}
-	for i := range b.heat {
-		b.heat[i] *= keepService
+	for i := range b.keys {
+		k := &b.keys[i]
+		k.heat, k.answers, k.bad = k.heat*keepService, k.answers*keepBad, k.bad*keepBad
+		if k.thinned > 0 {
+			k.thinned = 1 - min(1, (1-k.thinned)*thinEase)
+		}
 	}
 	b.heats *= keepService
 	for i := range b.tenants {
@@ -533,6 +548,14 @@
 	}
 }
 
+// booksOf returns the books of a key's slot.
+func (b *Balancer) booksOf(key string) *keyBooks {
+	if key == "" {
+		return nil
+	}
+	return &b.keys[hash(key)%uint64(len(b.keys))]
+}
+
 // hash is FNV-1a; mix spreads it over all bits.
 func hash(text string) uint64 {
 	h := uint64(14695981039346656037)
