--- a/decide/decide.go
+++ b/decide/decide.go
@@ -587,7 +587,7 @@
 // slowly and requests that any server finds in error: they held the places of the others everywhere, and all
 // servers were cut and suspended for them. It does harm where one key alone jams its home.
 func (b *Balancer) blame(r *request, o Outcome) bool {
-	bad := o.Result == Errored || o.Result == TimedOut || o.Result == Served && o.Latency > r.aim
+	bad := o.Result == Errored || o.Result == TimedOut || float64(o.Latency) > r.class.early()
 	k := r.books
 	if k == nil || !bad && o.Result != Served {
 		return false
