--- a/decide/decide.go
+++ b/decide/decide.go
@@ -689,7 +689,7 @@
 	held, room, part, up, least := b.held(now, s), b.density*s.Size, 1.0, poolUpTold, 1.0
 	if !b.talks() { // else one server's answer tells of what all hold there
 		held, room = b.room(now)
-		part, up, least = min(1, poolAnswers/float64(b.out+1)), poolUp, 0
+		part, up, least = min(1, poolAnswers/float64(b.out+1)), poolUp, 1/float64(max(1, len(b.servers)))
 	}
 	switch {
 	case early && held+2 <= room:
@@ -722,7 +722,7 @@
 				sum += s.limit
 			}
 		}
-		if busy := b.perSize[1]*float64(second) >= learnAnswers; busy {
+		if busy := max(b.perSize[1]*float64(second), b.rate/float64(max(1, len(b.arms)))) >= learnAnswers; busy {
 			return float64(b.out) >= max(1, sum) // limits of a busy balancer learn by themselves
 		}
 	}
