--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,12 +25,13 @@
 	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
 	warmBoost    = 2.0   // times all arms together weighs a key's home: with more, slow homes keep their keys
 
-	armsLeast = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
-	armEach   = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
-	armsCover = 8.0  // balancers that have a server as an arm, on average: fewer leave servers unused
-	armsTold  = 14.0 // the same where balancers tell one another
-	armsHeard = 8.0  // there at the most: each draw counts what all hold at each
-	armsMost  = 3    // times the arms wanted, with ill ones: past that the cause is shared
+	armsLeast     = 3.0  // servers that a balancer draws from at the least: enough to spread losses and retries
+	armsLeastTold = 2.0  // the same where balancers tell one another
+	armEach       = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
+	armsCover     = 8.0  // balancers that have a server as an arm, on average: fewer leave servers unused
+	armsTold      = 14.0 // the same where balancers tell one another
+	armsHeard     = 8.0  // there at the most: each draw counts what all hold at each
+	armsMost      = 3    // times the arms wanted, with ill ones: past that the cause is shared
 
 	timeoutMark = 2.0    // marks that an attempt may take: slow answers seldom come after that
 	idleRise    = 1.02   // of the idle time held for safe, each second: what dropped connections may end
@@ -63,9 +64,8 @@
 	healthyLeast = 0.25       // of the servers in service stay in the draw: more ill ones share a cause
 
 	blameSure = 2.0  // standard deviations, and one, past which bad answers of a key are its own fault
-	badOver   = 50.0 // answers, about, that the share of bad ones is taken over
-	thinMore  = 0.8  // of a key's requests that still pass, kept for each bad answer; with thinLess it rests ...
-	thinLess  = 1.1  // where three in ten are bad
+	thinMore  = 0.5  // of a key's requests that still pass, kept for each bad answer; with thinLess it rests ...
+	thinLess  = 1.1  // where one in eight is bad
 	thinLeast = 0.05 // of them pass whatever comes, to see whether it is over
 
 	retryPerServed = 0.15 // retries earned by an answer: a storm of retries adds under a sixth more work
@@ -552,12 +552,12 @@
 
 // armsWanted is how many servers this balancer's own traffic can learn of, within those limits.
 func (b *Balancer) armsWanted() int {
-	sharers, most, servers := armsCover, math.Inf(1), float64(len(b.servers))
+	least, sharers, most, servers := armsLeast, armsCover, math.Inf(1), float64(len(b.servers))
 	if b.talks() {
-		sharers, most = armsTold, armsHeard
+		least, sharers, most = armsLeastTold, armsTold, armsHeard
 	}
 	cover := min(sharers*(servers/float64(max(1, b.set.Balancers))), most)
-	return int(min(max(armsLeast, b.rate/armEach, cover), servers))
+	return int(min(max(least, b.rate/armEach, cover), servers))
 }
 
 // takeArms makes the arms the first in service of this balancer's own order (rendezvous hashing by its seed).
@@ -592,16 +592,14 @@
 	if k == nil || !bad && o.Result != Served {
 		return false
 	}
-	k.answers++
+	k.answers, b.judged.answers = k.answers+1, b.judged.answers+1
 	if !bad {
 		k.thinned = 1 - min(1, (1-k.thinned)*thinLess)
-		b.badShare -= b.badShare / badOver
 		return false
 	}
-	k.bad++
-	chance := k.answers * b.badShare
-	if k.bad-chance <= blameSure*math.Sqrt(chance*(1-b.badShare))+1 {
-		b.badShare += (1 - b.badShare) / badOver
+	k.bad, b.judged.bad = k.bad+1, b.judged.bad+1
+	others := (b.judged.bad - k.bad + 1) / (b.judged.answers - k.answers + 2) // share of bad ones among them
+	if k.bad-k.answers*others <= blameSure*math.Sqrt(k.answers*others*(1-others))+1 {
 		return false
 	}
 	k.thinned = 1 - max(thinLeast, (1-k.thinned)*thinMore)
@@ -722,7 +720,7 @@
 				sum += s.limit
 			}
 		}
-		if busy := max(b.perSize[1]*float64(second), b.rate/float64(max(1, len(b.arms)))) >= learnAnswers; busy {
+		if busy := b.perSize[1]*float64(second) >= learnAnswers; busy {
 			return float64(b.out) >= max(1, sum) // limits of a busy balancer learn by themselves
 		}
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -61,7 +61,7 @@
 	perSize   [2]float64    // answers that a warm server of size one gives this balancer, per µs: no arm, arm
 	seconds   float64       // since its start
 	told      float64       // requests that servers hold, as they tell, on average
-	badShare  float64       // share of bad answers of late, of requests that are not to blame
+	judged    keyBooks      // answers of all keys
 	errors    float64       // share of errors in the answers of all servers of late
 	beside    bool          // another process of this sidecar serves too
 	aloneFrom int64         // when the last such has left the books of the budget of attempts
@@ -535,6 +535,7 @@
 	for _, c := range b.classes {
 		c.taken, c.served, c.base = c.taken*keepService, c.served*keepService, c.base*baseRise
 	}
+	b.judged.answers, b.judged.bad = b.judged.answers*keepBad, b.judged.bad*keepBad
 	for i := range b.keys {
 		k := &b.keys[i]
 		k.heat, k.answers, k.bad = k.heat*keepService, k.answers*keepBad, k.bad*keepBad
