--- a/decide/decide.go
+++ b/decide/decide.go
@@ -25,8 +25,8 @@
 	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
 	warmBoost    = 2.0   // times all arms together weighs a key's home: with more, slow homes keep their keys
 
-	armsLeast     = 3.0  // servers that a balancer draws from at the least: enough to spread losses and retries
-	armsLeastTold = 2.0  // the same where balancers tell one another
+	armsLeast     = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
+	armsLeastTold = 2    // the same where balancers tell one another
 	armEach       = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
 	armsCover     = 8.0  // balancers that have a server as an arm, on average: fewer leave servers unused
 	armsTold      = 14.0 // the same where balancers tell one another
@@ -57,7 +57,6 @@
 	coldPart = 0.5 // of what would push a cold server over is its most: its warm-up as stated is the slowest
 
 	sickAfter    = 2          // failures in a row that suspend: one may be chance, a quiet balancer sees few
-	sickChance   = 0.03       // that so many errors in a row are not the server's, past which they are held for its own
 	suspendFirst = 0.5e6      // µs of a first suspension, doubled each time a trial fails
 	suspendMost  = 8e6        // µs: a server that is back is found within this and its jitter
 	silentIsCold = 2 * second // a server silent this long may have started anew: it counts as cold
@@ -552,7 +551,7 @@
 
 // armsWanted is how many servers this balancer's own traffic can learn of, within those limits.
 func (b *Balancer) armsWanted() int {
-	least, sharers, most, servers := armsLeast, armsCover, math.Inf(1), float64(len(b.servers))
+	least, sharers, most, servers := float64(armsLeast), armsCover, math.Inf(1), float64(len(b.servers))
 	if b.talks() {
 		least, sharers, most = armsLeastTold, armsTold, armsHeard
 	}
@@ -627,7 +626,6 @@
 		r.class.sample(float64(o.Latency))
 	}
 	b.judge(now, r.Class, a.server, o.Result)
-	b.countErrors(o.Result)
 	b.adapt(now, r.class, a, o)
 	b.learn(a, r.payoff(o))
 }
@@ -793,7 +791,7 @@
 			h.bad = 0
 		default:
 			h.bad, h.cause = h.bad+1, result
-			if float64(h.bad) >= b.sickAfter(result) && !(h.suspended && now < h.until) {
+			if h.bad >= sickAfter && !(h.suspended && now < h.until) {
 				b.suspend(now, s, i)
 			}
 		}
@@ -803,16 +801,6 @@
 	}
 }
 
-// sickAfter is how many failures in a row tell that a server is at fault: so many that their chance, where errors
-// are as frequent as at all servers of late, is small. Guards against suspensions of all servers in turn for
-// errors that requests bring with them.
-func (b *Balancer) sickAfter(result Result) float64 {
-	if result != Errored || b.errors == 0 {
-		return sickAfter
-	}
-	return max(sickAfter, math.Log(sickChance)/math.Log(min(b.errors, 0.9)))
-}
-
 // suspend takes s out of the draw of a class for a while, longer each time a trial fails.
 func (b *Balancer) suspend(now int64, s *server, class int) {
 	h := &s.health[class]
--- a/decide/state.go
+++ b/decide/state.go
@@ -26,7 +26,6 @@
 	calmStep    = 0.05        // of the calm mark: one burst of late answers must not move it far
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
-	errorsOver  = 20.0        // answers, about, that the share of errors is taken over
 	easePower   = 2.0
 	paceStep    = 0.25 // of what a server tells of its pace: one word of few requests is rough
 	speedMost   = 8.0  // times faster or slower than the mean that a server counts as
@@ -62,7 +61,6 @@
 	seconds   float64       // since its start
 	told      float64       // requests that servers hold, as they tell, on average
 	judged    keyBooks      // answers of all keys
-	errors    float64       // share of errors in the answers of all servers of late
 	beside    bool          // another process of this sidecar serves too
 	aloneFrom int64         // when the last such has left the books of the budget of attempts
 
@@ -355,15 +353,6 @@
 	}
 }
 
-// countErrors keeps the share of errors among the answers of all servers.
-func (b *Balancer) countErrors(result Result) {
-	if result == Errored {
-		b.errors += (1 - b.errors) / errorsOver
-	} else if result == Served {
-		b.errors -= b.errors / errorsOver
-	}
-}
-
 // hearLoad takes in what a server tells of itself with an answer.
 func (b *Balancer) hearLoad(now int64, s *server, l *Load) {
 	if l == nil {
