--- a/decide/decide.go
+++ b/decide/decide.go
@@ -27,7 +27,8 @@
 
 	armsLeast     = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
 	armsLeastTold = 2    // the same where balancers tell one another
-	armEach       = 16.0 // requests a second that an arm wants, as evidence: more traffic, more arms
+	armEach       = 4.0  // requests a second that an arm wants, as evidence: more traffic, more arms
+	armPriced     = 16.0 // the same where open connections have a price
 	armsCover     = 8.0  // balancers that have a server as an arm, on average: fewer leave servers unused
 	armsTold      = 14.0 // the same where balancers tell one another
 	armsHeard     = 8.0  // there at the most: each draw counts what all hold at each
@@ -125,6 +126,7 @@
 	} else if r.Left < class.firstLeft-b.set.Rules.AnswerSlack { // cut by what its client has waited
 		r.spent = max(0, class.Deadline-r.Left)
 	}
+	r.heavy = class.heavy(in.Work)
 	r.deadline = now + r.Left
 	r.until = min(now+int64(queueShare*float64(max(0, r.aim-r.spent))), r.deadline)
 	if b.overShare(in.Tenant) {
@@ -309,6 +311,7 @@
 	b.release(now, r, a)
 	r.out--
 	b.probeIdle(now, a, o)
+	o.Latency = int64(float64(o.Latency) / r.heavy)
 	blamed := b.blame(r, o)
 	if !blamed {
 		b.observe(now, r, a, o)
@@ -556,7 +559,11 @@
 		least, sharers, most = armsLeastTold, armsTold, armsHeard
 	}
 	cover := min(sharers*(servers/float64(max(1, b.set.Balancers))), most)
-	return int(min(max(least, b.rate/armEach, cover), servers))
+	each := armEach
+	if b.set.ConnPrice > 0 {
+		each = armPriced
+	}
+	return int(min(max(least, b.rate/each, cover), servers))
 }
 
 // takeArms makes the arms the first in service of this balancer's own order (rendezvous hashing by its seed).
--- a/decide/state.go
+++ b/decide/state.go
@@ -27,6 +27,8 @@
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	easePower   = 2.0
+	workStep    = 0.02 // of the mean work hinted, for each request
+	workPart    = 0.5  // of a request's time, that goes by its work
 	paceStep    = 0.25 // of what a server tells of its pace: one word of few requests is rough
 	speedMost   = 8.0  // times faster or slower than the mean that a server counts as
 	sizeMost    = 1e9  // of a listed size: a sum of a fleet of them stays exact enough
@@ -140,6 +142,7 @@
 	value         float64 // what an answer adds to the goal, for the time it takes
 	firstLeft     int64   // the longest time that a first try came with
 	taken, served float64 // of late: requests, and those answered within the aim
+	work          float64 // hinted, on average; 0: no hints
 	calm          float64 // one answer in 10 takes longer
 	base          float64 // the same when servers are not crowded
 }
@@ -158,6 +161,7 @@
 	value    float64 // worth for the time it takes: who waits first and who is refused last
 	tries    []attempt
 	out      int
+	heavy    float64   // times longer than a mean request of its class that it takes, by the work hinted
 	books    *keyBooks // of its key; nil: it has none
 	home     uint64    // hash of the replica of its key; 0: none
 	ended    bool
@@ -637,6 +641,19 @@
 	return held, b.density * usable
 }
 
+// heavy is how much longer than a mean request one of that work takes: half of the time goes by the work. Guards
+// against a crowd that is seen where requests are large: one in five was late at servers at ease.
+func (c *classState) heavy(work int64) float64 {
+	if work <= 0 {
+		return 1
+	}
+	if c.work == 0 {
+		c.work = float64(work)
+	}
+	c.work += (float64(work) - c.work) * workStep
+	return 1 - workPart + workPart*float64(work)/c.work
+}
+
 // early is the latency past which an answer tells of a crowd.
 func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
 
