--- a/decide/state.go
+++ b/decide/state.go
@@ -19,6 +19,7 @@
 	thinEase    = 1.03        // of a key's requests that pass, each second
 	idlePart    = 0.8         // of the idle time after which an attempt got no answer is held for safe
 	nearBoost   = 400.0 / 3   // of the price of crossing zones that a server of the own zone weighs more
+	nearFirst   = 3.4         // times that a server of the own zone may weigh more and still not come first
 	markShare   = 0.95        // of the answers come before the latency mark: time-outs stand on it
 	markStep    = 0.2         // log step of the mark for an answer past it: trouble shows in a few answers
 	halfStep    = 0.04        // of the median
@@ -285,9 +286,7 @@
 	if !met {
 		s = &server{hash: hash(in.ID), lastServed: now, health: make([]health, len(b.classes))}
 		s.rank = mix(s.hash ^ b.salt)
-		if b.talks() {
-			s.rank = uint64(float64(s.rank) / math.Sqrt(b.near(in.Zone)))
-		}
+		s.rank = uint64(float64(s.rank) / max(1, b.near(in.Zone)/nearFirst))
 		s.setLog(b.meanLog())
 		b.known[in.ID] = s
 	}
