--- a/decide/api.go
+++ b/decide/api.go
@@ -88,6 +88,8 @@
 	SizesLive      bool    // it is a size lowered by what the server held some time ago
 	WarmKeys       bool    // a server that served a key lately needs less work for it
 	OverShareWorth float64 // worth of what a tenant sends over its share
+	ProbeLoad      bool    // servers tell of their load to probes alone
+	ProbePrice     float64 // points for a probe, as a part of the first tries
 	ConnPrice      float64 // points for a mean of 100 open connections a server
 	ZonePrice      float64 // points for an attempt to another zone, as a part of the first tries
 }
@@ -144,8 +146,8 @@
 		return fmt.Errorf("settings: Limits.CpuUsPerS is negative")
 	case l.MaxAttempts < 0 || l.MaxRetryAfter < 0 || l.Tick < 0:
 		return fmt.Errorf("settings: negative limit")
-	case !(s.ZonePrice >= 0) || !(s.ConnPrice >= 0):
-		return fmt.Errorf("settings: negative price for crossing zones or for connections")
+	case !(s.ZonePrice >= 0) || !(s.ConnPrice >= 0) || !(s.ProbePrice >= 0):
+		return fmt.Errorf("settings: negative price for crossing zones, connections or probes")
 	case s.Balancers < 0 || s.Me < 0:
 		return fmt.Errorf("settings: negative number of balancers")
 	}
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -14,16 +14,16 @@
 const (
 	second = int64(1_000_000)
 
-	gamma        = 0.07  // share of draws spread evenly: the paper's value
-	learnMost    = 3.0   // times the paper's rate, where an arm gives few answers: what is learned fades
-	learnAnswers = 5.0   // of an arm a second, from which on the paper's rate holds
-	payoffShare  = 0.6   // of the uncrowded calm mark, about its median: faster answers earn all
-	keepLog      = 0.9   // of a log-weight's distance from the mean, kept each second at least (the design's)
-	keepAnswer   = 0.98  // the same for each answer a server gives: quiet balancers forget more slowly
-	redraws      = 8     // per draw: past that many crowded servers all are crowded, and the draw stands
-	homesPerPart = 2.0   // homes of a key for each mean server's part of the requests that ask for it
-	heatsLeast   = 100.0 // requests that a key's part is taken of at the least
-	warmBoost    = 2.0   // times all arms together weighs a key's home: with more, slow homes keep their keys
+	gamma        = 0.07 // share of draws spread evenly: the paper's value
+	learnMost    = 3.0  // times the paper's rate, where an arm gives few answers: what is learned fades
+	learnAnswers = 5.0  // of an arm a second, from which on the paper's rate holds
+	payoffShare  = 0.6  // of the uncrowded calm mark, about its median: faster answers earn all
+	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second at least (the design's)
+	keepAnswer   = 0.98 // the same for each answer a server gives: quiet balancers forget more slowly
+	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
+	homesPerPart = 4.0  // homes of a key for each mean server's part of the requests that ask for it
+	heatsLeast   = 20.0 // requests that a key's part is taken of at the least
+	warmBoost    = 2.0  // times all arms together weighs a key's home: with more, slow homes keep their keys
 
 	armsLeast     = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
 	armsLeastTold = 2    // the same where balancers tell one another
@@ -39,21 +39,23 @@
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
 
-	limitStart  = 8.0   // attempts that all balancers together may hold at a server of mean size at first
-	limitLeast  = 0.1   // limits add up to what may be out: below one, a server gets its part in turn
-	limitUp     = 1.02  // a limit's factor for an early answer while it was used; with limitDown it holds ...
-	poolUp      = 0.05  // that the density grows for an early answer while used; with poolDown it holds
-	poolDown    = 0.15  // where one in four is past 3/4 of the aim
-	poolUpTold  = 0.015 // of it where balancers tell one another what they hold: one in eleven is late
-	poolAnswers = 4.0   // out: where more are, each moves it by less, and all together by as much
-	limitFirst  = 1.10  // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.92  // ... where one answer in five is late: fewer waste room, more end in a jam
-	failCut     = 0.6   // of the limit, kept when a server is full or its client gave up: one is plain enough
-	earlyShare  = 0.6   // of the aim: later answers warn of a crowd while there is time to act
-	earlyTold   = 0.75  // the same where balancers tell one another what they hold
-	queueShare  = 0.25  // of the aim that a request may wait unsent: the rest is for its answer
-	roomTakers  = 2.0   // of those who hear that a server has room send what waits: words may be lost
-	queueLeast  = 4.0   // requests that may wait whatever the drain: a start knows none yet
+	limitStart  = 8.0       // attempts that all balancers together may hold at a server of mean size at first
+	limitLeast  = 0.1       // limits add up to what may be out: below one, a server gets its part in turn
+	limitUp     = 1.02      // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	poolUp      = 0.05      // that the density grows for an early answer while used; with poolDown it holds
+	poolDown    = 0.15      // where one in four is past 3/4 of the aim
+	poolUpTold  = 0.015     // of it where balancers tell one another what they hold: one in eleven is late
+	poolAnswers = 4.0       // out: where more are, each moves it by less, and all together by as much
+	limitFirst  = 1.10      // the same before a server's first late answer: the start is a guess
+	limitDown   = 0.92      // ... where one answer in five is late: fewer waste room, more end in a jam
+	failCut     = 0.6       // of the limit, kept when a server is full or its client gave up: one is plain enough
+	fullFirst   = 20_000.0  // µs that a full server is let alone, doubled each time it is full again ...
+	fullMost    = 320_000.0 // up to this, each half to one and a half times
+	earlyShare  = 0.6       // of the aim: later answers warn of a crowd while there is time to act
+	earlyTold   = 0.75      // the same where balancers tell one another what they hold
+	queueShare  = 0.25      // of the aim that a request may wait unsent: the rest is for its answer
+	roomTakers  = 2.0       // of those who hear that a server has room send what waits: words may be lost
+	queueLeast  = 4.0       // requests that may wait whatever the drain: a start knows none yet
 
 	coldPart = 0.5 // of what would push a cold server over is its most: its warm-up as stated is the slowest
 
@@ -71,16 +73,19 @@
 	retryPerServed = 0.15 // retries earned by an answer: a storm of retries adds under a sixth more work
 	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
 
-	askFirst = 200_000 // µs within which the list is asked for at the least, twice that after a failure
-	askSlot  = 50_000  // µs of that time for each balancer: a list service takes them in turn
-	askMost  = 4e6     // µs, or twice the first where that is more
-	askPart  = 0.7     // of Rules.AskEvery bounds it too, past which the list counts as told
+	askEach  = 250_000.0 // µs between two probes of a server at the least
+	askSpend = 0.001     // points for probes, of what a day may earn
+	askFirst = 200_000   // µs within which the list is asked for at the least, twice that after a failure
+	askSlot  = 50_000    // µs of that time for each balancer: a list service takes them in turn
+	askMost  = 4e6       // µs, or twice the first where that is more
+	askPart  = 0.7       // of Rules.AskEvery bounds it too, past which the list counts as told
 )
 
 const (
 	tokenSecond = iota // rates and forgetting
 	tokenQueue         // a request has waited long enough
 	tokenAsk           // the list is to be asked for
+	tokenProbe         // servers may be asked for their load
 	tokenFirst         // the first ask is to be planned: what was known before is listed by now
 )
 
@@ -105,6 +110,7 @@
 func (b *Balancer) Begin(now int64) {
 	b.tally.since = now
 	b.act.Wake(second, tokenSecond)
+	b.act.Wake(1, tokenProbe)
 	if !b.set.ListPushed {
 		b.act.Wake(0, tokenFirst)
 	}
@@ -485,7 +491,7 @@
 // eligible tells whether an attempt of r may go to s now.
 func (b *Balancer) eligible(now int64, r *request, s *server) bool {
 	h := &s.health[r.Class]
-	if s.Phase != InService || b.held(now, s) >= b.bound(s) || b.talks() && b.silent(now, s) ||
+	if s.Phase != InService || now < s.fullUntil || b.held(now, s) >= b.bound(s) || b.talks() && b.silent(now, s) ||
 		h.suspended && (now < h.until || h.out > 0 || s.suspended && s.inFlight > 0) {
 		return false
 	}
@@ -665,6 +671,11 @@
 		early = o.Result == Served && float64(o.Latency) <= earlyTold*float64(c.Aim)
 	}
 	b.crowding(now, s, early, o.Result)
+	if o.Result == Full {
+		s.fulls, s.fullUntil = s.fulls+1, now+int64(min(fullFirst*math.Exp2(s.fulls), fullMost)*(0.5+b.rng.Float64()))
+	} else if o.Result == Served {
+		s.fulls = 0
+	}
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case b.talks() || o.Result != Served && o.Result != TimedOut && o.Result != Full:
@@ -849,7 +860,31 @@
 	return float64(well) >= healthyLeast*float64(len(b.arms))
 }
 
-func (b *Balancer) Probed(now int64, p Probe) {} // it does not probe: its own attempts tell more
+// Probed takes in what a server tells to a probe.
+func (b *Balancer) Probed(now int64, p Probe) {
+	if s := b.known[p.Server]; s != nil && p.Result == Served {
+		b.hearLoad(now, s, p.Load)
+	}
+}
+
+// ask probes the arms where servers tell of themselves to probes alone, as often as their price leaves little
+// to notice. Guards against slow machines that get as much as fast ones until they choke: in two seconds.
+func (b *Balancer) ask(now int64) {
+	if !b.set.ProbeLoad || !b.set.Limits.Probes {
+		return
+	}
+	wait := askEach
+	if b.rate > 0 {
+		wait = max(askEach, float64(second)*float64(len(b.arms))*b.set.ProbePrice/(b.rate*askSpend))
+	}
+	if b.act.Wake(int64(askEach), tokenProbe); float64(now-b.askedAt) < wait {
+		return
+	}
+	b.askedAt = now
+	for _, s := range b.arms {
+		b.act.Probe(s.ID)
+	}
+}
 
 // ---- Rule 4: cold servers
 
@@ -877,6 +912,8 @@
 		b.everySecond(now)
 	case tokenQueue:
 		b.pump(now)
+	case tokenProbe:
+		b.ask(now)
 	case tokenAsk:
 		b.act.Watch(true)
 	case tokenFirst:
--- a/decide/state.go
+++ b/decide/state.go
@@ -64,6 +64,7 @@
 	seconds   float64       // since its start
 	told      float64       // requests that servers hold, as they tell, on average
 	judged    keyBooks      // answers of all keys
+	askedAt   int64         // when servers were probed last
 	beside    bool          // another process of this sidecar serves too
 	aloneFrom int64         // when the last such has left the books of the budget of attempts
 
@@ -115,6 +116,8 @@
 	creditAt   int64
 	answered   int     // own answers this second
 	told       float64 // requests that it holds or that wait there, as it tells
+	fulls      float64 // times in a row that it was full
+	fullUntil  int64
 	pace       float64 // µs that work takes it without waiting, as it tells; 0: not told
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -37,7 +37,7 @@
 	}
 	Report     struct{ Via string }
 	ScoringMix decide.Goal
-	Prices     struct{ CrossZone, Connection float64 }
+	Prices     struct{ CrossZone, Connection, Probe float64 }
 	FamilyInfo struct{ WarmKeys bool }
 	Guarantees struct {
 		AnswerSlackUs, AskEveryUs, ColdUs, FallUs, StopSendingWithinUs int64
@@ -120,6 +120,7 @@
 		Zone: in.Zone, Me: in.Me, Balancers: in.Balancers,
 		ListPushed: in.RegistryMode == "pushed", OverShareWorth: in.OverShareWorth,
 		ZonePrice: in.Prices.CrossZone, ConnPrice: in.Prices.Connection,
+		ProbeLoad: in.Report.Via == "pull", ProbePrice: in.Prices.Probe,
 		SizesListed: in.WeightSource == "nominal" || in.WeightSource == "rough" || in.WeightSource == "live",
 		SizesLive:   in.WeightSource == "live",
 		WarmKeys:    in.FamilyInfo.WarmKeys, Goal: in.ScoringMix,
