--- a/decide/decide.go
+++ b/decide/decide.go
@@ -21,7 +21,7 @@
 	keepLog      = 0.9  // of a log-weight's distance from the mean, kept each second at least (the design's)
 	keepAnswer   = 0.98 // the same for each answer a server gives: quiet balancers forget more slowly
 	redraws      = 8    // per draw: past that many crowded servers all are crowded, and the draw stands
-	homesPerPart = 4.0  // homes of a key for each mean server's part of the requests that ask for it
+	homesPerPart = 2.0  // homes of a key for each mean server's part of the requests that ask for it
 	heatsLeast   = 20.0 // requests that a key's part is taken of at the least
 	warmBoost    = 2.0  // times all arms together weighs a key's home: with more, slow homes keep their keys
 
@@ -39,23 +39,21 @@
 	minTimeout  = 20_000 // µs; below it ticks and network jitter would pass for silence
 	triesMost   = 4      // attempts for a request where the settings name no limit
 
-	limitStart  = 8.0       // attempts that all balancers together may hold at a server of mean size at first
-	limitLeast  = 0.1       // limits add up to what may be out: below one, a server gets its part in turn
-	limitUp     = 1.02      // a limit's factor for an early answer while it was used; with limitDown it holds ...
-	poolUp      = 0.05      // that the density grows for an early answer while used; with poolDown it holds
-	poolDown    = 0.15      // where one in four is past 3/4 of the aim
-	poolUpTold  = 0.015     // of it where balancers tell one another what they hold: one in eleven is late
-	poolAnswers = 4.0       // out: where more are, each moves it by less, and all together by as much
-	limitFirst  = 1.10      // the same before a server's first late answer: the start is a guess
-	limitDown   = 0.92      // ... where one answer in five is late: fewer waste room, more end in a jam
-	failCut     = 0.6       // of the limit, kept when a server is full or its client gave up: one is plain enough
-	fullFirst   = 20_000.0  // µs that a full server is let alone, doubled each time it is full again ...
-	fullMost    = 320_000.0 // up to this, each half to one and a half times
-	earlyShare  = 0.6       // of the aim: later answers warn of a crowd while there is time to act
-	earlyTold   = 0.75      // the same where balancers tell one another what they hold
-	queueShare  = 0.25      // of the aim that a request may wait unsent: the rest is for its answer
-	roomTakers  = 2.0       // of those who hear that a server has room send what waits: words may be lost
-	queueLeast  = 4.0       // requests that may wait whatever the drain: a start knows none yet
+	limitStart  = 8.0   // attempts that all balancers together may hold at a server of mean size at first
+	limitLeast  = 0.1   // limits add up to what may be out: below one, a server gets its part in turn
+	limitUp     = 1.02  // a limit's factor for an early answer while it was used; with limitDown it holds ...
+	poolUp      = 0.05  // that the density grows for an early answer while used; with poolDown it holds
+	poolDown    = 0.15  // where one in four is past 3/4 of the aim
+	poolUpTold  = 0.015 // of it where balancers tell one another what they hold: one in eleven is late
+	poolAnswers = 4.0   // out: where more are, each moves it by less, and all together by as much
+	limitFirst  = 1.10  // the same before a server's first late answer: the start is a guess
+	limitDown   = 0.92  // ... where one answer in five is late: fewer waste room, more end in a jam
+	failCut     = 0.6   // of the limit, kept when a server is full or its client gave up: one is plain enough
+	earlyShare  = 0.6   // of the aim: later answers warn of a crowd while there is time to act
+	earlyTold   = 0.75  // the same where balancers tell one another what they hold
+	queueShare  = 0.25  // of the aim that a request may wait unsent: the rest is for its answer
+	roomTakers  = 2.0   // of those who hear that a server has room send what waits: words may be lost
+	queueLeast  = 4.0   // requests that may wait whatever the drain: a start knows none yet
 
 	coldPart = 0.5 // of what would push a cold server over is its most: its warm-up as stated is the slowest
 
@@ -74,7 +72,7 @@
 	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
 
 	askEach  = 250_000.0 // µs between two probes of a server at the least
-	askSpend = 0.001     // points for probes, of what a day may earn
+	askSpend = 0.002     // points for probes, of what a day may earn
 	askFirst = 200_000   // µs within which the list is asked for at the least, twice that after a failure
 	askSlot  = 50_000    // µs of that time for each balancer: a list service takes them in turn
 	askMost  = 4e6       // µs, or twice the first where that is more
@@ -491,7 +489,7 @@
 // eligible tells whether an attempt of r may go to s now.
 func (b *Balancer) eligible(now int64, r *request, s *server) bool {
 	h := &s.health[r.Class]
-	if s.Phase != InService || now < s.fullUntil || b.held(now, s) >= b.bound(s) || b.talks() && b.silent(now, s) ||
+	if s.Phase != InService || b.held(now, s) >= b.bound(s) || b.talks() && b.silent(now, s) ||
 		h.suspended && (now < h.until || h.out > 0 || s.suspended && s.inFlight > 0) {
 		return false
 	}
@@ -671,11 +669,6 @@
 		early = o.Result == Served && float64(o.Latency) <= earlyTold*float64(c.Aim)
 	}
 	b.crowding(now, s, early, o.Result)
-	if o.Result == Full {
-		s.fulls, s.fullUntil = s.fulls+1, now+int64(min(fullFirst*math.Exp2(s.fulls), fullMost)*(0.5+b.rng.Float64()))
-	} else if o.Result == Served {
-		s.fulls = 0
-	}
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case b.talks() || o.Result != Served && o.Result != TimedOut && o.Result != Full:
--- a/decide/state.go
+++ b/decide/state.go
@@ -116,8 +116,6 @@
 	creditAt   int64
 	answered   int     // own answers this second
 	told       float64 // requests that it holds or that wait there, as it tells
-	fulls      float64 // times in a row that it was full
-	fullUntil  int64
 	pace       float64 // µs that work takes it without waiting, as it tells; 0: not told
 }
 
