--- a/decide/decide.go
+++ b/decide/decide.go
@@ -276,6 +276,9 @@
 // work goes on at many servers, and its retry only adds to it.
 func (b *Balancer) timeout(now int64, r *request) int64 {
 	left := r.deadline - now
+	if r.class.LateShare == 0 && r.books != nil && r.books.thinned > 0 { // a client that reads on holds a buffer
+		left = min(left, max(minTimeout, r.taken+r.aim-r.spent-now))
+	}
 	t := max(int64(timeoutMark*r.class.mark), minTimeout)
 	last := len(r.tries) >= r.most || r.rules.Stream || r.Once || r.rules.Semantics == AtMostOnce
 	if last || t >= left || now-r.taken+t+int64(r.class.half) > r.aim {
