--- a/decide/state.go
+++ b/decide/state.go
@@ -27,7 +27,7 @@
 	calmStep    = 0.05        // of the calm mark: one burst of late answers must not move it far
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
-	easePower   = 1.0
+	easePower   = 2.0
 	workStep    = 0.02 // of the mean work hinted, for each request
 	workPart    = 0.5  // of a request's time, that goes by its work
 	paceStep    = 0.25 // of what a server tells of its pace: one word of few requests is rough
@@ -369,7 +369,11 @@
 	if l == nil {
 		return
 	}
-	if n := max(l.InFlight, l.Queue); n >= 0 && n < 1e6 {
+	n := l.InFlight
+	if n < 0 && l.Queue >= 0 {
+		n = math.Sqrt(1+l.Queue) - 1 // what waits says less than what is held: half of its power
+	}
+	if n >= 0 && n < 1e6 {
 		s.told = n
 		b.told += (n - b.told) / 20
 	}
