--- a/decide/decide.go
+++ b/decide/decide.go
@@ -91,7 +91,7 @@
 		act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{},
 		learnRate: gamma, density: limitStart / float64(max(1, set.Balancers)),
-		idleSafe: 1e16, idleTold: 1e16,
+		idleSafe: 1e16, idleDoubt: 1e16, idleTold: 1e16,
 		byTag: map[[2]byte]*server{},
 	}
 	b.adopt(set)
@@ -889,7 +889,7 @@
 func (b *Balancer) everySecond(now int64) {
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
-	b.idleSafe *= idleRise
+	b.idleSafe, b.idleDoubt = b.idleSafe*idleRise, b.idleDoubt*idleRise*idleRise
 	b.forgetService()
 	b.forgetGone(now)
 	b.forgetSharers(now)
--- a/decide/state.go
+++ b/decide/state.go
@@ -76,6 +76,7 @@
 	said      byte      // messages sent
 	buf       []byte    // scratch of a message
 	idleSafe  float64   // µs that connections have been idle and still good
+	idleDoubt float64   // what one attempt without an answer would make of it
 	idleTold  float64   // the same, as another told last
 	idleFrom  int       // who, from 1 on
 	learnRate float64   // of EXP3
@@ -681,7 +682,8 @@
 	if silent && s.lastServed < a.sentAt {
 		s.lost = true
 		if a.idle > 0 {
-			b.idleSafe = min(b.idleSafe, idlePart*float64(a.idle))
+			safe := idlePart * float64(a.idle)
+			b.idleSafe, b.idleDoubt = min(b.idleSafe, max(safe, b.idleDoubt)), safe // one may be slow, two are not
 		}
 	} else if !silent {
 		s.lost = false
