--- a/decide/decide.go
+++ b/decide/decide.go
@@ -889,7 +889,7 @@
 func (b *Balancer) everySecond(now int64) {
 	b.act.Wake(second, tokenSecond)
 	b.drain += (float64(b.answers)/float64(second) - b.drain) / 2
-	b.idleSafe, b.idleDoubt = b.idleSafe*idleRise, b.idleDoubt*idleRise*idleRise
+	b.idleSafe, b.idleDoubt = b.idleSafe*idleRise, b.idleDoubt*idleRise
 	b.forgetService()
 	b.forgetGone(now)
 	b.forgetSharers(now)
