--- a/decide/decide.go
+++ b/decide/decide.go
@@ -51,7 +51,7 @@
 	failCut     = 0.6   // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.6   // of the aim: later answers warn of a crowd while there is time to act
 	earlyTold   = 0.75  // the same where balancers tell one another what they hold
-	queueShare  = 0.25  // of the aim that a request may wait unsent: the rest is for its answer
+	queueShare  = 0.35  // of the aim that a request may wait unsent: the rest is for its answer
 	roomTakers  = 2.0   // of those who hear that a server has room send what waits: words may be lost
 	queueLeast  = 4.0   // requests that may wait whatever the drain: a start knows none yet
 
