--- a/decide/decide.go
+++ b/decide/decide.go
@@ -64,6 +64,7 @@
 	healthyLeast = 0.25       // of the servers in service stay in the draw: more ill ones share a cause
 
 	blameSure = 2.0  // standard deviations, and one, past which bad answers of a key are its own fault
+	heldPart  = 0.5  // of the aim that an answer to a blamed key may take where answers are held for clients
 	thinMore  = 0.5  // of a key's requests that still pass, kept for each bad answer; with thinLess it rests ...
 	thinLess  = 1.1  // where one in eight is bad
 	thinLeast = 0.05 // of them pass whatever comes, to see whether it is over
@@ -137,7 +138,7 @@
 	b.taken++
 	b.further.slot(now).taken++
 	b.open[in.ID] = r
-	if r.books = b.booksOf(in.Key); r.books != nil && r.books.thinned > 0 && b.rng.Float64() < r.books.thinned {
+	if r.books = b.booksOf(in.Key); r.blamed() && b.rng.Float64() < r.books.thinned {
 		b.giveUp(now, r) // at fault of late: see blame
 		return
 	}
@@ -276,8 +277,8 @@
 // work goes on at many servers, and its retry only adds to it.
 func (b *Balancer) timeout(now int64, r *request) int64 {
 	left := r.deadline - now
-	if r.class.LateShare == 0 && r.books != nil && r.books.thinned > 0 { // a client that reads on holds a buffer
-		left = min(left, max(minTimeout, r.taken+r.aim-r.spent-now))
+	if r.blamed() && b.set.Limits.HeldReplies > 0 { // a client that reads on would hold all other answers up
+		left = min(left, max(minTimeout, int64(heldPart*float64(r.aim))))
 	}
 	t := max(int64(timeoutMark*r.class.mark), minTimeout)
 	last := len(r.tries) >= r.most || r.rules.Stream || r.Once || r.rules.Semantics == AtMostOnce
@@ -300,7 +301,10 @@
 	b.probeIdle(now, a, o)
 	o.Latency = int64(float64(o.Latency) / r.heavy)
 	blamed := b.blame(r, o)
-	if !blamed {
+	if r.blamed() {
+		b.blamedAt = now
+	}
+	if !blamed && (b.set.Limits.HeldReplies == 0 || a.sentAt > b.blamedAt || b.early(r, o)) {
 		b.observe(now, r, a, o)
 	}
 	switch {
@@ -580,8 +584,7 @@
 // slowly and requests that any server finds in error: they held the places of the others everywhere, and all
 // servers were cut and suspended for them. It does harm where one key alone jams its home.
 func (b *Balancer) blame(r *request, o Outcome) bool {
-	bad := o.Result == Errored || o.Result == TimedOut || float64(o.Latency) > r.class.early()
-	k := r.books
+	bad, k := !b.early(r, o), r.books
 	if k == nil || !bad && o.Result != Served {
 		return false
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -64,6 +64,7 @@
 	seconds   float64       // since its start
 	told      float64       // requests that servers hold, as they tell, on average
 	judged    keyBooks      // answers of all keys
+	blamedAt  int64         // when an attempt of a blamed key ended last
 	askedAt   int64         // when servers were probed last
 	beside    bool          // another process of this sidecar serves too
 	aloneFrom int64         // when the last such has left the books of the budget of attempts
@@ -525,6 +526,14 @@
 	return nil
 }
 
+// blamed tells whether requests of its key are thinned.
+func (r *request) blamed() bool { return r.books != nil && r.books.thinned > 0 }
+
+// early tells whether an outcome is an answer that warns of nothing.
+func (b *Balancer) early(r *request, o Outcome) bool {
+	return o.Result != Errored && o.Result != TimedOut && float64(o.Latency) <= r.class.early()
+}
+
 func (r *request) tried(s *server) bool {
 	return slices.ContainsFunc(r.tries, func(a attempt) bool { return a.server == s })
 }
