--- a/decide/decide.go
+++ b/decide/decide.go
@@ -301,10 +301,7 @@
 	b.probeIdle(now, a, o)
 	o.Latency = int64(float64(o.Latency) / r.heavy)
 	blamed := b.blame(r, o)
-	if r.blamed() {
-		b.blamedAt = now
-	}
-	if !blamed && (b.set.Limits.HeldReplies == 0 || a.sentAt > b.blamedAt || b.early(r, o)) {
+	if !blamed {
 		b.observe(now, r, a, o)
 	}
 	switch {
--- a/decide/state.go
+++ b/decide/state.go
@@ -64,7 +64,6 @@
 	seconds   float64       // since its start
 	told      float64       // requests that servers hold, as they tell, on average
 	judged    keyBooks      // answers of all keys
-	blamedAt  int64         // when an attempt of a blamed key ended last
 	askedAt   int64         // when servers were probed last
 	beside    bool          // another process of this sidecar serves too
 	aloneFrom int64         // when the last such has left the books of the budget of attempts
