--- a/decide/decide.go
+++ b/decide/decide.go
@@ -1,5 +1,4 @@
-// The decisions of one balancer. Its interface (settings, events, actions) is in api.go, what it remembers
-// in state.go.
+// The decisions of one balancer. Its interface is in api.go, what it remembers in state.go.
 //
 // Every attempt goes to a server drawn by EXP3; the rest keeps the rules, and bounds: see docs/design.md.
 
@@ -25,7 +24,7 @@
 	heatsLeast   = 20.0 // requests that a key's part is taken of at the least
 	warmBoost    = 2.0  // times all arms together weighs a key's home: with more, slow homes keep their keys
 
-	armsLeast     = 3    // servers that a balancer draws from at the least: enough to spread losses and retries
+	armsLeast     = 3    // servers to draw from at the least: enough to spread losses and retries
 	armsLeastTold = 2    // the same where balancers tell one another
 	armEach       = 4.0  // requests a second that an arm wants, as evidence: more traffic, more arms
 	armPriced     = 16.0 // the same where open connections have a price
@@ -65,11 +64,13 @@
 
 	blameSure = 2.0  // standard deviations, and one, past which bad answers of a key are its own fault
 	heldPart  = 0.5  // of the aim that an answer to a blamed key may take where answers are held for clients
-	thinMore  = 0.5  // of a key's requests that still pass, kept for each bad answer; with thinLess it rests ...
+	thinMore  = 0.5  // of a key's requests that pass, kept for a bad answer; with thinLess it rests ...
 	thinLess  = 1.1  // where one in eight is bad
 	thinLeast = 0.05 // of them pass whatever comes, to see whether it is over
 
 	retryPerServed = 0.15 // retries earned by an answer: a storm of retries adds under a sixth more work
+	scarceWorth    = 0.5  // of a mean request's value by odds by further attempts left: less is not sent
+	scarceMost     = 8.0  // left, with which any is: they would go unused
 	retryBurst     = 10.0 // retries that may be saved up, for the first moments of trouble
 
 	askSpend = 0.002   // points for probes, of what a day may earn
@@ -92,7 +93,7 @@
 		act: act, rng: rand.New(rand.NewPCG(seed, 0)), retries: retryBurst, salt: mix(seed),
 		known: map[string]*server{}, open: map[string]*request{},
 		learnRate: gamma, density: limitStart / float64(max(1, set.Balancers)),
-		idleSafe: 1e16, idleDoubt: 1e16, idleTold: 1e16,
+		helped: evenOdds(), idleSafe: 1e16, idleDoubt: 1e16, idleTold: 1e16,
 		byTag: map[[2]byte]*server{},
 	}
 	b.adopt(set)
@@ -295,7 +296,8 @@
 		return
 	}
 	a := &r.tries[o.Attempt]
-	a.done, a.neverRan = true, o.Result.NeverRan()
+	a.done, a.neverRan, a.result = true, o.Result.NeverRan(), o.Result
+	b.countOdds(r, o)
 	b.release(now, r, a)
 	r.out--
 	b.probeIdle(now, a, o)
@@ -314,7 +316,7 @@
 	case o.Result == Rejected: // others would too: guards against bad requests that use up the retries
 		b.act.Fail(r.ID)
 		b.end(r)
-	case !o.Spent && !blamed && now < r.deadline && b.affordRetry(a):
+	case !o.Spent && !blamed && now < r.deadline && b.affordRetry(now, r, a):
 		b.try(now, r, false)
 	default:
 		b.giveUp(now, r)
@@ -322,21 +324,23 @@
 	b.pump(now)
 }
 
-// affordRetry pays for a further attempt; one that never ran cost the servers next to nothing.
-func (b *Balancer) affordRetry(a *attempt) bool {
-	if a.neverRan {
-		return true
-	}
-	if b.retries < 1 {
+// affordRetry pays for a further attempt; one that never ran cost the servers next to nothing. Where they are
+// rationed it must be worth one: by its value, and by the odds that an attempt after such an end has had of
+// late. Guards against the last ones spent on what fails everywhere.
+func (b *Balancer) affordRetry(now int64, r *request, a *attempt) bool {
+	left := b.furtherLeft(now)
+	if b.helped[a.result]*r.value*left < scarceWorth*b.meanValue && left < scarceMost {
 		return false
 	}
+	if a.neverRan || b.retries < 1 {
+		return a.neverRan
+	}
 	b.retries--
 	return true
 }
 
 // Started hands an attempt to the client: its stream has no deadline and gets no further attempt. Its server
-// has done its work. Guards against slow clients whose long answers take the place of requests that servers
-// have room for.
+// has done its work. Guards against slow clients whose long answers take the place of requests.
 func (b *Balancer) Started(now int64, id string, n int) {
 	if r := b.open[id]; r != nil && !r.ended && n < len(r.tries) {
 		r.started, r.tries[n].server.heardAt = true, now
@@ -542,15 +546,15 @@
 
 // armsWanted is how many servers this balancer's own traffic can learn of, within those limits.
 func (b *Balancer) armsWanted() int {
-	least, sharers, most, servers := float64(armsLeast), armsCover, math.Inf(1), float64(len(b.servers))
+	least, each, sharers, most := float64(armsLeast), armEach, armsCover, math.Inf(1)
 	if b.talks() {
 		least, sharers, most = armsLeastTold, armsTold, armsHeard
 	}
-	cover := min(sharers*(servers/float64(max(1, b.set.Balancers))), most)
-	each := armEach
 	if b.set.ConnPrice > 0 {
 		each = armPriced
 	}
+	servers := float64(len(b.servers))
+	cover := min(sharers*(servers/float64(max(1, b.set.Balancers))), most)
 	return int(min(max(least, b.rate/each, cover), servers))
 }
 
@@ -575,11 +579,11 @@
 	}
 }
 
-// blame tells whether a bad outcome is the request's fault, not the server's: where the answers of its key are
-// bad more often than all others by more than chance. Such requests get no further attempt, and are thinned at
-// the door until those that pass are answered well. Guards against a lock behind all servers, clients that read
-// slowly and requests that any server finds in error: they held the places of the others everywhere, and all
-// servers were cut and suspended for them. It does harm where one key alone jams its home.
+// blame tells whether a bad outcome is the request's fault, not the server's: answers of its key are bad
+// more often than those of all others, past chance. It gets no further attempt, and such requests are
+// thinned at the door until those that pass are answered well. Guards against locks behind all servers,
+// clients that read slowly and requests found in error anywhere, which held the places of others and had
+// all servers suspended. It does harm where one key alone jams its home.
 func (b *Balancer) blame(r *request, o Outcome) bool {
 	bad, k := !b.early(r, o), r.books
 	if k == nil || !bad && o.Result != Served {
@@ -630,8 +634,7 @@
 }
 
 // payoff is 1 for an answer as fast as from a server at ease, falls with the latency after that, and is 0 for
-// a failure. Guards against slow machines that keep their part at every balancer until they are late: in a
-// crowded fleet some answered in a tenth of the aim while others passed it.
+// a failure. Guards against slow machines that keep their part at every balancer until they are late.
 func (r *request) payoff(o Outcome) float64 {
 	if o.Result != Served {
 		return 0
@@ -672,9 +675,8 @@
 	}
 }
 
-// crowding moves the density by an answer: up where it is early and the room was used, down where it is
-// late, less for each where much is out. Guards against a burst of late answers at a busy balancer, which
-// would leave it no room at all.
+// crowding moves the density by an answer: up where it is early and the room was used, down where it is late,
+// less for each where much is out. Guards against a burst of late answers that leaves a busy one no room.
 func (b *Balancer) crowding(now int64, s *server, early bool, result Result) {
 	held, room, part, up, least := b.held(now, s), b.density*s.Size, 1.0, poolUpTold, 1.0
 	if !b.talks() { // else one server's answer tells of what all hold there
--- a/decide/ration_test.go
+++ b/decide/ration_test.go
@@ -108,3 +108,32 @@
 		t.Fatal(further)
 	}
 }
+
+// A scarce attempt goes where it helps: once attempts after errors have never helped, the few left are not spent on
+// them, but are on full servers, where others had room; a request of more value passes where a mean one does not; and
+// without a budget, or with plenty left, all are tried.
+func TestScarceAttemptsGoWhereTheyHelp(t *testing.T) {
+	w := newWorld(t, budgeted(3, 0, 10*second), fleet(5)...)
+	b, r := w.b, &request{value: 1}
+	b.meanValue, b.helped[Errored], b.helped[Full] = 1, 0.01, 0.9
+	failed, full := &attempt{result: Errored}, &attempt{result: Full, neverRan: true}
+	if b.affordRetry(w.now, r, failed) || !b.affordRetry(w.now, r, full) {
+		t.Error("of three left one was spent after an error, or none after full")
+	}
+	if r.value = 100; !b.affordRetry(w.now, r, failed) {
+		t.Error("a request of a hundred times the value was not tried again")
+	}
+	r.value = 1
+	for _, set := range []Settings{testSettings(), budgeted(20, 0, 10*second)} {
+		if w.retune(set); !b.affordRetry(w.now, r, failed) {
+			t.Errorf("not tried again with %v left", b.furtherLeft(w.now))
+		}
+	}
+	near(t, "odds after one more that failed", oddsAfter(b, Errored, Errored), 0.01*(1-1/oddsOver), 1e-9)
+	near(t, "odds after one that helped", oddsAfter(b, Full, Served), 0.9+0.1/oddsOver, 1e-9)
+}
+
+func oddsAfter(b *Balancer, cause, result Result) float64 {
+	b.countOdds(&request{tries: []attempt{{result: cause}, {}}}, Outcome{Attempt: 1, Result: result})
+	return b.helped[cause]
+}
--- a/decide/state.go
+++ b/decide/state.go
@@ -31,6 +31,7 @@
 	workStep    = 0.02        // of the mean work hinted, for each request
 	workPart    = 0.5         // of a request's time, that goes by its work
 	toldOver    = 20.0        // reports, about, that the mean of what servers hold is taken over
+	oddsOver    = 20.0        // further attempts, about, that the odds of one are taken over
 	paceStep    = 0.25        // of what a server tells of its pace: one word of few requests is rough
 	speedMost   = 8.0         // times faster or slower than the mean that a server counts as
 	sizeMost    = 1e9         // of a listed size: a sum of a fleet of them stays exact enough
@@ -49,25 +50,27 @@
 	known     map[string]*server
 	classes   []*classState // of the settings in force, then those that only open requests still have
 	open      map[string]*request
-	queue     []*request    // waiting for room, worthiest first
-	out       int           // own attempts out now
-	density   float64       // own attempts that may be out for each server of mean size
-	jammed    bool          // an answer was late
-	keys      [512]keyBooks // of late by key, in as many slots
-	heats     float64       // sum of their requests
-	retries   float64       // retry budget
-	further   ration        // attempts beyond a request's first
-	asks      int           // failed asks for the list in a row
-	tenants   []float64     // requests of each tenant of late
-	answers   int           // this second
-	drain     float64       // answers per µs
-	perSize   [2]float64    // answers that a warm server of size one gives this balancer, per µs: no arm, arm
-	seconds   float64       // since its start
-	told      float64       // requests that servers hold, as they tell, on average
-	judged    keyBooks      // answers of all keys
-	askedAt   int64         // when servers were probed last
-	beside    bool          // another process of this sidecar serves too
-	aloneFrom int64         // when the last such has left the books of the budget of attempts
+	queue     []*request            // waiting for room, worthiest first
+	out       int                   // own attempts out now
+	density   float64               // own attempts that may be out for each server of mean size
+	jammed    bool                  // an answer was late
+	keys      [512]keyBooks         // of late by key, in as many slots
+	heats     float64               // sum of their requests
+	retries   float64               // retry budget
+	helped    [Rejected + 1]float64 // that a further attempt is served, by how the one before ended
+	meanValue float64               // of the requests of late
+	further   ration                // attempts beyond a request's first
+	asks      int                   // failed asks for the list in a row
+	tenants   []float64             // requests of each tenant of late
+	answers   int                   // this second
+	drain     float64               // answers per µs
+	perSize   [2]float64            // answers that a warm server of size one gives this balancer, per µs: no arm, arm
+	seconds   float64               // since its start
+	told      float64               // requests that servers hold, as they tell, on average
+	judged    keyBooks              // answers of all keys
+	askedAt   int64                 // when servers were probed last
+	beside    bool                  // another process of this sidecar serves too
+	aloneFrom int64                 // when the last such has left the books of the budget of attempts
 
 	voices    []voice // by balancer, as far as heard of
 	byTag     map[[2]byte]*server
@@ -185,6 +188,7 @@
 	done     bool
 	released bool // it holds no place any more
 	neverRan bool
+	result   Result // once done
 }
 
 // adopt takes settings over; classes and tenants known by name keep what was learned of them.
@@ -368,6 +372,26 @@
 	}
 }
 
+// evenOdds are those of further attempts before any was tried.
+func evenOdds() (odds [Rejected + 1]float64) {
+	for i := range odds {
+		odds[i] = 0.5
+	}
+	return odds
+}
+
+// countOdds counts how an attempt went, by how the one before it ended.
+func (b *Balancer) countOdds(r *request, o Outcome) {
+	if o.Attempt == 0 {
+		return
+	}
+	served, odds := 0.0, &b.helped[r.tries[o.Attempt-1].result]
+	if o.Result == Served {
+		served = 1
+	}
+	*odds += (served - *odds) / oddsOver
+}
+
 // hearLoad takes in what a server tells of itself with an answer.
 func (b *Balancer) hearLoad(s *server, l *Load) {
 	if l == nil {
@@ -629,6 +653,10 @@
 		}
 		c.value /= c.half
 	}
+	b.meanValue = 0
+	for _, c := range b.classes[:len(b.set.Classes)] {
+		b.meanValue += c.value * c.taken / taken
+	}
 }
 
 // warmth is the least share of its capacity that s has by now: even growth over the stated time.
