--- a/decide/decide.go
+++ b/decide/decide.go
@@ -49,7 +49,7 @@
 	limitDown   = 0.92  // ... where one answer in five is late: fewer waste room, more end in a jam
 	failCut     = 0.6   // of the limit, kept when a server is full or its client gave up: one is plain enough
 	earlyShare  = 0.6   // of the aim: later answers warn of a crowd while there is time to act
-	earlyTold   = 0.75  // the same where balancers tell one another what they hold
+	earlyTold   = 0.75  // the same where balancers tell one another what they hold, and where no server tells
 	queueShare  = 0.35  // of the aim that a request may wait unsent: the rest is for its answer
 	roomTakers  = 2.0   // of those who hear that a server has room send what waits: words may be lost
 	queueLeast  = 4.0   // requests that may wait whatever the drain: a start knows none yet
@@ -646,7 +646,7 @@
 
 // adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, c *classState, a *attempt, o Outcome) {
-	s, early := a.server, o.Result == Served && float64(o.Latency) <= c.early()
+	s, early := a.server, o.Result == Served && float64(o.Latency) <= c.early(b.share())
 	if !early {
 		b.tally.late++
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -69,6 +69,7 @@
 	told      float64               // requests that servers hold, as they tell, on average
 	judged    keyBooks              // answers of all keys
 	askedAt   int64                 // when servers were probed last
+	heard     bool                  // servers tell of their load
 	beside    bool                  // another process of this sidecar serves too
 	aloneFrom int64                 // when the last such has left the books of the budget of attempts
 
@@ -397,6 +398,7 @@
 	if l == nil {
 		return
 	}
+	b.heard = true
 	n := l.InFlight
 	if n < 0 && l.Queue >= 0 {
 		n = math.Sqrt(1+l.Queue) - 1 // what waits says less than what is held: half of its power
@@ -557,7 +559,7 @@
 
 // early tells whether an outcome is an answer that warns of nothing.
 func (b *Balancer) early(r *request, o Outcome) bool {
-	return o.Result != Errored && o.Result != TimedOut && float64(o.Latency) <= r.class.early()
+	return o.Result != Errored && o.Result != TimedOut && float64(o.Latency) <= r.class.early(b.share())
 }
 
 func (r *request) tried(s *server) bool {
@@ -706,7 +708,18 @@
 }
 
 // early is the latency past which an answer tells of a crowd.
-func (c *classState) early() float64 { return min(earlyShare*float64(c.Aim), crowdedBase*c.base) }
+func (c *classState) early(share float64) float64 {
+	return min(share*float64(c.Aim), crowdedBase*c.base)
+}
+
+// share is the part of the aim up to which an answer is early: less where servers tell of their load, so that the draw
+// evens them out and a late answer tells of the whole. Guards against refusals for single slow servers where they do not.
+func (b *Balancer) share() float64 {
+	if b.heard {
+		return earlyShare
+	}
+	return earlyTold
+}
 
 // probeIdle learns from an end how long a connection may be idle: a little less than one that got no answer.
 func (b *Balancer) probeIdle(now int64, a *attempt, o Outcome) {
--- a/decide/told_test.go
+++ b/decide/told_test.go
@@ -227,3 +227,19 @@
 		}
 	}
 }
+
+// The failure: where servers tell nothing of their load, answers past 0.6 of the aim came from single slow servers, and a
+// third was refused for them (rough-1 of tas-sessions-later 0.85 to 0.71).
+func TestEarlyLastsLongerWhereServersTellNothing(t *testing.T) {
+	w := newWorld(t, testSettings(), fleet(2)...)
+	r := &request{class: w.b.classes[0]}
+	r.class.base = r.rules.Deadline + second
+	late := Outcome{Result: Served, Latency: 280_000} // of an aim of 400 ms
+	if !w.b.early(r, late) {
+		t.Error("0.7 of the aim is late where nothing is told")
+	}
+	w.b.hearLoad(w.b.known["s0"], told(1, -1, -1))
+	if w.b.early(r, late) {
+		t.Error("0.7 of the aim is early where servers tell of their load")
+	}
+}
