--- a/decide/told_test.go
+++ b/decide/told_test.go
@@ -233,7 +233,7 @@
 func TestEarlyLastsLongerWhereServersTellNothing(t *testing.T) {
 	w := newWorld(t, testSettings(), fleet(2)...)
 	r := &request{class: w.b.classes[0]}
-	r.class.base = r.rules.Deadline + second
+	r.class.base = float64(10 * second)
 	late := Outcome{Result: Served, Latency: 280_000} // of an aim of 400 ms
 	if !w.b.early(r, late) {
 		t.Error("0.7 of the aim is late where nothing is told")
