--- a/decide/state.go
+++ b/decide/state.go
@@ -27,7 +27,6 @@
 	calmStep    = 0.05        // of the calm mark: one burst of late answers must not move it far
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
-	easePower   = 2.0         // of what all hold over what a server holds, that it weighs by: reports are old
 	workStep    = 0.02        // of the mean work hinted, for each request
 	workPart    = 0.5         // of a request's time, that goes by its work
 	toldOver    = 20.0        // reports, about, that the mean of what servers hold is taken over
@@ -416,9 +415,10 @@
 	s.pace += (l.Latency - s.pace) * paceStep
 }
 
-// ease is how much more a server weighs for holding less than the mean, as told.
+// ease is how much more a server weighs for holding less than the mean, as told: by the square, since reports are old.
 func (b *Balancer) ease(s *server) float64 {
-	return math.Pow((b.told+1)/(s.told/s.Size+1), easePower)
+	part := (b.told + 1) / (s.told/s.Size + 1)
+	return part * part
 }
 
 // speeds makes the sizes those of scaleSizes by how fast servers work, as they tell, beside the mean of those that do. One
