--- a/decide/decide.go
+++ b/decide/decide.go
@@ -296,7 +296,7 @@
 		return
 	}
 	a := &r.tries[o.Attempt]
-	a.done, a.neverRan, a.result = true, o.Result.NeverRan(), o.Result
+	a.done, a.result = true, o.Result
 	b.countOdds(r, o)
 	b.release(now, r, a)
 	r.out--
@@ -332,8 +332,8 @@
 	if b.helped[a.result]*r.value*left < scarceWorth*b.meanValue && left < scarceMost {
 		return false
 	}
-	if a.neverRan || b.retries < 1 {
-		return a.neverRan
+	if a.result.NeverRan() || b.retries < 1 {
+		return a.result.NeverRan()
 	}
 	b.retries--
 	return true
@@ -585,7 +585,7 @@
 // clients that read slowly and requests found in error anywhere, which held the places of others and had
 // all servers suspended. It does harm where one key alone jams its home.
 func (b *Balancer) blame(r *request, o Outcome) bool {
-	bad, k := !b.early(r, o), r.books
+	bad, k := !b.early(r.class, o), r.books
 	if k == nil || !bad && o.Result != Served {
 		return false
 	}
@@ -646,7 +646,7 @@
 
 // adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, c *classState, a *attempt, o Outcome) {
-	s, early := a.server, o.Result == Served && float64(o.Latency) <= c.early(b.share())
+	s, early := a.server, o.Result == Served && b.early(c, o)
 	if !early {
 		b.tally.late++
 	}
--- a/decide/state.go
+++ b/decide/state.go
@@ -186,9 +186,8 @@
 	idle     int64   // how long its connection had been idle; 0: in use or new
 	p        float64 // probability of the draw that chose the server
 	done     bool
-	released bool // it holds no place any more
-	neverRan bool
-	result   Result // once done
+	released bool   // it holds no place any more
+	result   Result // once done; that of one that is out is Served, which may have run
 }
 
 // adopt takes settings over; classes and tenants known by name keep what was learned of them.
@@ -392,7 +391,7 @@
 	*odds += (served - *odds) / oddsOver
 }
 
-// hearLoad takes in what a server tells of itself with an answer.
+// hearLoad takes in what a server tells of itself, with an answer or to a probe.
 func (b *Balancer) hearLoad(s *server, l *Load) {
 	if l == nil {
 		return
@@ -547,7 +546,7 @@
 // effect returns the first attempt that may have run, or nil.
 func (r *request) effect() *attempt {
 	for i := range r.tries {
-		if !r.tries[i].neverRan {
+		if !r.tries[i].result.NeverRan() {
 			return &r.tries[i]
 		}
 	}
@@ -557,9 +556,16 @@
 // blamed tells whether requests of its key are thinned.
 func (r *request) blamed() bool { return r.books != nil && r.books.thinned > 0 }
 
-// early tells whether an outcome is an answer that warns of nothing.
-func (b *Balancer) early(r *request, o Outcome) bool {
-	return o.Result != Errored && o.Result != TimedOut && float64(o.Latency) <= r.class.early(b.share())
+// early tells whether an outcome warns of no crowd: it takes a part of the aim at the most, less where servers tell of their
+// load, so that the draw evens them out and a late answer tells of the whole, and no more than crowdedBase of the uncrowded
+// mark. Guards against refusals for single slow servers where they do not tell.
+func (b *Balancer) early(c *classState, o Outcome) bool {
+	share := earlyTold
+	if b.heard {
+		share = earlyShare
+	}
+	late := min(share*float64(c.Aim), crowdedBase*c.base)
+	return o.Result != Errored && o.Result != TimedOut && float64(o.Latency) <= late
 }
 
 func (r *request) tried(s *server) bool {
@@ -707,20 +713,6 @@
 	return 1 - workPart + workPart*float64(work)/c.work
 }
 
-// early is the latency past which an answer tells of a crowd.
-func (c *classState) early(share float64) float64 {
-	return min(share*float64(c.Aim), crowdedBase*c.base)
-}
-
-// share is the part of the aim up to which an answer is early: less where servers tell of their load, so that the draw
-// evens them out and a late answer tells of the whole. Guards against refusals for single slow servers where they do not.
-func (b *Balancer) share() float64 {
-	if b.heard {
-		return earlyShare
-	}
-	return earlyTold
-}
-
 // probeIdle learns from an end how long a connection may be idle: a little less than one that got no answer.
 func (b *Balancer) probeIdle(now int64, a *attempt, o Outcome) {
 	s := a.server
