--- a/cmd/damsonscale/fleet_test.go
+++ b/cmd/damsonscale/fleet_test.go
@@ -35,6 +35,25 @@
 	return ln.Addr().String()
 }
 
+// deadAddr is an address that refuses connections: bound, so that no other stand-in gets it, and never listened on. Guards
+// against a server taken for gone whose port the silent discovery got: an attempt there hung for all of its time.
+func deadAddr(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+}
+
 // silent never says a word until its peer leaves.
 func silent(c *net.TCPConn, _ int) { io.Copy(io.Discard, c) }
 
@@ -47,7 +66,7 @@
 func TestAnOldKnownListAndADiscoveryThatHangs(t *testing.T) {
 	hosts := []host{hostAt("s1", serveHTTP(t, yes), "Ready")}
 	for i := range 3 {
-		hosts = append(hosts, hostAt(fmt.Sprint("gone", i), freeAddr(t), "Ready"))
+		hosts = append(hosts, hostAt(fmt.Sprint("gone", i), deadAddr(t), "Ready"))
 	}
 	p := start(t, tcp(t, silent), &list{Seq: 3, Whole: true, Hosts: hosts}, nil)
 	p.ready(t)
