--- /dev/null
+++ b/internal/options/options.go
@@ -0,0 +1,272 @@
+// Package options reads the project's own options, apart from the platform's configuration.
+package options
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Variable names the file of options. Without it nothing here acts.
+const Variable = "DAMSONSCALE_OPTIONS"
+
+const (
+	maxFile    = 1 << 20 // bytes
+	maxMembers = 1024
+)
+
+// Options is what the file says, with defaults.
+type Options struct {
+	Fleet    Fleet
+	Takeover Takeover
+}
+
+// Fleet tells who belongs together.
+type Fleet struct {
+	Address  string        // where this member listens for others; empty: no fleet
+	Members  []Member      // all of them, this one too
+	StateDir string        // keeps the epoch log over a restart
+	Lease    time.Duration // for which a member may act once it has asked
+}
+
+// Member is one sidecar of the fleet.
+type Member struct {
+	Name    string `toml:"name"`
+	Address string `toml:"address"`
+}
+
+// Custody is what happens to a class's work while its holders can't be reached.
+type Custody string
+
+const (
+	None       Custody = "none"        // no record is kept
+	BestEffort Custody = "best_effort" // the work goes on without one, counted
+	Strict     Custody = "strict"      // refused before anything was sent
+)
+
+// Takeover bounds what a member keeps for others.
+type Takeover struct {
+	Enabled     bool
+	Holders     int                // of each record
+	KeepAnswers time.Duration      // after the answer
+	Records     int                // held for others at most
+	Bytes       int                // of requests and answers held for others
+	Classes     map[string]Custody // by the name of the class; others go by what a repeat does
+}
+
+// file is the layout of the file.
+type file struct {
+	Fleet struct {
+		Address  string   `toml:"address"`
+		Members  []Member `toml:"members"`
+		StateDir string   `toml:"state_dir"`
+		LeaseMs  *int64   `toml:"lease_ms"`
+	} `toml:"fleet"`
+	Takeover struct {
+		Enabled       bool               `toml:"enabled"`
+		Holders       *int64             `toml:"holders"`
+		KeepAnswersMs *int64             `toml:"keep_answers_ms"`
+		Records       *int64             `toml:"records"`
+		Bytes         *int64             `toml:"bytes"`
+		Custody       map[string]Custody `toml:"custody"`
+	} `toml:"takeover"`
+}
+
+// Load reads the file that the environment names; nil where it names none.
+func Load(getenv func(string) string, name string) (*Options, error) {
+	path := getenv(Variable)
+	if path == "" {
+		return nil, nil
+	}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", Variable, err)
+	}
+	if info.Size() > maxFile {
+		return nil, fmt.Errorf("%s: %s: %d bytes, at most %d are read", Variable, path, info.Size(), maxFile)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", Variable, err)
+	}
+	o, err := Parse(text, name)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %s: %w", Variable, path, err)
+	}
+	return o, nil
+}
+
+// Parse reads options for the member of that name. All faults found are told, each with its line and key.
+func Parse(text []byte, name string) (*Options, error) {
+	var f file
+	in := toml.NewDecoder(bytes.NewReader(text))
+	in.DisallowUnknownFields()
+	if err := in.Decode(&f); err != nil {
+		return nil, readable(err)
+	}
+	r := reading{lines: linesOf(text)}
+	o := &Options{
+		Fleet: Fleet{
+			Address: f.Fleet.Address, Members: f.Fleet.Members, StateDir: f.Fleet.StateDir,
+			Lease: r.ms("fleet.lease_ms", f.Fleet.LeaseMs, 600, 100, 10_000),
+		},
+		Takeover: Takeover{
+			Enabled:     f.Takeover.Enabled,
+			Holders:     int(r.number("takeover.holders", f.Takeover.Holders, 3, 1, 7)),
+			KeepAnswers: r.ms("takeover.keep_answers_ms", f.Takeover.KeepAnswersMs, 10_000, 100, 600_000),
+			Records:     int(r.number("takeover.records", f.Takeover.Records, 20_000, 1, 10_000_000)),
+			Bytes:       int(r.number("takeover.bytes", f.Takeover.Bytes, 32<<20, 1<<10, 1<<34)),
+			Classes:     f.Takeover.Custody,
+		},
+	}
+	r.fleet(&o.Fleet, name)
+	r.takeover(o)
+	return o, errors.Join(r.faults...)
+}
+
+// readable puts what the library says into one line a fault: line, key, reason.
+func readable(err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		var all []error
+		for i := range strict.Errors {
+			e := &strict.Errors[i]
+			line, _ := e.Position()
+			all = append(all, fmt.Errorf("line %d: %s: unknown key", line, strings.Join(e.Key(), ".")))
+		}
+		return errors.Join(all...)
+	}
+	var wrong *toml.DecodeError
+	if errors.As(err, &wrong) {
+		line, _ := wrong.Position()
+		if key := strings.Join(wrong.Key(), "."); key != "" {
+			return fmt.Errorf("line %d: %s: %w", line, key, err)
+		}
+		return fmt.Errorf("line %d: %w", line, err)
+	}
+	return err
+}
+
+// reading collects what is wrong.
+type reading struct {
+	lines  map[string]int
+	faults []error
+}
+
+func (r *reading) wrong(key, format string, args ...any) {
+	why := fmt.Sprintf(format, args...)
+	if line := r.lines[key]; line > 0 {
+		r.faults = append(r.faults, fmt.Errorf("line %d: %s: %s", line, key, why))
+		return
+	}
+	r.faults = append(r.faults, fmt.Errorf("%s: %s", key, why))
+}
+
+func (r *reading) number(key string, v *int64, standard, least, most int64) int64 {
+	if v == nil {
+		return standard
+	}
+	if *v < least || *v > most {
+		r.wrong(key, "%d is not within %d to %d", *v, least, most)
+	}
+	return *v
+}
+
+func (r *reading) ms(key string, v *int64, standard, least, most int64) time.Duration {
+	return time.Duration(r.number(key, v, standard, least, most)) * time.Millisecond
+}
+
+func (r *reading) fleet(f *Fleet, name string) {
+	if f.Address == "" {
+		if len(f.Members) > 0 {
+			r.wrong("fleet.members", "given without fleet.address")
+		}
+		return
+	}
+	names, addresses, here := map[string]bool{}, map[string]string{}, false
+	for _, m := range f.Members {
+		switch _, port, err := net.SplitHostPort(m.Address); {
+		case m.Name == "":
+			r.wrong("fleet.members", "a member without a name")
+		case names[m.Name]:
+			r.wrong("fleet.members", "%q is there twice", m.Name)
+		case err != nil || port == "" || port == "0":
+			r.wrong("fleet.members", "%q: address %q is no address:port", m.Name, m.Address)
+		case addresses[m.Address] != "":
+			r.wrong("fleet.members", "%q and %q have the same address", addresses[m.Address], m.Name)
+		}
+		names[m.Name], addresses[m.Address] = true, m.Name
+		here = here || m.Name == name
+	}
+	switch _, _, err := net.SplitHostPort(f.Address); {
+	case err != nil:
+		r.wrong("fleet.address", "%q is no address:port", f.Address)
+	case len(f.Members) > maxMembers:
+		r.wrong("fleet.members", "%d members, at most %d", len(f.Members), maxMembers)
+	case !here:
+		r.wrong("fleet.members", "this sidecar's name, %q, is not among them", name)
+	case f.StateDir == "":
+		r.wrong("fleet.state_dir", "needed for a fleet")
+	}
+}
+
+func (r *reading) takeover(o *Options) {
+	t := &o.Takeover
+	if t.Enabled && o.Fleet.Address == "" {
+		r.wrong("takeover.enabled", "needs a fleet.address")
+	}
+	if t.Holders%2 == 0 {
+		r.wrong("takeover.holders", "%d is even: a quorum of it is no smaller than of one more", t.Holders)
+	}
+	if n := len(o.Fleet.Members); t.Enabled && n > 0 && t.Holders > n {
+		r.wrong("takeover.holders", "%d holders of %d members", t.Holders, n)
+	}
+	classes := make([]string, 0, len(t.Classes))
+	for c := range t.Classes {
+		classes = append(classes, c)
+	}
+	sort.Strings(classes)
+	for _, c := range classes {
+		if v := t.Classes[c]; v != None && v != BestEffort && v != Strict {
+			r.wrong("takeover.custody."+c, "%q is none of none, best_effort, strict", string(v))
+		}
+	}
+}
+
+// linesOf finds the line of each key, in a text that is known to be right.
+func linesOf(text []byte) map[string]int {
+	lines := map[string]int{}
+	p := unstable.Parser{}
+	p.Reset(text)
+	table := ""
+	for p.NextExpression() {
+		e := p.Expression()
+		var parts []string
+		at := -1
+		for it := e.Key(); it.Next(); {
+			n := it.Node()
+			if at < 0 {
+				at = int(n.Raw.Offset)
+			}
+			parts = append(parts, string(n.Data))
+		}
+		key := strings.Join(parts, ".")
+		if e.Kind == unstable.Table || e.Kind == unstable.ArrayTable {
+			table = key
+		} else if table != "" {
+			key = table + "." + key
+		}
+		if at >= 0 && lines[key] == 0 {
+			lines[key] = 1 + bytes.Count(text[:at], []byte{'\n'})
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/internal/options/options_test.go
@@ -0,0 +1,72 @@
+package options
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+const fleet = `[fleet]
+address = "127.0.0.1:7101"
+state_dir = "x"
+members = [{name = "n1", address = "127.0.0.1:7101"}, {name = "n2", address = "127.0.0.1:7102"}, {name = "n3", address = "127.0.0.1:7103"}]
+`
+
+// Each fault is told with its line and key, so that an operator finds it without reading the program.
+func TestFaultsAreTold(t *testing.T) {
+	for _, c := range []struct{ text, want string }{
+		{"[fleet]\naddres = 'x'\n", "line 2: fleet.addres: unknown key"},
+		{"[fleet]\nlease_ms = 600\nlease_ms = 700\n", "line 3: "},
+		{"[fleet]\n\nlease_ms = 'soon'\n", "line 3: fleet.lease_ms: "},
+		{"[fleet]\nlease_ms = 99\n", "line 2: fleet.lease_ms: 99 is not within 100 to 10000"},
+		{"[fleet]\naddress = \"nowhere\"\n", `line 2: fleet.address: "nowhere" is no address:port`},
+		{"[fleet]\naddress = \"a:1\"\n", `fleet.members: this sidecar's name, "n1", is not among them`},
+		{"[takeover]\nenabled = true\n", "line 2: takeover.enabled: needs a fleet.address"},
+		{fleet + "[takeover]\nholders = 2\n", "line 6: takeover.holders: 2 is even"},
+		{fleet + "[takeover]\nenabled = true\nholders = 5\n", "line 7: takeover.holders: 5 holders of 3 members"},
+		{fleet + "[takeover.custody]\nmake = \"often\"\n", `line 6: takeover.custody.make: "often" is none of`},
+		{strings.Replace(fleet, "n2", "n1", 1), `line 4: fleet.members: "n1" is there twice`},
+		{strings.Replace(fleet, "7102", "7101", 1), `line 4: fleet.members: "n1" and "n2" have the same address`},
+		{strings.Replace(fleet, "127.0.0.1:7102", "7102", 1), `line 4: fleet.members: "n2": address "7102" is no address:port`},
+		{strings.Replace(fleet, "state_dir", "#", 1), "fleet.state_dir: needed for a fleet"},
+		{"fleet = 3", "line 1: fleet: "},
+		{"[fleet", "line 1: "},
+	} {
+		_, err := Parse([]byte(c.text), "n1")
+		if err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%q:\n got %v\nwant %s", c.text, err, c.want)
+		}
+	}
+	_, err := Parse([]byte("[fleet]\nlease_ms = 1\n[takeover]\nrecords = 0\n"), "n1")
+	if err == nil || !strings.Contains(err.Error(), "fleet.lease_ms") || !strings.Contains(err.Error(), "takeover.records") {
+		t.Errorf("two faults at once: %v", err)
+	}
+}
+
+func TestExampleAndDefaults(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/options.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o, err := Parse(text, "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	short, err := Parse([]byte(fleet), "n1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if o.Takeover.Enabled || len(o.Fleet.Members) != 3 || o.Fleet.Lease != 600*time.Millisecond ||
+		o.Takeover.Holders != short.Takeover.Holders || o.Takeover.Records != short.Takeover.Records ||
+		o.Takeover.Bytes != short.Takeover.Bytes || o.Takeover.KeepAnswers != short.Takeover.KeepAnswers || o.Fleet.Lease != short.Fleet.Lease {
+		t.Errorf("the example is not the defaults: %+v", o)
+	}
+	none := func(string) string { return "" }
+	if o, err := Load(none, "n1"); o != nil || err != nil {
+		t.Errorf("without the variable: %v, %v", o, err)
+	}
+	if _, err := Load(func(string) string { return "/nowhere/options" }, "n1"); err == nil || !strings.Contains(err.Error(), Variable) {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
