--- /dev/null
+++ b/cmd/damsonscale-rig/main.go
@@ -0,0 +1,210 @@
+// Command damsonscale-rig starts several processes of the program, breaks things between them and judges what became of
+// the requests. It exits with 0 where no rule was broken, 1 where one was, 2 where it could not tell.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"sync"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"damsonscale/internal/rig"
+)
+
+// errBroken is a rule that was broken: told, and the exit is 1.
+var errBroken = errors.New("a rule was broken")
+
+type line struct {
+	Binary string `help:"The program." default:"bin/damsonscale" type:"existingfile"`
+	Dir    string `help:"For configurations, state and logs; a fresh one under the temporary directory if not given." type:"path"`
+
+	Lost   lostCmd   `cmd:"" help:"Two processes killed outright and one stopped: what becomes of work in hand."`
+	Replay replayCmd `cmd:"" help:"Play a timeline from a file."`
+	Draw   drawCmd   `cmd:"" help:"Draw a timeline from a seed and write it."`
+	Search searchCmd `cmd:"" help:"Play drawn timelines, and keep those that break a rule."`
+	Shrink shrinkCmd `cmd:"" help:"Look for a smaller timeline that still breaks a rule."`
+}
+
+// shape is what timelines are drawn with.
+type shape struct {
+	Seed      uint64 `help:"Of the first one." default:"1"`
+	Processes int    `help:"Of the program." default:"3"`
+	LengthMs  int64  `help:"Of a timeline, ms." default:"10000"`
+	PerSecond int    `help:"Requests." default:"100"`
+	Fleet     bool   `help:"The processes take work over from each other." default:"true" negatable:""`
+}
+
+func (s *shape) draw(seed uint64) *rig.Timeline {
+	return rig.Draw(seed, s.Processes, s.LengthMs, s.PerSecond, s.Fleet)
+}
+
+type lostCmd struct {
+	Seed  uint64 `help:"Of the requests and the servers' times." default:"1"`
+	Fleet bool   `help:"The processes take work over from each other." default:"true" negatable:""`
+}
+
+func (c *lostCmd) Run(p *player) error { return p.one(rig.Lost(c.Seed, c.Fleet), p.dir) }
+
+type replayCmd struct {
+	File  string `arg:"" type:"existingfile"`
+	Times int    `help:"How often." default:"1"`
+}
+
+func (c *replayCmd) Run(p *player) error {
+	t, err := rig.Read(c.File)
+	if err != nil {
+		return err
+	}
+	broken := error(nil)
+	for i := range c.Times {
+		if err := p.one(t, filepath.Join(p.dir, fmt.Sprint(i))); errors.Is(err, errBroken) {
+			broken = err
+		} else if err != nil {
+			return err
+		}
+	}
+	return broken
+}
+
+type drawCmd struct {
+	shape
+	Out string `help:"File." required:""`
+}
+
+func (c *drawCmd) Run(*player) error { return c.draw(c.Seed).Write(c.Out) }
+
+type searchCmd struct {
+	shape
+	Count int    `help:"Timelines." default:"20"`
+	Side  int    `help:"Played side by side." default:"1"`
+	Keep  string `help:"Directory for those that break a rule." default:"broken" type:"path"`
+}
+
+func (c *searchCmd) Run(p *player) error {
+	seeds := make(chan uint64)
+	var mu sync.Mutex
+	var all rig.Report
+	var kept []string
+	var fault error
+	var work sync.WaitGroup
+	for range max(1, c.Side) {
+		work.Go(func() {
+			for seed := range seeds {
+				t := c.draw(seed)
+				dir := filepath.Join(p.dir, fmt.Sprint(seed))
+				r, err := rig.Run(p.ctx, p.setup(dir), t)
+				mu.Lock()
+				switch {
+				case err != nil:
+					fault = errors.Join(fault, fmt.Errorf("seed %d: %w", seed, err))
+				case !r.Kept():
+					to := filepath.Join(c.Keep, fmt.Sprintf("%d-%d", c.Processes, seed))
+					kept = append(kept, to)
+					fault = errors.Join(fault, rig.Save(to, t, r))
+					fmt.Printf("seed %d: %s\n", seed, r.Why())
+				default:
+					os.RemoveAll(dir)
+				}
+				if r != nil {
+					all.Add(r)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := 0; i < c.Count && p.ctx.Err() == nil; i++ {
+		seeds <- c.Seed + uint64(i)
+	}
+	close(seeds)
+	work.Wait()
+	fmt.Println(all.Line())
+	if fault != nil {
+		return fault
+	}
+	if len(kept) > 0 {
+		return errBroken
+	}
+	return p.ctx.Err()
+}
+
+type shrinkCmd struct {
+	File  string `arg:"" type:"existingfile"`
+	Out   string `help:"File." required:""`
+	Tries int    `help:"Runs in which a smaller one has to hold before it counts as whole." default:"3"`
+}
+
+func (c *shrinkCmd) Run(p *player) error {
+	t, err := rig.Read(c.File)
+	if err != nil {
+		return err
+	}
+	n := 0
+	small, err := rig.Shrink(p.ctx, t, c.Tries, func(t *rig.Timeline) (bool, error) {
+		n++
+		r, err := rig.Run(p.ctx, p.setup(filepath.Join(p.dir, fmt.Sprint(n))), t)
+		return err == nil && !r.Kept(), err
+	}, func(step string) { fmt.Println(step) })
+	return errors.Join(err, small.Write(c.Out))
+}
+
+// player plays timelines.
+type player struct {
+	ctx         context.Context
+	binary, dir string
+}
+
+func (p *player) setup(dir string) rig.Setup { return rig.Setup{Binary: p.binary, Dir: dir} }
+
+// one plays a timeline and tells what came of it.
+func (p *player) one(t *rig.Timeline, dir string) error {
+	r, err := rig.Run(p.ctx, p.setup(dir), t)
+	if err != nil {
+		return err
+	}
+	for _, b := range r.Breaks {
+		fmt.Println(b)
+	}
+	fmt.Println(r.Line())
+	if !r.Kept() {
+		return errBroken
+	}
+	return nil
+}
+
+func main() {
+	var c line
+	k := kong.Parse(&c, kong.Name("damsonscale-rig"), kong.UsageOnError(), kong.Description("Plays faults on several sidecars and judges what became of the requests."))
+	os.Exit(run(&c, k))
+}
+
+func run(c *line, k *kong.Context) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	binary, err := filepath.Abs(c.Binary)
+	dir := c.Dir
+	if err == nil && dir == "" {
+		dir, err = os.MkdirTemp("", "rig-")
+	}
+	if err == nil {
+		err = k.Run(&player{ctx: ctx, binary: binary, dir: dir})
+	}
+	if err == nil && c.Dir == "" {
+		err = os.RemoveAll(dir)
+	}
+	switch {
+	case err == nil:
+		return 0
+	case errors.Is(err, errBroken):
+		fmt.Fprintf(os.Stderr, "%v; logs are in %s\n", err, dir)
+		return 1
+	default:
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+}
--- /dev/null
+++ b/internal/frame/frame_test.go
@@ -0,0 +1,65 @@
+package frame
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"testing"
+)
+
+func made(t testing.TB, kind byte, payload string) []byte {
+	b, err := Append(nil, kind, []byte(payload))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+func TestFramesThatLie(t *testing.T) {
+	good := made(t, 7, "some words")
+	change := func(at int, to byte) []byte {
+		b := bytes.Clone(good)
+		b[at] = to
+		return b
+	}
+	for name, c := range map[string]struct {
+		in   []byte
+		want error
+	}{
+		"good":             {good, nil},
+		"nothing":          {nil, io.EOF},
+		"cut head":         {good[:9], io.ErrUnexpectedEOF},
+		"cut payload":      {good[:Head+3], io.ErrUnexpectedEOF},
+		"no payload":       {good[:Head], io.ErrUnexpectedEOF},
+		"foreign":          {change(0, 'G'), ErrForeign},
+		"version":          {change(2, 9), VersionError{9}},
+		"kind":             {change(3, 8), ErrChecksum},
+		"length too small": {change(7, 3), ErrChecksum},
+		"length too large": {change(4, 0xff), ErrTooLong},
+		"payload":          {change(Head+2, 'x'), ErrChecksum},
+		"checksum":         {change(9, good[9]+1), ErrChecksum},
+	} {
+		kind, payload, err := Read(bytes.NewReader(c.in))
+		if !errors.Is(err, c.want) || c.want == nil && (kind != 7 || string(payload) != "some words") {
+			t.Errorf("%s: %d %q %v, want %v", name, kind, payload, err, c.want)
+		}
+	}
+	if _, err := Append(nil, 1, make([]byte, Most+1)); !errors.Is(err, ErrTooLong) {
+		t.Errorf("a payload too long: %v", err)
+	}
+}
+
+// Whatever comes is read or refused, and what is read is what would be written.
+func FuzzRead(f *testing.F) {
+	f.Add(made(f, 1, "a"))
+	f.Add(made(f, 0, ""))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		kind, payload, err := Read(bytes.NewReader(in))
+		if err != nil {
+			return
+		}
+		if again := made(t, kind, string(payload)); !bytes.HasPrefix(in, again) {
+			t.Fatalf("read %d %q from %x", kind, payload, in)
+		}
+	})
+}
--- /dev/null
+++ b/internal/rig/client.go
@@ -0,0 +1,198 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	askStep    = 25 * time.Millisecond // between asks of members that are not there
+	resumeHead = "Req-Resume"          // marks a request that was asked of another member before
+)
+
+// Ask is one ask of one member.
+type Ask struct {
+	Member int           `json:"member"`
+	After  time.Duration `json:"after"` // the request's start
+	Took   time.Duration `json:"took"`
+	Status int           `json:"status"` // 0: no whole answer
+	Body   string        `json:"body"`
+	Err    string        `json:"err,omitempty"`
+}
+
+// final tells whether the client is done with it.
+func (a *Ask) final() bool { return a.Status != 0 && a.Status != http.StatusConflict }
+
+// refused tells whether the answer says that trying again is harmless.
+func (a *Ask) refused() bool {
+	return a.Status == http.StatusTooManyRequests || a.Status == http.StatusServiceUnavailable
+}
+
+// Request is one request of a client with all that it heard.
+type Request struct {
+	ID    string    `json:"id"`
+	Class string    `json:"class"`
+	At    time.Time `json:"at"`
+	Asks  []Ask     `json:"asks"`
+
+	mu sync.Mutex
+}
+
+func (r *Request) add(a Ask) {
+	r.mu.Lock()
+	r.Asks = append(r.Asks, a)
+	r.mu.Unlock()
+}
+
+// clients ask members for work, each request when its time has come, however the earlier ones went.
+type clients struct {
+	line    *Timeline
+	members []string // addresses
+	http    *http.Client
+	open    sync.WaitGroup
+	all     []*Request
+}
+
+func newClients(t *Timeline, members []string) *clients {
+	dial := &net.Dialer{Timeout: ms(t.DeadlineMs)}
+	return &clients{line: t, members: members, http: &http.Client{Transport: &http.Transport{
+		DialContext:       dial.DialContext,
+		DisableKeepAlives: true, // so that the library sends nothing again by itself
+	}}}
+}
+
+// run sends requests until the timeline's end and returns them once each has its end.
+func (c *clients) run(ctx context.Context, start time.Time) []*Request {
+	random := rand.New(rand.NewPCG(c.line.Seed, 3))
+	step := time.Second / time.Duration(c.line.PerSecond)
+	for at := time.Duration(0); at < ms(c.line.LengthMs) && ctx.Err() == nil; at += step {
+		select {
+		case <-time.After(time.Until(start.Add(at))):
+		case <-ctx.Done():
+		}
+		r := &Request{ID: fmt.Sprintf("%08x%08x", uint32(c.line.Seed), len(c.all)+1), Class: c.draw(random)}
+		c.all = append(c.all, r)
+		first := random.IntN(len(c.members))
+		c.open.Add(1)
+		go func() { defer c.open.Done(); c.ask(ctx, r, first) }()
+	}
+	c.open.Wait()
+	return c.all
+}
+
+func (c *clients) draw(random *rand.Rand) string {
+	all := 0
+	for _, w := range c.line.Work {
+		all += w.Share
+	}
+	n := random.IntN(all)
+	for _, w := range c.line.Work {
+		if n -= w.Share; n < 0 {
+			return w.Class
+		}
+	}
+	return c.line.Work[0].Class
+}
+
+// ask asks one member after the other until one has answered or the time is up. A member that is silent is asked no more.
+func (c *clients) ask(ctx context.Context, r *Request, member int) {
+	r.At = time.Now()
+	ctx, cancel := context.WithDeadline(ctx, r.At.Add(ms(c.line.DeadlineMs)+late))
+	defer cancel()
+	answers := make(chan Ask, 64)
+	open := 0
+	for n := 0; ; n++ {
+		left := time.Until(r.At.Add(ms(c.line.DeadlineMs)))
+		if left <= 0 {
+			break
+		}
+		one, end := context.WithCancel(ctx)
+		defer end()
+		open++
+		go func(member, n int) { answers <- c.once(one, r, member, n, left) }(member, n)
+		silence := time.NewTimer(ms(c.line.SilenceMs))
+		select {
+		case a := <-answers:
+			open--
+			r.add(a)
+			if a.final() {
+				c.rest(r, &a, answers, open, cancel)
+				return
+			}
+			sleep(ctx, askStep)
+		case <-silence.C:
+			if !c.line.KeepOpen {
+				end()
+			}
+		}
+		silence.Stop()
+		member = (member + 1) % len(c.members)
+	}
+	for ; open > 0; open-- { // what is still open may answer
+		a := <-answers
+		r.add(a)
+	}
+}
+
+// rest hears what else is open: a second answer must not differ. A client that takes a refusal ends its other asks.
+func (c *clients) rest(r *Request, end *Ask, answers <-chan Ask, open int, cancel func()) {
+	if !c.line.KeepOpen || end.refused() {
+		cancel()
+	}
+	for ; open > 0; open-- {
+		r.add(<-answers)
+	}
+}
+
+func (c *clients) once(ctx context.Context, r *Request, member, n int, left time.Duration) (a Ask) {
+	a = Ask{Member: member, After: time.Since(r.At)}
+	began := time.Now()
+	defer func() { a.Took = time.Since(began) }()
+	method, body := http.MethodGet, io.Reader(nil)
+	for _, k := range classes {
+		if k.name == r.Class && k.post {
+			method, body = http.MethodPost, strings.NewReader("clip "+r.ID)
+		}
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+c.members[member]+"/"+r.Class+"/x?obj="+r.ID[12:], body)
+	if err != nil {
+		a.Err = err.Error()
+		return a
+	}
+	q.Header["Req-Id"] = []string{r.ID}
+	q.Header["Req-Deadline-Ms"] = []string{fmt.Sprint(max(1, left.Milliseconds()))}
+	q.Header["Req-Owner"] = []string{"acme"}
+	if r.Class == "make" {
+		q.Header["Idempotency-Key"] = []string{"k" + r.ID}
+	}
+	if n > 0 {
+		q.Header[resumeHead] = []string{"1"}
+	}
+	resp, err := c.http.Do(q)
+	if err != nil {
+		a.Err = err.Error()
+		return a
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil { // not whole: no answer
+		a.Err = err.Error()
+		return a
+	}
+	a.Status, a.Body = resp.StatusCode, string(text)
+	return a
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/rig/judge.go
@@ -0,0 +1,217 @@
+package rig
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	late   = 500 * time.Millisecond // after its time a final answer still counts as given
+	within = time.Second            // a member that ran for so long within a request's time could have answered
+	most   = 20                     // breaks of a kind that are told one by one
+)
+
+// Report is what a timeline came to, by clients' records and servers' tallies alone.
+type Report struct {
+	Requests    int `json:"requests"`
+	AskedAgain  int `json:"asked_again"`
+	Served      int `json:"served"`
+	AgainServed int `json:"again_served"` // of those asked again
+	Refused     int `json:"refused"`
+	Failed      int `json:"failed"`
+	Excused     int `json:"excused"` // without an answer, when no member ran for long enough
+
+	Lost          int `json:"lost"`           // no final answer though a member could have given one
+	Twice         int `json:"twice"`          // had its effect more than once
+	FalseRefusals int `json:"false_refusals"` // ran, and a refusal said that trying again is harmless
+	TwoAnswers    int `json:"two_answers"`    // two whole answers that differ
+	Spoilt        int `json:"spoilt"`         // a served answer that no server made for it
+	Crashes       int `json:"crashes"`        // processes that ended by themselves
+
+	P50Ms, P99Ms           float64  // of all that were served
+	AgainP50Ms, AgainP99Ms float64  // of those asked again: from the second ask to the answer
+	Breaks                 []string `json:"breaks,omitempty"` // the first of each kind, told
+}
+
+// Kept tells whether no rule was broken.
+func (r *Report) Kept() bool {
+	return r.Lost+r.Twice+r.FalseRefusals+r.TwoAnswers+r.Spoilt+r.Crashes == 0
+}
+
+// Why tells what was broken, empty: nothing.
+func (r *Report) Why() string {
+	var all []string
+	for _, b := range []struct {
+		name string
+		n    int
+	}{
+		{"lost", r.Lost}, {"twice", r.Twice}, {"false refusals", r.FalseRefusals}, {"two answers", r.TwoAnswers},
+		{"spoilt", r.Spoilt}, {"crashes", r.Crashes},
+	} {
+		if b.n > 0 {
+			all = append(all, fmt.Sprintf("%d %s", b.n, b.name))
+		}
+	}
+	return strings.Join(all, ", ")
+}
+
+// record is what was seen of one timeline.
+type record struct {
+	requests []*Request
+	runs     map[string][]Execution
+	ups      [][]span // by process
+	deadline time.Duration
+	crashes  []string
+}
+
+// judge says what became of each request.
+func judge(rec *record) *Report {
+	r := &Report{Requests: len(rec.requests), Crashes: len(rec.crashes), Breaks: rec.crashes}
+	all, again := hdrhistogram.New(1, 3_600_000_000, 3), hdrhistogram.New(1, 3_600_000_000, 3)
+	for _, q := range rec.requests {
+		r.one(rec, q, all, again)
+	}
+	inMs := func(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
+	r.P50Ms, r.P99Ms, r.AgainP50Ms, r.AgainP99Ms = inMs(all, 50), inMs(all, 99), inMs(again, 50), inMs(again, 99)
+	return r
+}
+
+func (r *Report) one(rec *record, q *Request, all, again *hdrhistogram.Histogram) {
+	runs := rec.runs[q.ID]
+	second := len(q.Asks) > 1
+	if second {
+		r.AskedAgain++
+	}
+	var end *Ask
+	served := ""
+	refused, differ, spoilt := false, false, false
+	for i := range q.Asks {
+		a := &q.Asks[i]
+		if !a.final() {
+			continue
+		}
+		if end == nil {
+			end = a
+		}
+		refused = refused || a.refused()
+		if a.Status == http.StatusOK {
+			differ = differ || served != "" && served != a.Body
+			spoilt = spoilt || !made(runs, a.Body)
+			served = a.Body
+		}
+	}
+	switch {
+	case end == nil && !rec.reachable(q):
+		r.Excused++
+	case end == nil:
+		r.broke(&r.Lost, "lost", q, runs)
+	case end.Status == http.StatusOK:
+		r.Served++
+		all.RecordValue((end.After + end.Took).Microseconds())
+		if second {
+			r.AgainServed++
+			again.RecordValue((end.After + end.Took - q.Asks[1].After).Microseconds())
+		}
+	case end.refused():
+		r.Refused++
+	default:
+		r.Failed++
+	}
+	if effects(q.Class, runs) > 1 {
+		r.broke(&r.Twice, "twice", q, runs)
+	}
+	if refused && len(runs) > 0 && q.Class != "look" {
+		r.broke(&r.FalseRefusals, "false refusal", q, runs)
+	}
+	if differ {
+		r.broke(&r.TwoAnswers, "two answers", q, runs)
+	}
+	if spoilt {
+		r.broke(&r.Spoilt, "spoilt", q, runs)
+	}
+}
+
+// broke counts a break and tells the first ones.
+func (r *Report) broke(count *int, kind string, q *Request, runs []Execution) {
+	if *count++; *count > most {
+		return
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s %s:", kind, q.Class, q.ID)
+	for _, a := range q.Asks {
+		fmt.Fprintf(&b, " [n%d after %d ms for %d ms: %d %q %s]", a.Member+1, a.After.Milliseconds(), a.Took.Milliseconds(), a.Status, a.Body, a.Err)
+	}
+	for _, run := range runs {
+		fmt.Fprintf(&b, " (ran at %s after %d ms, repeat %t)", run.Server, run.At.Sub(q.At).Milliseconds(), run.Repeat)
+	}
+	r.Breaks = append(r.Breaks, b.String())
+}
+
+// effects counts the runs that had an effect.
+func effects(class string, runs []Execution) (n int) {
+	for _, run := range runs {
+		if class != "look" && !run.Repeat {
+			n++
+		}
+	}
+	return n
+}
+
+func made(runs []Execution, answer string) bool {
+	for _, run := range runs {
+		if run.Answer == answer {
+			return true
+		}
+	}
+	return false
+}
+
+// reachable tells whether some member ran long enough within the request's time to answer it.
+func (rec *record) reachable(q *Request) bool {
+	from, to := q.At, q.At.Add(rec.deadline)
+	for _, ups := range rec.ups {
+		for _, s := range ups {
+			begin, end := later(s.from, from), to
+			if !s.to.IsZero() && s.to.Before(to) {
+				end = s.to
+			}
+			if end.Sub(begin) >= within {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Add adds another report's counts.
+func (r *Report) Add(o *Report) {
+	for _, p := range []struct{ to, from *int }{
+		{&r.Requests, &o.Requests}, {&r.AskedAgain, &o.AskedAgain}, {&r.Served, &o.Served}, {&r.AgainServed, &o.AgainServed},
+		{&r.Refused, &o.Refused}, {&r.Failed, &o.Failed}, {&r.Excused, &o.Excused}, {&r.Lost, &o.Lost}, {&r.Twice, &o.Twice},
+		{&r.FalseRefusals, &o.FalseRefusals}, {&r.TwoAnswers, &o.TwoAnswers}, {&r.Spoilt, &o.Spoilt}, {&r.Crashes, &o.Crashes},
+	} {
+		*p.to += *p.from
+	}
+	// Of several timelines the worst figures stand.
+	r.P50Ms, r.P99Ms = max(r.P50Ms, o.P50Ms), max(r.P99Ms, o.P99Ms)
+	r.AgainP50Ms, r.AgainP99Ms = max(r.AgainP50Ms, o.AgainP50Ms), max(r.AgainP99Ms, o.AgainP99Ms)
+}
+
+// Line tells a report in one line.
+func (r *Report) Line() string {
+	return fmt.Sprintf("requests=%d asked_again=%d served=%d again_served=%d refused=%d failed=%d excused=%d lost=%d twice=%d false_refusals=%d "+
+		"two_answers=%d spoilt=%d crashes=%d p50_ms=%.1f p99_ms=%.1f again_p50_ms=%.1f again_p99_ms=%.1f",
+		r.Requests, r.AskedAgain, r.Served, r.AgainServed, r.Refused, r.Failed, r.Excused, r.Lost, r.Twice, r.FalseRefusals,
+		r.TwoAnswers, r.Spoilt, r.Crashes, r.P50Ms, r.P99Ms, r.AgainP50Ms, r.AgainP99Ms)
+}
--- /dev/null
+++ b/internal/rig/judge_test.go
@@ -0,0 +1,92 @@
+package rig
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// The judge is what everything else is measured by: each break is seen, and nothing else is.
+func TestJudge(t *testing.T) {
+	at := time.Now()
+	up := [][]span{{{from: at.Add(-time.Second)}}}
+	ran := func(repeat ...bool) (runs []Execution) {
+		for i, r := range repeat {
+			runs = append(runs, Execution{Server: "s-1", At: at, Repeat: r, Answer: string(rune('A' + i))})
+		}
+		return runs
+	}
+	yes := func(body string) Ask { return Ask{Status: http.StatusOK, Body: body} }
+	for name, c := range map[string]struct {
+		class string
+		asks  []Ask
+		runs  []Execution
+		ups   [][]span
+		want  string
+	}{
+		"served":                         {"once", []Ask{yes("A")}, ran(false), up, ""},
+		"served after a break":           {"once", []Ask{{}, yes("A")}, ran(false), up, ""},
+		"twice":                          {"once", []Ask{{}, yes("B")}, ran(false, false), up, "1 twice"},
+		"a key twice, dropped":           {"make", []Ask{{}, yes("A")}, ran(false, true), up, ""},
+		"safe work twice":                {"look", []Ask{{}, yes("A")}, ran(false, false), up, ""},
+		"refused, never ran":             {"once", []Ask{{Status: 503}}, nil, up, ""},
+		"refused, ran":                   {"once", []Ask{{}, {Status: 429}}, ran(false), up, "1 false refusals"},
+		"failed, ran":                    {"once", []Ask{{Status: 502}}, ran(false), up, ""},
+		"two answers":                    {"make", []Ask{yes("A"), yes("B")}, ran(false, true), up, "1 two answers"},
+		"an answer of nobody":            {"once", []Ask{yes("C")}, ran(false), up, "1 spoilt"},
+		"lost":                           {"once", []Ask{{}, {Status: http.StatusConflict}}, nil, up, "1 lost"},
+		"nobody was there":               {"once", []Ask{{}}, nil, [][]span{{{from: at.Add(-time.Second), to: at.Add(time.Second / 2)}}}, ""},
+		"one was there for long enough":  {"once", []Ask{{}}, nil, [][]span{{}, {{from: at.Add(900 * time.Millisecond)}}}, "1 lost"},
+		"one was there for a short time": {"once", []Ask{{}}, nil, [][]span{{{from: at.Add(1100 * time.Millisecond)}}}, ""},
+	} {
+		q := &Request{ID: "x", Class: c.class, At: at, Asks: c.asks}
+		r := judge(&record{requests: []*Request{q}, runs: map[string][]Execution{"x": c.runs}, ups: c.ups, deadline: 2 * time.Second})
+		if r.Why() != c.want || r.Kept() != (c.want == "") {
+			t.Errorf("%s: %q, want %q", name, r.Why(), c.want)
+		}
+	}
+}
+
+// A drawn timeline is the same for the same seed, makes sense, and each smaller one does.
+func TestDrawnTimelines(t *testing.T) {
+	for seed := range uint64(200) {
+		a, b := Draw(seed, 3, 10_000, 100, true), Draw(seed, 3, 10_000, 100, true)
+		path := t.TempDir() + "/t.json"
+		if err := a.Write(path); err != nil {
+			t.Fatal(err)
+		}
+		again, err := Read(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, c := range append(a.smaller(), b, again) {
+			if err := c.Validate(); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+		}
+		if len(again.Faults) != len(b.Faults) || len(b.Faults) > 0 && again.Faults[0] != b.Faults[0] {
+			t.Fatalf("seed %d: %+v, then %+v", seed, again.Faults, b.Faults)
+		}
+	}
+}
+
+func TestTimelinesThatMakeNoSense(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*Timeline)
+		want   string
+	}{
+		"processes": {func(t *Timeline) { t.Processes = 0 }, "processes: 0 is not within 1 to 32"},
+		"class":     {func(t *Timeline) { t.Work[0].Class = "x" }, `work[0].class: "x" is none of`},
+		"who":       {func(t *Timeline) { t.Faults[0].Who = 3 }, "faults[0]: kill: who 3 is none of 3"},
+		"kind":      {func(t *Timeline) { t.Faults[1].Kind = "burn" }, `faults[1]: "burn" is no kind of fault`},
+		"link":      {func(t *Timeline) { t.Faults[0] = Fault{Kind: Cut, Who: 1, To: 1} }, "faults[0]: cut: no link from 1 to 1"},
+		"servers":   {func(t *Timeline) { t.Servers = nil }, "servers: none"},
+	} {
+		line := Lost(1, true)
+		c.change(line)
+		if err := line.Validate(); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: %v, want %s", name, err, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/registry.go
@@ -0,0 +1,45 @@
+package rig
+
+import (
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+)
+
+const beat = 2 * time.Second // of a watch
+
+// registry is the stand-in of discovery: it lists the same servers for good.
+type registry struct {
+	addr string
+	*http.Server
+}
+
+func startRegistry(hosts []host) (*registry, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	list := map[string]any{"seq": 1, "whole": true, "hosts": hosts}
+	h := func(w http.ResponseWriter, r *http.Request) {
+		json.NewEncoder(w).Encode(list)
+		if r.URL.Query().Get("watch") != "1" {
+			return
+		}
+		tick := time.NewTicker(beat)
+		defer tick.Stop()
+		for {
+			w.(http.Flusher).Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case <-tick.C:
+				io.WriteString(w, "\n")
+			}
+		}
+	}
+	g := &registry{addr: ln.Addr().String(), Server: &http.Server{Handler: http.HandlerFunc(h)}}
+	go g.Serve(ln)
+	return g, nil
+}
--- /dev/null
+++ b/internal/rig/run.go
@@ -0,0 +1,336 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+)
+
+const settleFleet = 10 * time.Second // for a fleet to serve before the first request
+
+// Setup is where a timeline is played.
+type Setup struct {
+	Binary string            // of the program
+	Builds map[int]string    // of other builds, by process
+	Dir    string            // for configurations, state and logs
+	Env    map[string]string // further variables of the processes
+}
+
+// Run plays a timeline and judges it. It ends all processes that it started, also when ctx ends before.
+func Run(ctx context.Context, set Setup, t *Timeline) (*Report, error) {
+	if err := t.Validate(); err != nil {
+		return nil, err
+	}
+	p := &play{set: set, line: t}
+	defer p.close()
+	if err := p.begin(ctx); err != nil {
+		return nil, err
+	}
+	return p.judge(ctx)
+}
+
+// play is a timeline under way.
+type play struct {
+	set       Setup
+	line      *Timeline
+	starter   *starter
+	servers   *servers
+	registry  *registry
+	processes []*process
+	links     map[[2]int]*link
+
+	mu      sync.Mutex
+	crashes []string
+}
+
+func (p *play) begin(ctx context.Context) (err error) {
+	p.starter, p.links = newStarter(), map[[2]int]*link{}
+	if p.servers, err = startServers(p.line.Servers, p.line.Seed); err != nil {
+		return err
+	}
+	if p.registry, err = startRegistry(p.servers.hosts); err != nil {
+		return err
+	}
+	fleet, err := freeAddrs(2 * p.line.Processes)
+	if err != nil {
+		return err
+	}
+	listens, members := fleet[:p.line.Processes], fleet[p.line.Processes:]
+	for i := range listens {
+		one, err := p.prepare(i, listens[i], members)
+		if err != nil {
+			return err
+		}
+		p.processes = append(p.processes, one)
+		if err := one.start(); err != nil {
+			return err
+		}
+	}
+	for _, one := range p.processes {
+		if err := one.ready(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// freeAddrs finds addresses that are free now, all different.
+func freeAddrs(n int) ([]string, error) {
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	return out, nil
+}
+
+func name(i int) string { return fmt.Sprintf("n%d", i+1) }
+
+func (p *play) prepare(i int, listen string, members []string) (*process, error) {
+	one := &process{
+		name: name(i), binary: p.set.Binary, listen: listen, dir: filepath.Join(p.set.Dir, name(i)), starter: p.starter,
+	}
+	if b := p.set.Builds[i]; b != "" {
+		one.binary = b
+	}
+	for k, v := range p.set.Env {
+		one.env = append(one.env, k+"="+v)
+	}
+	one.config = p.config(i, listen)
+	if p.line.Fleet {
+		path, err := p.options(i, one.dir, members)
+		if err != nil {
+			return nil, err
+		}
+		one.env = append(one.env, "DAMSONSCALE_OPTIONS="+path)
+	}
+	return one, one.prepare()
+}
+
+// config is the platform's configuration of one process.
+func (p *play) config(i int, listen string) map[string]any {
+	var services []map[string]any
+	for _, c := range classes {
+		s := map[string]any{
+			"Name": c.name, "Semantics": c.semantics, "AimUs": p.line.DeadlineMs * 500, "DeadlineUs": p.line.DeadlineMs * 1000,
+			"LateShare": 0.3, "Worth": 1,
+		}
+		if c.key {
+			s["Group"], s["WindowUs"] = "all", p.line.DeadlineMs*4000
+		}
+		services = append(services, s)
+	}
+	settings := map[string]any{
+		"Balancers": p.line.Processes, "Me": i, "Zone": "a", "RegistryMode": "on_request", "WeightSource": "nominal", "TickUs": 5000,
+		"Services": services,
+		"Realms":   []any{map[string]any{"Name": "acme", "AllowancePerS": 10_000, "Share": 1.0}},
+		"Limits": map[string]any{
+			"Cancel": true, "RetryAfter": true, "MaxAttempts": 4, "MaxRetryAfterUs": 1_000_000, "ConnIdleUs": 10_000_000,
+			"DialTimeoutUs": 250_000,
+		},
+		"ScoringMix": map[string]any{"Whole": 1},
+		"Guarantees": map[string]any{
+			"AnswerSlackUs": 20_000, "AskEveryUs": 10_000_000, "StopSendingWithinUs": 2_000_000, "ColdFrom": 0.3, "ColdUs": 8_000_000,
+			"OverloadFactor": 3, "FallUs": 3_000_000,
+		},
+	}
+	return map[string]any{
+		"name": name(i), "listen": listen, "discovery": p.registry.addr, "seed": fmt.Sprintf("%016x", p.line.Seed+uint64(i)),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":    map[string]any{"seq": 1, "whole": true, "hosts": p.servers.hosts},
+		"settings": settings,
+	}
+}
+
+// options writes the fleet's options of one process: it reaches each other member over a link of its own.
+func (p *play) options(i int, dir string, members []string) (string, error) {
+	state, err := p.state(i, dir)
+	if err != nil {
+		return "", err
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "[fleet]\naddress = %q\nstate_dir = %q\nmembers = [\n", members[i], state)
+	for j, addr := range members {
+		if j != i {
+			l, err := startLink(addr, p.line.Seed<<8+uint64(i*len(members)+j))
+			if err != nil {
+				return "", err
+			}
+			p.links[[2]int{i, j}], addr = l, l.addr()
+		}
+		fmt.Fprintf(&b, "  {name = %q, address = %q},\n", name(j), addr)
+	}
+	fmt.Fprint(&b, "]\n[takeover]\nenabled = true\n")
+	if len(members) < 3 {
+		fmt.Fprint(&b, "holders = 1\n")
+	}
+	fmt.Fprint(&b, "[takeover.custody]\n")
+	for _, c := range p.line.Strict {
+		fmt.Fprintf(&b, "%s = \"strict\"\n", c)
+	}
+	path := filepath.Join(dir, "options.toml")
+	return path, os.WriteFile(path, []byte(b.String()), 0o644)
+}
+
+// state makes the place where a process keeps its state, or one where it can't.
+func (p *play) state(i int, dir string) (string, error) {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return "", err
+	}
+	disk := Writable
+	if i < len(p.line.Disks) {
+		disk = p.line.Disks[i]
+	}
+	switch disk {
+	case ReadOnly: // no rights are needed to be refused below a file
+		file := filepath.Join(dir, "file")
+		return filepath.Join(file, "state"), os.WriteFile(file, nil, 0o644)
+	case Full: // each write fails with ENOSPC
+		state := filepath.Join(dir, "state")
+		if err := os.MkdirAll(state, 0o755); err != nil {
+			return "", err
+		}
+		return state, os.Symlink("/dev/full", filepath.Join(state, "fleet.db"))
+	}
+	return filepath.Join(dir, "state"), nil
+}
+
+// judge plays the faults under the clients' requests.
+func (p *play) judge(ctx context.Context) (*Report, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	start := time.Now()
+	var faults sync.WaitGroup
+	failed := make(chan error, mostFaults)
+	for i := range p.line.Faults {
+		f := &p.line.Faults[i]
+		faults.Go(func() {
+			if err := p.fault(ctx, start, f); err != nil && ctx.Err() == nil {
+				failed <- err
+			}
+		})
+	}
+	addrs := make([]string, len(p.processes))
+	for i, one := range p.processes {
+		addrs[i] = one.listen
+	}
+	requests := newClients(p.line, addrs).run(ctx, start)
+	faults.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	select {
+	case err := <-failed:
+		return nil, err
+	default:
+	}
+	p.look()
+	sleep(ctx, ms(p.line.DeadlineMs)/2) // what is sent too late still counts
+	rec := &record{requests: requests, runs: p.servers.tally(), deadline: ms(p.line.DeadlineMs), crashes: p.crashes}
+	for _, one := range p.processes {
+		one.mu.Lock()
+		rec.ups = append(rec.ups, append([]span(nil), one.ups...))
+		one.mu.Unlock()
+	}
+	return judge(rec), nil
+}
+
+// look notes processes that ended by themselves.
+func (p *play) look() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, one := range p.processes {
+		if one.crashed() {
+			p.crashes = append(p.crashes, "crash: "+one.name+", see "+one.log.Name())
+		}
+	}
+}
+
+// fault begins and ends one fault in its time.
+func (p *play) fault(ctx context.Context, start time.Time, f *Fault) error {
+	sleep(ctx, time.Until(start.Add(ms(f.AtMs))))
+	if ctx.Err() != nil {
+		return nil
+	}
+	lasts := func() {
+		to := ms(f.AtMs + f.ForMs)
+		if f.ForMs == 0 {
+			to = ms(p.line.LengthMs)
+		}
+		sleep(ctx, time.Until(start.Add(to)))
+	}
+	one := p.processes[f.Who]
+	switch f.Kind {
+	case Kill, Stop:
+		one.hold(f.Kind == Stop)
+		lasts()
+		if f.Kind == Kill && f.ForMs == 0 {
+			return nil
+		}
+		return one.release(f.Kind == Stop)
+	case Term:
+		return one.term()
+	case Upgrade:
+		return one.upgrade(ctx)
+	case Loop:
+		for end := start.Add(ms(f.AtMs + f.ForMs)); time.Now().Before(end) && ctx.Err() == nil; sleep(ctx, ms(f.EveryMs)) {
+			one.hold(false)
+			if err := one.release(false); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	ways := []*link{p.links[[2]int{f.Who, f.To}]}
+	if f.Both {
+		ways = append(ways, p.links[[2]int{f.To, f.Who}])
+	}
+	for _, l := range ways {
+		if l == nil {
+			return nil // without a fleet there are no links
+		}
+		l.set(f, true)
+		defer l.set(f, false)
+	}
+	lasts()
+	return nil
+}
+
+func (p *play) close() {
+	for _, one := range p.processes {
+		one.close()
+	}
+	for _, l := range p.links {
+		l.close()
+	}
+	if p.registry != nil {
+		p.registry.Close()
+	}
+	if p.servers != nil {
+		p.servers.close()
+	}
+	close(p.starter.done)
+}
+
+// Save writes a timeline and what it came to beside each other.
+func Save(dir string, t *Timeline, r *Report) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	return errors.Join(t.Write(filepath.Join(dir, "timeline.json")), os.WriteFile(filepath.Join(dir, "report.json"), append(text, '\n'), 0o644))
+}
