Custody: who owns a request, as ballots at three holders, with an explorer that finds planted faults

Need: a taker must know whether a lost sidecar may have sent a request. Custody is a module without I/O: the first taker's record goes to three holders in one message each, a taker asks a quorum with a higher ballot, and only work of owners that are out may be taken. The explorer plays crashes, losses, doubles, reordering and pauses between check and write. Found by it: keyed work of a member that had refused it for want of a quorum was run by a holder unasked; records now carry a mark of leave to send, written once the work has lasted a little, and only those are taken unasked.

--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -9,11 +9,14 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 
 	"github.com/alecthomas/kong"
 
+	"damsonscale/internal/custody"
+	"damsonscale/internal/custody/explore"
 	"damsonscale/internal/rig"
 )
 
@@ -29,6 +32,8 @@
 	Draw   drawCmd   `cmd:"" help:"Draw a timeline from a seed and write it."`
 	Search searchCmd `cmd:"" help:"Play drawn timelines, and keep those that break a rule."`
 	Shrink shrinkCmd `cmd:"" help:"Look for a smaller timeline that still breaks a rule."`
+
+	Explore exploreCmd `cmd:"" help:"Look for orders of events that break a promise of custody, without processes."`
 }
 
 // shape is what timelines are drawn with.
@@ -153,6 +158,48 @@
 	return errors.Join(err, small.Write(c.Out))
 }
 
+type exploreCmd struct {
+	Depth int    `help:"Of all orders of events of one request." default:"5"`
+	Seed  uint64 `help:"Of the first way at random." default:"1"`
+	Count int    `help:"Ways at random, of two requests." default:"10000"`
+	Steps int    `help:"Of each at most." default:"300"`
+}
+
+func (c *exploreCmd) Run(p *player) error {
+	broken := func(f explore.Found) bool {
+		if f.Broken == "" {
+			return false
+		}
+		fmt.Printf("%s\n%s\n", f.Broken, strings.Join(f.Trace, "\n"))
+		return true
+	}
+	for _, strict := range []bool{false, true} {
+		conf := explore.Config{Effects: []custody.Effect{custody.Unsafe}, Strict: strict, Budget: explore.Little}
+		f, err := explore.Exhaust(p.ctx, conf, c.Depth)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("depth=%d strict=%t states=%d\n", c.Depth, strict, f.States)
+		if broken(f) {
+			return errBroken
+		}
+	}
+	steps := 0
+	for i := 0; i < c.Count && p.ctx.Err() == nil; i++ {
+		seed := c.Seed + uint64(i)
+		f := explore.Walk(explore.Config{
+			Effects: []custody.Effect{custody.Unsafe, custody.Keyed}, Strict: seed%2 == 0, Budget: explore.Much,
+		}, seed, c.Steps)
+		steps += f.States
+		if broken(f) {
+			fmt.Printf("seed=%d\n", seed)
+			return errBroken
+		}
+	}
+	fmt.Printf("ways=%d steps=%d\n", c.Count, steps)
+	return p.ctx.Err()
+}
+
 // player plays timelines.
 type player struct {
 	ctx         context.Context
--- /dev/null
+++ b/internal/custody/clone.go
@@ -0,0 +1,48 @@
+package custody
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+)
+
+// Clone copies a node; what is never changed is shared.
+func (n *Node) Clone() *Node {
+	c := *n
+	c.slots = make(map[string]*slot, len(n.slots))
+	for id, s := range n.slots {
+		one := *s
+		c.slots[id] = &one
+	}
+	c.gone, c.goneBefore = maps.Clone(n.gone), maps.Clone(n.goneBefore)
+	c.claims = make(map[string]*claim, len(n.claims))
+	for id, k := range n.claims {
+		one := *k
+		one.replies = maps.Clone(k.replies)
+		c.claims[id] = &one
+	}
+	c.out, c.events = slices.Clone(n.out), slices.Clone(n.events)
+	return &c
+}
+
+// Print writes all that later behaviour depends on: equal nodes print alike.
+func (n *Node) Print(w io.Writer) {
+	fmt.Fprint(w, n.conf.Me, n.view.Epoch, n.joined, n.round, n.began)
+	for _, id := range slices.Sorted(maps.Keys(n.slots)) {
+		fmt.Fprint(w, id, *n.slots[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.claims)) {
+		c := n.claims[id]
+		fmt.Fprint(w, id, c.phase, c.ballot, c.rec, c.came, c.began, c.again, c.taken, c.seen, c.lived, c.late, c.marked, c.give)
+		for _, h := range slices.Sorted(maps.Keys(c.replies)) {
+			r := *c.replies[h]
+			var rec Record
+			if r.Record != nil {
+				rec = *r.Record
+			}
+			r.Record = nil
+			fmt.Fprint(w, h, r, rec)
+		}
+	}
+}
--- /dev/null
+++ b/internal/custody/explore/explore_test.go
@@ -0,0 +1,50 @@
+package explore
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"damsonscale/internal/custody"
+)
+
+var (
+	one  = []custody.Effect{custody.Unsafe}
+	both = []custody.Effect{custody.Unsafe, custody.Keyed}
+)
+
+// No order of events breaks a promise: all short ones, and many long ones.
+func TestNoOrderBreaksAPromise(t *testing.T) {
+	for _, strict := range []bool{false, true} {
+		f, err := Exhaust(context.Background(), Config{Effects: one, Strict: strict, Budget: Little}, 5)
+		if err != nil || f.Broken != "" {
+			t.Fatalf("strict %t: %v %s\n%s", strict, err, f.Broken, strings.Join(f.Trace, "\n"))
+		}
+		t.Logf("strict %t: %d states", strict, f.States)
+	}
+	steps := 0
+	for seed := range uint64(400) {
+		f := Walk(Config{Effects: both, Strict: seed%2 == 0, Budget: Much}, seed, 200)
+		if steps += f.States; f.Broken != "" {
+			t.Fatalf("seed %d: %s\n%s", seed, f.Broken, strings.Join(f.Trace, "\n"))
+		}
+	}
+	t.Logf("%d steps at random", steps)
+}
+
+// Each planted fault is found. Guards against an explorer that can find nothing.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for plant, name := range map[custody.Plant]string{
+		custody.LeaseUnchecked: "lease not checked", custody.SendEarly: "sent before the holders have it",
+		custody.EpochWrong: "epoch compared the wrong way", custody.AnswerForgot: "answer forgotten",
+	} {
+		found := ""
+		for seed := uint64(0); seed < 100_000 && found == ""; seed++ {
+			found = Walk(Config{Effects: both, Strict: true, Plant: plant, Budget: Much}, seed, 200).Broken
+		}
+		if found == "" {
+			t.Errorf("%s: not found", name)
+		}
+		t.Logf("%s: %s", name, found)
+	}
+}
