Takeover end to end, off by default: leases, an agreed epoch log, records at holders

Members agree on joins and outs in a log on etcd's raft, kept in bbolt; each holds a lease by its own clock, checked under the gate before each write and before each answer; work with an effect is recorded at a quorum of holders before its first byte, and a client that asks another member gets the recorded answer, the living owner's, or a run by the taker. The module learns of an earlier owner's attempt by Request.Former and counts its own as further ones. Without DAMSONSCALE_OPTIONS nothing of it acts. Found on the way: a member was put out before it could ask for its first lease; holders that restarted counted as silent for 20 s.

--- a/cmd/damsonscale/main.go
+++ b/cmd/damsonscale/main.go
@@ -17,8 +17,10 @@
 	"damsonscale/decide"
 	"damsonscale/internal/admin"
 	"damsonscale/internal/config"
+	"damsonscale/internal/fleet"
 	"damsonscale/internal/frontend"
 	"damsonscale/internal/lifecycle"
+	"damsonscale/internal/options"
 	"damsonscale/internal/sidecar"
 )
 
@@ -47,6 +49,10 @@
 	if err != nil {
 		return err
 	}
+	opts, err := options.Load(os.Getenv, conf.Name)
+	if err != nil {
+		return err
+	}
 	limits := conf.Limits
 	runtime.GOMAXPROCS(max(1, min(runtime.NumCPU(), int(limits.Cores+0.5))))
 	own := ownSockets
@@ -76,6 +82,16 @@
 	}
 	up.share.set()
 	go side.Run(context.Background())
+	var members *fleet.Fleet
+	if opts != nil && opts.Takeover.Enabled {
+		if members, err = fleet.New(opts, conf.Name, time.Duration(longest(conf.Settings.Classes))*time.Microsecond, front); err != nil {
+			return err
+		}
+		if err := members.Run(context.Background()); err != nil {
+			return err
+		}
+		front.Join(members)
+	}
 	if err := up.begin(term); err != nil {
 		return err
 	}
@@ -94,6 +110,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), drainFor(most.Load()))
 	defer cancel()
 	up.drain(ctx)
+	if members != nil {
+		members.Leave()
+	}
 	return nil
 }
 
--- a/decide/api.go
+++ b/decide/api.go
@@ -183,6 +183,7 @@
 	Key     string
 	IsRetry bool
 	Work    int64 // work hinted; 0: none
+	Former  int64 // µs since another balancer may have sent it, which is none of its tries here; 0: none has
 	Once    bool  // its body is not held: once some of it has gone it can't be sent again; its time runs from its end
 }
 
--- a/decide/decide.go
+++ b/decide/decide.go
@@ -119,7 +119,7 @@
 func (b *Balancer) Request(now int64, in Request) {
 	class := b.classes[in.Class]
 	r := &request{Request: in, class: class, rules: class.Class, most: b.set.Limits.MaxAttempts, taken: now,
-		value: class.value, home: b.replica(in.Key)}
+		value: class.value, home: b.replica(in.Key), former: formerly(now, in.Former)}
 	r.aim = int64(min(float64(class.Aim)+class.AimStretch*float64(max(0, in.Work)), float64(class.Deadline)))
 	if r.Left < 0 {
 		r.Left = class.Deadline
@@ -190,7 +190,7 @@
 // mayTry tells whether a further attempt is allowed at all, whatever the server.
 func (b *Balancer) mayTry(now int64, r *request) bool {
 	return !r.ended && !r.started && now < r.deadline && r.out == 0 &&
-		len(r.tries) < r.most && (len(r.tries) == 0 || b.furtherLeft(now) >= 1)
+		len(r.tries) < r.most && (!r.sentBefore() || b.furtherLeft(now) >= 1)
 }
 
 // furtherLeft is how many attempts beyond a request's first the budget of attempts allows now, however the
@@ -246,7 +246,7 @@
 		s.heardAt = now
 		a.idle = b.reuse(now, s)
 	}
-	if len(r.tries) > 0 {
+	if r.sentBefore() {
 		b.further.slot(now).further++
 	}
 	r.tries = append(r.tries, a)
--- a/decide/state.go
+++ b/decide/state.go
@@ -173,8 +173,9 @@
 	books    *keyBooks // of its key; nil: it has none
 	home     uint64    // hash of the replica of its key; 0: none
 	ended    bool
-	started  bool // its stream has begun
-	followed int  // tries that were really sent, where another balancer is watched
+	started  bool     // its stream has begun
+	former   *attempt // that another balancer may have sent; nil: none
+	followed int      // tries that were really sent, where another balancer is watched
 }
 
 // attempt is one send. Its server's group is kept as it was when sent.
@@ -543,8 +544,24 @@
 	return sum, size
 }
 
+// formerly is what is known of an attempt that another balancer may have sent some time ago: not where, so that no server
+// of a zone or a cell is known to drop a repeat.
+func formerly(now, ago int64) *attempt {
+	if ago <= 0 {
+		return nil
+	}
+	return &attempt{sentAt: now - ago, zone: "?", cell: -2, done: true, result: Reset}
+}
+
+// sentBefore tells whether a send would be one beyond the request's first, also where another balancer may have sent that.
+// Guards against a takeover that mints attempts.
+func (r *request) sentBefore() bool { return len(r.tries) > 0 || r.former != nil }
+
 // effect returns the first attempt that may have run, or nil.
 func (r *request) effect() *attempt {
+	if r.former != nil {
+		return r.former
+	}
 	for i := range r.tries {
 		if !r.tries[i].result.NeverRan() {
 			return &r.tries[i]
--- a/internal/custody/clone.go
+++ b/internal/custody/clone.go
@@ -28,13 +28,13 @@
 
 // Print writes all that later behaviour depends on: equal nodes print alike.
 func (n *Node) Print(w io.Writer) {
-	fmt.Fprint(w, n.conf.Me, n.view.Epoch, n.joined, n.round, n.began)
+	fmt.Fprint(w, n.conf.Me, n.view.Epoch, n.joined, n.seat, n.sure, n.round)
 	for _, id := range slices.Sorted(maps.Keys(n.slots)) {
 		fmt.Fprint(w, id, *n.slots[id])
 	}
 	for _, id := range slices.Sorted(maps.Keys(n.claims)) {
 		c := n.claims[id]
-		fmt.Fprint(w, id, c.phase, c.ballot, c.rec, c.came, c.began, c.again, c.taken, c.seen, c.lived, c.late, c.marked, c.give)
+		fmt.Fprint(w, id, c.phase, c.ballot, c.rec, c.came, c.began, c.again, c.taken, c.seen, c.lived, c.late, c.marked, c.give, c.judged, c.from)
 		for _, h := range slices.Sorted(maps.Keys(c.replies)) {
 			r := *c.replies[h]
 			var rec Record
--- a/internal/custody/holder.go
+++ b/internal/custody/holder.go
@@ -38,10 +38,12 @@
 func (n *Node) hold(now int64, from Member, m *Message) Message {
 	r := Message{To: m.Kind, ID: m.ID, Ballot: m.Ballot, Epoch: n.view.Epoch, Seq: m.Seq}
 	switch {
-	case n.joined == 0 || n.view.Epoch < m.Epoch:
+	case n.view.Epoch < m.Epoch:
 		r.Kind = Behind // Guards against a judgement by an old list of who is out
 	case !n.view.Lives(from) || m.Ballot.By != from:
 		r.Kind = Out
+	case n.seat == 0:
+		r.Kind = Young
 	case m.Kind == Write && m.Record != nil:
 		n.write(now, m, &r)
 	case m.Kind == Ask:
@@ -60,7 +62,7 @@
 	case m.Record.Owner != m.Ballot.By || m.Record.ID != m.ID:
 		r.Kind = Out
 		return
-	case first && m.Record.Epoch < n.joined:
+	case first && m.Record.Epoch < n.seat:
 		r.Kind = Young // Guards against a late first write that meets a holder which has forgotten who began the request
 		return
 	case first && n.forgot(m.ID):
@@ -109,7 +111,7 @@
 	case s == nil && n.forgot(m.ID):
 		r.Kind = Expired
 		return
-	case s == nil && !n.first && now-n.began < n.conf.Longest+n.conf.Keep:
+	case s == nil && now < n.sure:
 		r.Kind = Young
 		return
 	case s == nil && len(n.slots) >= n.conf.Records:
--- a/internal/custody/node.go
+++ b/internal/custody/node.go
@@ -26,6 +26,7 @@
 	Bytes   int      // of them at most
 	Keep    int64    // µs for which an answer is kept
 	Longest int64    // µs: no request is asked for after so long
+	Slack   int64    // µs by which an ask may be late for all that
 	Wait    int64    // µs for which a quorum is waited for
 	Again   int64    // µs after which what has no reply is sent again
 	Stagger int64    // µs between holders that take over unasked
@@ -58,9 +59,12 @@
 	Does   Does
 	ID     string
 	Record Record
-	Taken  bool // from another owner, with Run or Missing: it may have run there
+	Taken  bool   // from another owner, with Run or Missing: it may have run there
+	From   Member // with Taken: its owner before
+	Judged bool   // with Give: this process has found that it may have run, nobody had answered it
 	Seen   bool
-	Fresh  bool // with Missing: it was never sent, for certain
+	Fresh  bool // with Missing: this process was the first to be asked, or a quorum said that it was never sent
+	AtOnce bool // with Missing: nobody was asked, and its client can't have gone elsewhere meanwhile
 }
 
 // Next is what to do where no quorum of holders can be had.
@@ -75,8 +79,10 @@
 // Next tells it, with Missing. Strict: the class's work goes out under custody alone.
 func (e *Event) Next(strict bool) Next {
 	switch {
-	case e.Fresh && strict:
+	case e.Fresh && strict && e.AtOnce:
 		return Refuse
+	case e.Fresh && strict: // Guards against a refusal of what another member runs, asked while this one waited
+		return Fail
 	case e.Fresh:
 		return GoOn
 	case e.Record.Effect == Unsafe: // somebody may have sent it
@@ -113,6 +119,8 @@
 	holders []string
 	replies map[string]*Message // the latest of each holder, to this ballot and phase
 	taken   bool                // from another owner
+	from    Member              // which
+	judged  bool                // found here that it may have run
 	seen    bool                // some holder told that it was begun
 	lived   int64               // when a holder last told that the owner lives
 	late    bool                // the caller was told that it is missing
@@ -125,20 +133,20 @@
 type Node struct {
 	conf   Config
 	view   *View
-	joined uint64 // epoch at which this process joined; 0: it has not
-	first  bool   // no process of its name was a member before
+	joined bool
+	seat   uint64 // epoch from which on this process is the holder of its name; 0: another is, or nobody yet
+	sure   int64  // from this time on what it does not know was never begun
 	round  uint32 // of the latest ballot: none is used for two claims
-	began  int64
 	holder
 	claims map[string]*claim
 	out    []To
 	events []Event
 }
 
-// New makes a node that starts at a time.
-func New(conf Config, now int64) *Node {
+// New makes a node.
+func New(conf Config) *Node {
 	conf.Names = slices.Sorted(slices.Values(conf.Names))
-	return &Node{conf: conf, view: &View{}, began: now, holder: newHolder(), claims: map[string]*claim{}}
+	return &Node{conf: conf, view: &View{}, holder: newHolder(), claims: map[string]*claim{}}
 }
 
 // Sent returns what is to be sent since the last call, and Events what is to be done.
@@ -154,11 +162,11 @@
 		return
 	}
 	n.view = v
-	if n.joined == 0 {
-		n.joined, n.first = v.Live[n.conf.Me].Joined, v.Live[n.conf.Me].First
-	} else if !v.Lives(n.conf.Me) {
+	if n.joined && !v.Lives(n.conf.Me) {
 		n.drop()
 	}
+	n.joined = v.Lives(n.conf.Me)
+	n.sit(now)
 	n.orphans(now)
 	for _, id := range slices.Sorted(maps.Keys(n.claims)) {
 		if c := n.claims[id]; c.phase == asking {
@@ -167,6 +175,34 @@
 	}
 }
 
+// sit finds whether this process is the holder of its name: of several the one that joined first is. What another one of
+// that name held it has never known, so that it can't speak of requests begun before.
+func (n *Node) sit(now int64) {
+	var oldest Member
+	var at Standing
+	for m, s := range n.view.Live {
+		if m.Name == n.conf.Me.Name && (oldest.Name == "" || s.Joined < at.Joined) {
+			oldest, at = m, s
+		}
+	}
+	switch {
+	case oldest.Name == "": // none: it keeps what it has
+	case oldest != n.conf.Me:
+		n.seat = 0
+	case n.seat == 0:
+		n.seat, n.sure = n.view.Epoch, now
+		if !at.First {
+			n.sure += n.conf.Longest + n.conf.Slack
+		}
+	}
+}
+
+// Rejoin makes another member of this process: the one it was is out. What it holds for others it has not forgotten.
+func (n *Node) Rejoin(me Member) {
+	n.drop()
+	n.conf.Me, n.joined = me, false
+}
+
 // drop ends all that this process owns: it is out.
 func (n *Node) drop() {
 	for _, id := range slices.Sorted(maps.Keys(n.claims)) {
@@ -176,7 +212,7 @@
 }
 
 // In tells whether this process is a member now.
-func (n *Node) In() bool { return n.joined != 0 && n.view.Lives(n.conf.Me) }
+func (n *Node) In() bool { return n.joined }
 
 // Take begins the request as its first taker. Run follows once a quorum has the record.
 func (n *Node) Take(now int64, rec Record) {
@@ -206,7 +242,7 @@
 // claim opens one, unless the id has one or this process is no member.
 func (n *Node) claim(now int64, rec Record, p phase) *claim {
 	if !n.In() {
-		n.tell(Event{Does: Missing, ID: rec.ID, Record: rec, Fresh: p == writing})
+		n.tell(Event{Does: Missing, ID: rec.ID, Record: rec, Fresh: p == writing, AtOnce: p == writing})
 		return nil
 	}
 	if n.claims[rec.ID] != nil {
@@ -323,7 +359,7 @@
 		}
 		// Another wants it: what it makes of it is asked for. The next turn does that; two that ask take their time.
 		n.round = max(n.round, m.Promise.Round) + 1
-		c.ballot.Round, c.phase, c.rec, c.taken, c.give = n.round, asking, c.mine, false, false
+		c.ballot.Round, c.phase, c.rec, c.taken, c.judged, c.give = n.round, asking, c.mine, false, false, false
 		c.replies = map[string]*Message{}
 		return
 	}
@@ -414,7 +450,7 @@
 	c.rec.Age += now - c.began
 	if m := c.latest(); m != nil {
 		age := c.rec.Age
-		c.rec, c.taken, c.seen = *m.Record, true, true
+		c.rec, c.taken, c.seen, c.from = *m.Record, true, true, m.Record.Owner
 		c.rec.Owner, c.rec.Epoch, c.rec.Seq = n.conf.Me, c.mine.Epoch, 0
 		c.rec.Age = max(c.rec.Age, age)
 		if len(c.rec.Request) == 0 && c.rec.Answer.Verdict == None {
@@ -428,7 +464,7 @@
 	case c.rec.Answer.Verdict != None:
 		c.phase = closing
 	case c.taken && c.rec.Effect == Unsafe:
-		c.phase, c.rec.Answer, c.rec.Request = closing, Answer{Verdict: Failed, Why: "may have run"}, nil
+		c.phase, c.judged, c.rec.Answer, c.rec.Request = closing, true, Answer{Verdict: Failed, Why: "may have run"}, nil
 	default:
 		c.phase = writing
 	}
@@ -446,14 +482,14 @@
 		n.closed(c)
 	case !c.late:
 		c.phase, c.again = running, now+n.conf.Again
-		n.tell(Event{Does: Run, ID: c.id, Record: c.rec, Taken: c.taken, Seen: c.seen})
+		n.tell(Event{Does: Run, ID: c.id, Record: c.rec, Taken: c.taken, From: c.from, Seen: c.seen})
 	}
 }
 
 // closed ends a claim whose answer is written.
 func (n *Node) closed(c *claim) {
 	if c.give {
-		n.end(c, Event{Does: Give, Record: c.rec, Taken: c.taken})
+		n.end(c, Event{Does: Give, Record: c.rec, Taken: c.taken, From: c.from, Judged: c.judged})
 		return
 	}
 	n.end(c, Event{Does: Kept})
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,444 @@
+// Package fleet joins sidecars into one: members that agree on who lives, leases by which each knows that it may act, and
+// records by which one takes over what another had in hand. docs/takeover.md tells how and why.
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"damsonscale/internal/custody"
+	"damsonscale/internal/options"
+)
+
+const (
+	asksALease  = 5 // asks for a lease while one lasts
+	reopenEvery = time.Second
+	leaveWait   = 100 * time.Millisecond
+)
+
+// Hooks are what a fleet needs of the program.
+type Hooks interface {
+	// Unasked makes what runs a recorded request that nobody has asked for again.
+	Unasked(rec *custody.Record) (func(Leave) Result, error)
+	// Unheard ends a live answer that nobody is left to take.
+	Unheard(live any)
+}
+
+// Fleet is this process's part in its fleet.
+type Fleet struct {
+	name    string
+	longest time.Duration
+	opts    *options.Options
+	listed  map[string]string // addresses by the options
+	names   []string
+	hooks   Hooks
+	coder   *coder
+	wire    *wire
+	keeper  *keeper
+	voters  []string
+	start   time.Time
+	plant   custody.Plant
+	address string // told to the others where it is not the listed one
+	again   int64  // µs
+	wait    int64
+	ticked  atomic.Int64
+
+	ctx    context.Context
+	me     atomic.Pointer[custody.Member]
+	lease  atomic.Pointer[Lease]
+	roster atomic.Pointer[roster]
+	epochs atomic.Pointer[epochs]
+	leader atomic.Pointer[string]
+	box    chan func() // of the member's own actor: leases and the roster
+	ended  atomic.Bool
+}
+
+// New makes a member. longest is the longest deadline of a class, which counts unless the options say another. Nothing is
+// listened to or sent before Run.
+func New(o *options.Options, name string, longest time.Duration, hooks Hooks) (*Fleet, error) {
+	c, err := newCoder()
+	if err != nil {
+		return nil, err
+	}
+	if o.Takeover.Longest > 0 {
+		longest = o.Takeover.Longest
+	}
+	f := &Fleet{
+		longest: longest, name: name, opts: o, listed: map[string]string{}, hooks: hooks, coder: c, start: time.Now(), box: make(chan func(), 1024),
+		again: max(o.Fleet.Lease.Microseconds()/20, 5000), plant: planted(),
+	}
+	f.wait = o.Fleet.Lease.Microseconds() / 2
+	for _, m := range o.Fleet.Members {
+		f.names = append(f.names, m.Name)
+		f.listed[m.Name] = m.Address
+	}
+	f.voters = votersOf(f.names)
+	f.roster.Store(&roster{})
+	if err := f.incarnate(); err != nil {
+		return nil, err
+	}
+	f.wire = newWire(c, f.names)
+	f.wire.me, f.wire.take = func() custody.Member { return *f.me.Load() }, f.take
+	f.wire.where = func(name string) string { return f.roster.Load().addressOf(name, f.listed[name]) }
+	f.keeper = &keeper{f: f, box: make(chan func(int64), keeperBox), flights: map[string]*flight{}}
+	f.keeper.node = custody.New(custody.Config{
+		Me: *f.me.Load(), Names: f.names, Holders: o.Takeover.Holders, Records: o.Takeover.Records, Bytes: o.Takeover.Bytes,
+		Keep: o.Takeover.KeepAnswers.Microseconds(), Longest: longest.Microseconds(), Wait: f.wait, Again: f.again, Slack: o.Fleet.Lease.Microseconds(),
+		Stagger: o.Fleet.Lease.Microseconds() / 2, Plant: f.plant,
+	})
+	return f, nil
+}
+
+// incarnate draws a number by which this process is told from all others of its name, and a lease that is not valid yet.
+func (f *Fleet) incarnate() error {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		return err
+	}
+	if old := f.lease.Load(); old != nil {
+		old.end()
+	}
+	f.me.Store(&custody.Member{Name: f.name, Incarnation: binary.BigEndian.Uint64(b[:])})
+	f.lease.Store(&Lease{start: f.start, plant: f.plant, over: make(chan struct{})})
+	return nil
+}
+
+// micros is the time by this process's own clock, in µs.
+func (f *Fleet) micros() int64 { return time.Since(f.start).Microseconds() }
+
+// Run serves the fleet until ctx ends. It returns once it listens, or with an error that names the address.
+func (f *Fleet) Run(ctx context.Context) error {
+	ln, err := net.Listen("tcp", f.opts.Fleet.Address)
+	if err != nil { // another process of this sidecar may have it: the others are told of another address
+		host, _, bad := net.SplitHostPort(f.opts.Fleet.Address)
+		if bad != nil {
+			return fmt.Errorf("fleet.address: %w", bad)
+		}
+		second, again := net.Listen("tcp", net.JoinHostPort(host, "0"))
+		if again != nil {
+			return fmt.Errorf("fleet.address: %w", err)
+		}
+		ln, f.address = second, second.Addr().String()
+	}
+	f.ctx = ctx
+	f.ticked.Store(f.micros())
+	go f.wire.serve(ctx, ln)
+	go f.keeper.run(ctx)
+	go f.tend(ctx)
+	if slices.Contains(f.voters, f.name) {
+		go f.vote(ctx)
+	}
+	log.Printf("event=fleet_start name=%s incarnation=%x address=%s members=%d voters=%d lease=%s", f.name, f.me.Load().Incarnation, ln.Addr(),
+		len(f.names), len(f.voters), f.opts.Fleet.Lease)
+	return nil
+}
+
+// vote keeps the epoch log, as soon as no other process of this sidecar does. A member that can't keep it votes for
+// nothing, and says why.
+func (f *Fleet) vote(ctx context.Context) {
+	said := ""
+	for ctx.Err() == nil {
+		e, err := newEpochs(f.opts.Fleet.StateDir, f.name, f.voters, f.opts.Fleet.Lease)
+		if err == nil {
+			e.send = f.send
+			e.told = func(r *roster) { f.learn(r, true) }
+			f.epochs.Store(e)
+			err = e.run(ctx)
+			f.epochs.Store(nil)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil && err.Error() != said {
+			said = err.Error()
+			log.Printf("event=fleet_votes_not err=%q", err)
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(reopenEvery):
+		}
+	}
+}
+
+// send carries a frame to a name; to this one without the wire.
+func (f *Fleet) send(name string, kind byte, payload []byte) {
+	if name == f.name {
+		go f.take(*f.me.Load(), kind, payload)
+		return
+	}
+	f.wire.send(f.ctx, name, kind, payload)
+}
+
+// tend is the actor of leases: it asks for them, and takes grants and rosters in.
+func (f *Fleet) tend(ctx context.Context) {
+	every := f.opts.Fleet.Lease / asksALease
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fn := <-f.box:
+			fn()
+		case <-next.C:
+			f.ask()
+			if f.lease.Load().Valid() {
+				next.Reset(every)
+			} else {
+				next.Reset(every / 4)
+			}
+		}
+	}
+}
+
+// ask asks who leads for a lease, or all who may lead while that is not known.
+func (f *Fleet) ask() {
+	if f.ended.Load() {
+		return
+	}
+	me, sent := *f.me.Load(), time.Since(f.start)
+	text, err := f.coder.out.Marshal(askLease{Member: me, Sent: int64(sent), Address: f.address})
+	if err != nil {
+		return
+	}
+	leader := f.leader.Load()
+	if leader != nil && f.lease.Load().until.Load()-int64(sent) > int64(f.opts.Fleet.Lease)/2 {
+		f.send(*leader, kindAsk, text)
+		return
+	}
+	for _, v := range f.voters {
+		f.send(v, kindAsk, text)
+	}
+}
+
+// granted takes a grant in.
+func (f *Fleet) granted(from string, g *granted) {
+	me := *f.me.Load()
+	if g.Member != me {
+		return
+	}
+	if g.Out {
+		f.putOut()
+		return
+	}
+	f.leader.Store(&from)
+	lease := f.lease.Load()
+	was := lease.until.Load() > 0
+	lease.extend(g.Sent, f.opts.Fleet.Lease)
+	if !was {
+		log.Printf("event=fleet_lease name=%s incarnation=%x leader=%s epoch=%d", me.Name, me.Incarnation, from, g.Epoch)
+	}
+	if g.Epoch > f.roster.Load().Epoch {
+		f.send(from, kindViewAsk, nil)
+	}
+}
+
+// putOut makes another member of this process: the one it was is out.
+func (f *Fleet) putOut() {
+	old := *f.me.Load()
+	if err := f.incarnate(); err != nil {
+		log.Printf("event=fleet_error err=%q", err)
+		return
+	}
+	me := *f.me.Load()
+	log.Printf("event=fleet_out name=%s incarnation=%x now=%x", old.Name, old.Incarnation, me.Incarnation)
+	f.keeper.box <- func(int64) { f.keeper.node.Rejoin(me) }
+	f.ask()
+}
+
+// learn takes a newer roster in. Only what is agreed comes here.
+func (f *Fleet) learn(r *roster, tell bool) {
+	select {
+	case f.box <- func() { f.learned(r, tell) }:
+	case <-f.ctx.Done():
+	}
+}
+
+func (f *Fleet) learned(r *roster, tell bool) {
+	if r.Epoch <= f.roster.Load().Epoch {
+		return
+	}
+	f.roster.Store(r)
+	v := r.view()
+	f.keeper.box <- func(now int64) { f.keeper.node.See(now, v) }
+	if me := *f.me.Load(); r.gone(me) && !f.ended.Load() {
+		f.putOut()
+	}
+	if e := f.epochs.Load(); !tell || e == nil {
+		return
+	}
+	// Who votes tells those who do not; the voters have it from the log.
+	for _, s := range r.Seats {
+		if !slices.Contains(f.voters, s.Member.Name) && f.firstVoter(r) {
+			f.tellRoster(s.Member.Name)
+		}
+	}
+}
+
+// firstVoter tells whether this member is the first living voter: one of them tells the others.
+func (f *Fleet) firstVoter(r *roster) bool {
+	for _, v := range f.voters {
+		if slices.ContainsFunc(r.Seats, func(s seat) bool { return s.Member.Name == v }) {
+			return v == f.name
+		}
+	}
+	return false
+}
+
+func (f *Fleet) tellRoster(name string) {
+	text, err := f.coder.out.Marshal(f.roster.Load())
+	if err == nil {
+		f.send(name, kindView, text)
+	}
+}
+
+var errKind = errors.New("a frame of a kind that this build does not know")
+
+// take takes a frame of another member, or of this one.
+func (f *Fleet) take(from custody.Member, kind byte, payload []byte) {
+	err := error(nil)
+	switch kind {
+	case kindRaft:
+		if e := f.epochs.Load(); e != nil {
+			e.post(func() { e.step(from.Name, payload) })
+		}
+	case kindAsk:
+		var a askLease
+		if err = f.coder.in.Unmarshal(payload, &a); err == nil && a.Member.Name == from.Name {
+			if e := f.epochs.Load(); e != nil {
+				e.post(func() { e.ask(a) })
+			}
+		}
+	case kindLeave:
+		var m custody.Member
+		if err = f.coder.in.Unmarshal(payload, &m); err == nil && m.Name == from.Name {
+			if e := f.epochs.Load(); e != nil {
+				e.post(func() { e.left(m) })
+			}
+		}
+	case kindGrant:
+		var g granted
+		if err = f.coder.in.Unmarshal(payload, &g); err == nil {
+			f.post(func() { f.granted(from.Name, &g) })
+		}
+	case kindViewAsk:
+		f.post(func() { f.tellRoster(from.Name) })
+	case kindView:
+		r := new(roster)
+		if err = f.coder.in.Unmarshal(payload, r); err == nil {
+			if err = r.check(); err == nil {
+				f.learn(r, false)
+			}
+		}
+	case kindCustody:
+		var all []custody.Message
+		if err = f.coder.in.Unmarshal(payload, &all); err == nil {
+			f.custody(from, all)
+		}
+	default:
+		err = fmt.Errorf("%w: %d", errKind, kind)
+	}
+	if err != nil {
+		f.wire.refuse("", from.Name, err)
+	}
+}
+
+func (f *Fleet) post(fn func()) {
+	select {
+	case f.box <- fn:
+	case <-f.ctx.Done():
+	}
+}
+
+// custody hands messages to the keeper. Whoever speaks of a later epoch is asked for it first.
+func (f *Fleet) custody(from custody.Member, all []custody.Message) {
+	latest := uint64(0)
+	for i := range all {
+		latest = max(latest, all[i].Epoch)
+	}
+	if latest > f.roster.Load().Epoch {
+		f.send(from.Name, kindViewAsk, nil)
+	}
+	done := make(chan struct{})
+	fn := func(now int64) {
+		defer close(done)
+		for i := range all {
+			f.keeper.node.Handle(now, from, &all[i])
+		}
+	}
+	select {
+	case f.keeper.box <- fn:
+	case <-f.ctx.Done():
+		return
+	}
+	select { // one frame of a connection at a time: a flood waits for itself
+	case <-done:
+	case <-f.ctx.Done():
+	}
+}
+
+// Do brings a request under custody, has it run if that is this member's to do, and tells its outcome. gone is closed
+// when its client leaves.
+func (f *Fleet) Do(w Work, gone <-chan struct{}, run func(Leave) Result) Outcome {
+	wait := make(chan Outcome, 1)
+	end := time.NewTimer(w.Left)
+	defer end.Stop()
+	select {
+	case f.keeper.box <- func(now int64) { f.keeper.open(now, w, wait, run) }:
+	case <-end.C:
+		return Outcome{Word: Gone}
+	}
+	select {
+	case o := <-wait:
+		return o
+	case <-gone:
+	case <-end.C:
+	case <-f.ctx.Done():
+	}
+	f.keeper.post(func(int64) { f.keeper.left(w.ID, wait) })
+	select { // it came at the same time
+	case o := <-wait:
+		return o
+	default:
+		return Outcome{Word: Gone}
+	}
+}
+
+// Custody tells what becomes of a class's work.
+func (f *Fleet) Custody(class string, e custody.Effect) options.Custody {
+	if c, ok := f.opts.Takeover.Classes[class]; ok {
+		return c
+	}
+	switch e {
+	case custody.Unsafe:
+		return options.Strict
+	case custody.Keyed:
+		return options.BestEffort
+	}
+	return options.None
+}
+
+// Longest is how long a request may be in custody.
+func (f *Fleet) Longest() time.Duration { return f.longest }
+
+// Leave ends the membership of a process that has ended its work: others take over what is left at once.
+func (f *Fleet) Leave() {
+	f.ended.Store(true)
+	f.lease.Load().end()
+	text, err := f.coder.out.Marshal(*f.me.Load())
+	if err != nil {
+		return
+	}
+	for _, v := range f.voters {
+		f.send(v, kindLeave, text)
+	}
+	time.Sleep(leaveWait) // it is no more than a hint: where it is lost the lease's end does
+}
--- /dev/null
+++ b/internal/fleet/keeper.go
@@ -0,0 +1,332 @@
+package fleet
+
+import (
+	"context"
+	"log"
+	"time"
+
+	"damsonscale/internal/custody"
+)
+
+const (
+	keeperBox   = 4096
+	batchMost   = 256     // messages in a frame
+	batchBytes  = 1 << 20 // of them
+	pausedAfter = 100 * time.Millisecond
+)
+
+// Work is a request that comes under custody.
+type Work struct {
+	ID, Class string
+	Effect    custody.Effect
+	Digest    uint64 // of class, key and body
+	Resume    bool   // it was asked of another member before
+	Strict    bool   // it goes out under custody alone
+	Left      time.Duration
+	Request   []byte // what is needed to send it unasked; empty: it can't be
+}
+
+// Leave is a leave to send.
+type Leave struct {
+	Lease  *Lease        // valid for as long as it may be sent; nil: it goes on without custody
+	Former time.Duration // since another member may have sent it; 0: none has
+}
+
+// Result is what came of a request that was run: Answer is for those who ask again, Live for who asked.
+type Result struct {
+	Answer custody.Answer
+	Live   any
+}
+
+// Word tells who asked what to do.
+type Word uint8
+
+const (
+	Answered Word = iota // with the answer, while the lease is valid, if there is one
+	Taken                // the id is under way here
+	Foreign              // the id is that of another request
+	Nothing              // another member answers, or nobody: end the connection
+	Gone                 // who asked has left, or its time is up
+)
+
+// Outcome is what to tell a client.
+type Outcome struct {
+	Word   Word
+	Answer custody.Answer
+	Live   any // of this process's own run; nil: Answer is all there is
+	Lease  *Lease
+}
+
+// flight is a request under custody here.
+type flight struct {
+	work    Work
+	run     func(Leave) Result
+	waits   []chan Outcome
+	running bool
+	lease   *Lease // that it runs under
+}
+
+// keeper is the actor of custody: one goroutine owns the node and all flights.
+type keeper struct {
+	f       *Fleet
+	node    *custody.Node
+	box     chan func(now int64)
+	flights map[string]*flight
+	blind   int64 // until then no quorum is to be expected: strict work is refused at once
+	counts  counts
+}
+
+// counts are for the log.
+type counts struct{ taken, resumed, given, missing, lost, unasked, doubled int64 }
+
+func (k *keeper) post(fn func(now int64)) bool {
+	select {
+	case k.box <- fn:
+		return true
+	default:
+		return false
+	}
+}
+
+// run is the actor.
+func (k *keeper) run(ctx context.Context) {
+	every := max(time.Duration(k.f.again)*time.Microsecond/2, time.Millisecond)
+	tick := time.NewTicker(every)
+	defer tick.Stop()
+	report := time.NewTicker(10 * time.Second)
+	defer report.Stop()
+	var last counts
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case fn := <-k.box:
+			fn(k.f.micros())
+			for more := true; more; { // what has come meanwhile goes out in the same frames
+				select {
+				case fn := <-k.box:
+					fn(k.f.micros())
+				default:
+					more = false
+				}
+			}
+		case <-tick.C:
+			k.f.ticked.Store(k.f.micros())
+			k.node.Tick(k.f.micros())
+		case <-report.C:
+			if k.counts != last {
+				last = k.counts
+				records, bytes := k.node.Held()
+				log.Printf("event=custody taken=%d resumed=%d given=%d missing=%d lost=%d unasked=%d doubled=%d records=%d bytes=%d open=%d",
+					last.taken, last.resumed, last.given, last.missing, last.lost, last.unasked, last.doubled, records, bytes, len(k.flights))
+			}
+		}
+		k.settle()
+	}
+}
+
+// settle carries out what the node says and sends what it wants sent.
+func (k *keeper) settle() {
+	for events := k.node.Events(); len(events) > 0; events = k.node.Events() {
+		for i := range events {
+			k.does(&events[i])
+		}
+	}
+	out := k.node.Sent()
+	if len(out) == 0 {
+		return
+	}
+	batches := map[string][]custody.Message{}
+	for i := range out {
+		batches[out[i].Name] = append(batches[out[i].Name], out[i].Message)
+	}
+	for name, all := range batches {
+		k.batch(name, all)
+	}
+}
+
+// batch sends messages in as few frames as may be.
+func (k *keeper) batch(name string, all []custody.Message) {
+	for len(all) > 0 {
+		n, bytes := 0, 0
+		for n < len(all) && n < batchMost && bytes < batchBytes {
+			if r := all[n].Record; r != nil {
+				bytes += len(r.Request) + len(r.Answer.Body)
+			}
+			n++
+		}
+		text, err := k.f.coder.out.Marshal(all[:n])
+		if err != nil {
+			log.Printf("event=fleet_not_sent to=%s err=%q", name, err)
+		} else {
+			k.f.send(name, kindCustody, text)
+		}
+		all = all[n:]
+	}
+}
+
+// open takes a request.
+func (k *keeper) open(now int64, w Work, wait chan Outcome, run func(Leave) Result) {
+	if fl := k.flights[w.ID]; fl != nil {
+		switch {
+		case fl.work.Digest != w.Digest:
+			wait <- Outcome{Word: Foreign}
+		case !w.Resume:
+			wait <- Outcome{Word: Taken}
+		default:
+			fl.waits = append(fl.waits, wait)
+		}
+		return
+	}
+	fl := &flight{work: w, run: run, waits: []chan Outcome{wait}, lease: k.f.lease.Load()}
+	k.flights[w.ID] = fl
+	rec := custody.Record{
+		ID: w.ID, Class: w.Class, Effect: w.Effect, Digest: w.Digest, Life: w.Left.Microseconds(), Attempts: 1, Request: w.Request,
+	}
+	switch {
+	case w.Resume:
+		k.counts.resumed++
+		k.node.Resume(now, rec)
+	case w.Strict && now < k.blind:
+		k.does(&custody.Event{Does: custody.Missing, ID: w.ID, Record: rec, Fresh: true, AtOnce: true})
+	default:
+		k.counts.taken++
+		k.node.Take(now, rec)
+	}
+}
+
+// left takes one who asked from the list. What was not begun is asked for no more; what was goes on.
+func (k *keeper) left(id string, wait chan Outcome) {
+	fl := k.flights[id]
+	if fl == nil {
+		return
+	}
+	for i, w := range fl.waits {
+		if w == wait {
+			fl.waits = append(fl.waits[:i], fl.waits[i+1:]...)
+			break
+		}
+	}
+	if len(fl.waits) == 0 && !fl.running && k.node.Asks(id) {
+		k.node.Drop(id)
+		delete(k.flights, id)
+	}
+}
+
+// does carries out one word of the node.
+func (k *keeper) does(e *custody.Event) {
+	fl := k.flights[e.ID]
+	if fl == nil && e.Does != custody.Orphan {
+		return
+	}
+	switch e.Does {
+	case custody.Run:
+		k.blind = 0
+		var former time.Duration
+		if e.Taken {
+			former = max(1, time.Duration(e.Record.Age)*time.Microsecond)
+			log.Printf("event=taken_over id=%s class=%s effect=%d age_us=%d asked=%t", e.ID, e.Record.Class, e.Record.Effect, e.Record.Age, len(fl.waits) > 0)
+		}
+		k.start(fl, Leave{Lease: fl.lease, Former: former})
+	case custody.Give:
+		k.counts.given++
+		k.tell(fl, Outcome{Answer: e.Record.Answer, Lease: k.f.lease.Load()})
+	case custody.Missing:
+		k.missing(fl, e)
+	case custody.Doubled:
+		k.counts.doubled++
+		k.tell(fl, Outcome{Word: Foreign})
+	case custody.Lost:
+		k.counts.lost++
+		k.tell(fl, Outcome{Word: Nothing}) // one that runs is called back by the end of its lease
+	case custody.Orphan:
+		k.orphan(e)
+	}
+}
+
+// missing goes on without a quorum, as the request's effect and class have it.
+func (k *keeper) missing(fl *flight, e *custody.Event) {
+	k.counts.missing++
+	now := k.f.micros()
+	if !e.AtOnce {
+		k.blind = now + k.f.wait
+	}
+	switch e.Next(fl.work.Strict) {
+	case custody.Refuse:
+		if now-k.f.ticked.Load() > pausedAfter.Microseconds() {
+			k.tell(fl, Outcome{Word: Nothing}) // this process was stopped: its client may have gone elsewhere
+			return
+		}
+		k.tell(fl, Outcome{Answer: custody.Answer{Verdict: custody.Refused, RetryAfter: k.f.wait, Why: "no custody"}})
+	case custody.Fail:
+		why := "may have run: nobody can say"
+		if e.Fresh {
+			why = "no custody"
+		}
+		k.node.Drop(e.ID)
+		k.tell(fl, Outcome{Answer: custody.Answer{Verdict: custody.Failed, Why: why}, Lease: k.f.lease.Load()})
+	default:
+		k.node.Drop(e.ID)
+		var former time.Duration
+		if !e.Fresh {
+			former = max(1, time.Duration(e.Record.Age)*time.Microsecond)
+		}
+		k.start(fl, Leave{Former: former})
+	}
+}
+
+// start runs a request that may be sent.
+func (k *keeper) start(fl *flight, l Leave) {
+	if fl.running {
+		return
+	}
+	fl.running = true
+	id := fl.work.ID
+	go func() {
+		r := fl.run(l)
+		k.box <- func(now int64) {
+			if k.flights[id] != fl {
+				k.unheard(r.Live)
+				return
+			}
+			if l.Lease == nil || l.Lease.Valid() {
+				k.node.Answered(now, id, r.Answer)
+			}
+			k.tell(fl, Outcome{Answer: r.Answer, Live: r.Live, Lease: l.Lease})
+		}
+	}()
+}
+
+// tell answers all that wait for a request. What is live goes to the first.
+func (k *keeper) tell(fl *flight, o Outcome) {
+	delete(k.flights, fl.work.ID)
+	for _, w := range fl.waits {
+		w <- o
+		o.Live = nil
+	}
+	k.unheard(o.Live)
+}
+
+func (k *keeper) unheard(live any) {
+	if live != nil {
+		k.f.hooks.Unheard(live)
+	}
+}
+
+// orphan takes over unasked what a member that is out had leave to send.
+func (k *keeper) orphan(e *custody.Event) {
+	rec := e.Record
+	if k.flights[e.ID] != nil {
+		return
+	}
+	run, err := k.f.hooks.Unasked(&rec)
+	if err != nil {
+		log.Printf("event=not_taken_over id=%s err=%q", rec.ID, err)
+		return
+	}
+	k.counts.unasked++
+	k.flights[e.ID] = &flight{
+		work: Work{ID: rec.ID, Class: rec.Class, Effect: rec.Effect, Digest: rec.Digest, Resume: true}, run: run, lease: k.f.lease.Load(),
+	}
+	k.node.Resume(k.f.micros(), rec)
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
+	"damsonscale/internal/fleet"
 	"damsonscale/internal/lifecycle"
 	"damsonscale/internal/sidecar"
 	"damsonscale/internal/upstream"
@@ -54,6 +55,7 @@
 	server  *fasthttp.Server
 	sockets atomic.Int64 // connections past which a new one takes an idle one's place
 	life    *lifecycle.Owner
+	fleet   *fleet.Fleet  // nil: none
 	room    chan struct{} // a token for each connection that may still be accepted
 
 	mu         sync.Mutex
@@ -416,6 +418,9 @@
 		ctx.SetConnectionClose() // one that sends this is of no more use, and its socket is
 		return
 	}
+	if f.fleet != nil && f.keep(ctx, c, parsed, body) {
+		return
+	}
 	call := parsed.call(h, body, c.readAt)
 	var gone <-chan struct{}
 	if call.Message.Rest == nil {
--- /dev/null
+++ b/internal/frontend/keep.go
@@ -0,0 +1,201 @@
+package frontend
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"github.com/valyala/fasthttp"
+
+	"damsonscale/decide"
+	"damsonscale/internal/custody"
+	"damsonscale/internal/fleet"
+	"damsonscale/internal/options"
+	"damsonscale/internal/sidecar"
+	"damsonscale/internal/upstream"
+)
+
+// resumeHead marks a request that its client has asked of another member before.
+const resumeHead = "Req-Resume"
+
+// stored is what a member needs to send a request that nobody has asked it for.
+type stored struct {
+	_           struct{} `cbor:",toarray"`
+	Head, Body  []byte
+	Tenant, Key string
+}
+
+// Join has the work with an effect kept by a fleet, from the next request on.
+func (f *Frontend) Join(fl *fleet.Fleet) { f.fleet = fl }
+
+// keep serves a request under the fleet's custody; false: its class has none.
+func (f *Frontend) keep(ctx *fasthttp.RequestCtx, c *clientConn, p *parsed, b *body) bool {
+	h := &ctx.Request.Header
+	class := &p.now.settings.Classes[p.request.Class]
+	effect := effectOf(class.Semantics)
+	policy := f.fleet.Custody(class.Name, effect)
+	if policy == options.None {
+		return false
+	}
+	p.left = min(p.left, f.fleet.Longest())
+	b.held = slices.Clone(b.held) // it outlasts its client
+	call := p.call(h, b, c.readAt)
+	call.Whole = c.watch
+	w := fleet.Work{
+		ID: p.request.ID, Class: class.Name, Effect: effect, Resume: string(h.Peek(resumeHead)) == "1", Strict: policy == options.Strict,
+		Left: call.Left(time.Now()), Digest: digest(class.Name, h.Peek("Idempotency-Key"), p.request.Key, b.held),
+	}
+	var gone <-chan struct{}
+	switch {
+	case b.rest != nil: // it can't be sent again: once begun, it is treated as work that must not be
+		w.Effect = custody.Unsafe
+	case effect == custody.Keyed && class.Group == decide.ScopeAll:
+		w.Request = p.store(call, b)
+	}
+	if b.rest == nil {
+		gone = c.watch()
+	}
+	o := f.fleet.Do(w, gone, f.run(call))
+	broken := b.close()
+	c.unwatch()
+	switch {
+	case broken != nil && o.Word != fleet.Answered:
+		bad := b.fault(broken)
+		ctx.Error(bad.text, bad.status)
+	default:
+		f.tell(ctx, c, &o)
+	}
+	if broken != nil || o.Word == fleet.Gone {
+		ctx.SetConnectionClose()
+	}
+	return true
+}
+
+func effectOf(s decide.Semantics) custody.Effect {
+	switch s {
+	case decide.Idempotent:
+		return custody.Safe
+	case decide.Deduplicated:
+		return custody.Keyed
+	}
+	return custody.Unsafe
+}
+
+// digest tells requests of one id apart.
+func digest(class string, key []byte, about string, body []byte) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, part := range [][]byte{[]byte(class), key, []byte(about), body} {
+		fmt.Fprintf(&d, "%d:", len(part))
+		d.Write(part)
+	}
+	return d.Sum64()
+}
+
+// store makes what holders keep of a request; nil where it can't be made: then it is sent again only when asked for.
+func (p *parsed) store(call *sidecar.Call, b *body) []byte {
+	s := stored{Head: call.Message.Head, Body: b.held, Key: p.request.Key}
+	if t := p.request.Tenant; t >= 0 {
+		s.Tenant = p.now.settings.Tenants[t].Name
+	}
+	text, err := cbor.Marshal(s)
+	if err != nil {
+		return nil
+	}
+	return text
+}
+
+// run makes what sends a call, under a leave that it may lose.
+func (f *Frontend) run(call *sidecar.Call) func(fleet.Leave) fleet.Result {
+	return func(l fleet.Leave) fleet.Result {
+		var over <-chan struct{}
+		var leave func() bool
+		if l.Lease != nil {
+			over, leave = l.Lease.Over(), l.Lease.Valid
+		}
+		call.Under(leave, l.Former)
+		a, left := f.side.Do(call, over)
+		r := fleet.Result{Live: a}
+		switch {
+		case left:
+			r.Answer = custody.Answer{Verdict: custody.Failed, Why: "its member is out"}
+		case a.Verdict == sidecar.Served && a.Stream != nil:
+			r.Answer.Verdict = custody.TooLong
+		case a.Verdict == sidecar.Served:
+			r.Answer = custody.Answer{Verdict: custody.Served, Body: a.Body, ContentType: a.ContentType}
+		case a.Verdict == sidecar.Refused:
+			r.Answer = custody.Answer{Verdict: custody.Refused, RetryAfter: a.RetryAfter.Microseconds()}
+		default:
+			r.Answer = custody.Answer{Verdict: custody.Failed, Why: "no server answered"}
+		}
+		return r
+	}
+}
+
+// Unasked makes what runs a recorded request that nobody has asked for again.
+func (f *Frontend) Unasked(rec *custody.Record) (func(fleet.Leave) fleet.Result, error) {
+	var s stored
+	if err := cbor.Unmarshal(rec.Request, &s); err != nil {
+		return nil, fmt.Errorf("its record: %w", err)
+	}
+	now := f.now.Load()
+	class, ok := now.classes[rec.Class]
+	if !ok {
+		return nil, fmt.Errorf("class %q is unknown here", rec.Class)
+	}
+	r := decide.Request{ID: rec.ID, Class: class, Tenant: -1, Key: s.Key}
+	if t, ok := now.tenants[s.Tenant]; ok {
+		r.Tenant = t
+	}
+	left := time.Duration(rec.Life-rec.Age) * time.Microsecond
+	m := upstream.Message{Head: s.Head, Body: s.Body}
+	return f.run(sidecar.NewCall(now.settings, r, m, time.Now(), left)), nil
+}
+
+// Unheard ends a live answer that nobody is left to take.
+func (f *Frontend) Unheard(live any) {
+	if a, ok := live.(sidecar.Answer); ok && a.Stream != nil {
+		a.Stream.Close()
+	}
+}
+
+// tell answers as custody has it. A member that has lost its leave answers nothing: another one does.
+func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, o *fleet.Outcome) {
+	if o.Word == fleet.Answered && o.Lease != nil && !o.Lease.Valid() {
+		f.Unheard(o.Live)
+		o.Word = fleet.Nothing
+	}
+	switch o.Word {
+	case fleet.Nothing:
+		ctx.SetConnectionClose()
+		c.Close()
+	case fleet.Gone:
+		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Late})
+	case fleet.Taken:
+		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Duplicate})
+	case fleet.Foreign:
+		ctx.Error("the id is that of another request", fasthttp.StatusConflict)
+	default:
+		if a, ok := o.Live.(sidecar.Answer); ok {
+			f.answer(ctx, c, a)
+			return
+		}
+		f.recorded(ctx, c, &o.Answer)
+	}
+}
+
+// recorded gives an answer that was kept.
+func (f *Frontend) recorded(ctx *fasthttp.RequestCtx, c *clientConn, a *custody.Answer) {
+	switch a.Verdict {
+	case custody.Served:
+		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Served, Body: a.Body, ContentType: a.ContentType})
+	case custody.Refused:
+		refuse(ctx, sidecar.Answer{RetryAfter: time.Duration(a.RetryAfter) * time.Microsecond})
+	case custody.TooLong:
+		ctx.Error("takeover: served, the answer was too long to keep", fasthttp.StatusBadGateway)
+	default:
+		ctx.Error("takeover: "+a.Why, fasthttp.StatusBadGateway)
+	}
+}
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -57,6 +57,7 @@
 	Enabled     bool
 	Holders     int                // of each record
 	KeepAnswers time.Duration      // after the answer
+	Longest     time.Duration      // that a request may be in custody; 0: as long as the longest deadline of a class
 	Records     int                // held for others at most
 	Bytes       int                // of requests and answers held for others
 	Classes     map[string]Custody // by the name of the class; others go by what a repeat does
@@ -74,6 +75,7 @@
 		Enabled       bool               `toml:"enabled"`
 		Holders       *int64             `toml:"holders"`
 		KeepAnswersMs *int64             `toml:"keep_answers_ms"`
+		LongestMs     *int64             `toml:"longest_ms"`
 		Records       *int64             `toml:"records"`
 		Bytes         *int64             `toml:"bytes"`
 		Custody       map[string]Custody `toml:"custody"`
@@ -122,6 +124,7 @@
 			Enabled:     f.Takeover.Enabled,
 			Holders:     int(r.number("takeover.holders", f.Takeover.Holders, 3, 1, 7)),
 			KeepAnswers: r.ms("takeover.keep_answers_ms", f.Takeover.KeepAnswersMs, 10_000, 100, 600_000),
+			Longest:     r.ms("takeover.longest_ms", f.Takeover.LongestMs, 0, 100, 600_000),
 			Records:     int(r.number("takeover.records", f.Takeover.Records, 20_000, 1, 10_000_000)),
 			Bytes:       int(r.number("takeover.bytes", f.Takeover.Bytes, 32<<20, 1<<10, 1<<34)),
 			Classes:     f.Takeover.Custody,
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -72,6 +72,15 @@
 	return c
 }
 
+// Under has the call sent only while leave says so. former is the time since another sidecar may have sent it; 0: none has.
+func (c *Call) Under(leave func() bool, former time.Duration) {
+	c.gate.Leave = leave
+	if former > 0 {
+		c.Request.Former = max(1, former.Microseconds())
+		c.effectAt = time.Now().Add(-former)
+	}
+}
+
 // wait is the module's time for it.
 func (c *Call) wait() time.Duration { return c.left - min(giveUpBefore, c.left/giveUpPart) }
 
@@ -79,6 +88,9 @@
 	return came.Add(c.left - min(answerBefore, c.left/answerPart))
 }
 
+// Left is the time from now until it is answered whatever the module does.
+func (c *Call) Left(now time.Time) time.Duration { return c.last.Sub(now) }
+
 // finish gives the call its answer, once.
 func (c *Call) finish(a Answer) bool {
 	if c.answered {
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -39,6 +39,8 @@
 // Gate stands between a request's attempts and its final answer: once closed, nothing more is written for it.
 // Guards against an attempt that is written after the final answer because goroutines lag.
 type Gate struct {
+	Leave func() bool // asked before each write, where this process may lose its leave to send; nil: it may not
+
 	mu     sync.Mutex
 	closed bool
 }
@@ -50,11 +52,11 @@
 	g.mu.Unlock()
 }
 
-// pass runs write unless the gate is closed.
+// pass runs write unless the gate is closed or the leave is over.
 func (g *Gate) pass(write func()) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed {
+	if g.closed || g.Leave != nil && !g.Leave() {
 		return false
 	}
 	write()
