The fleet's libraries stand in a program of their own, which damsonscale becomes by its options

Cause: with etcd's raft the linker keeps all exported methods (protobuf): the program grew from 9.7 to 20.2 MB and its mapped memory from 9.1 to 17.2 MB, paid for by every sidecar that has no fleet. The frontend now knows a small interface; where the options want a fleet the process executes damsonscale-fleet beside it, by the same number and environment.

--- a/cmd/damsonscale/upgrade.go
+++ b/internal/app/upgrade.go
@@ -1,4 +1,4 @@
-package main
+package app
 
 import (
 	"context"
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,7 +27,7 @@
 // Hooks are what a fleet needs of the program.
 type Hooks interface {
 	// Unasked makes what runs a recorded request that nobody has asked for again.
-	Unasked(rec *custody.Record) (func(Leave) Result, error)
+	Unasked(rec *custody.Record, stored *custody.Stored) (func(custody.Leave) custody.Result, error)
 	// Unheard ends a live answer that nobody is left to take.
 	Unheard(live any)
 }
@@ -387,14 +387,14 @@
 
 // Do brings a request under custody, has it run if that is this member's to do, and tells its outcome. gone is closed
 // when its client leaves.
-func (f *Fleet) Do(w Work, gone <-chan struct{}, run func(Leave) Result) Outcome {
-	wait := make(chan Outcome, 1)
+func (f *Fleet) Do(w custody.Work, gone <-chan struct{}, run func(custody.Leave) custody.Result) custody.Outcome {
+	wait := make(chan custody.Outcome, 1)
 	end := time.NewTimer(w.Left)
 	defer end.Stop()
 	select {
 	case f.keeper.box <- func(now int64) { f.keeper.open(now, w, wait, run) }:
 	case <-end.C:
-		return Outcome{Word: Gone}
+		return custody.Outcome{Word: custody.Gone}
 	}
 	select {
 	case o := <-wait:
@@ -408,7 +408,7 @@
 	case o := <-wait:
 		return o
 	default:
-		return Outcome{Word: Gone}
+		return custody.Outcome{Word: custody.Gone}
 	}
 }
 
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -15,55 +15,13 @@
 	pausedAfter = 100 * time.Millisecond
 )
 
-// Work is a request that comes under custody.
-type Work struct {
-	ID, Class string
-	Effect    custody.Effect
-	Digest    uint64 // of class, key and body
-	Resume    bool   // it was asked of another member before
-	Strict    bool   // it goes out under custody alone
-	Left      time.Duration
-	Request   []byte // what is needed to send it unasked; empty: it can't be
-}
-
-// Leave is a leave to send.
-type Leave struct {
-	Lease  *Lease        // valid for as long as it may be sent; nil: it goes on without custody
-	Former time.Duration // since another member may have sent it; 0: none has
-}
-
-// Result is what came of a request that was run: Answer is for those who ask again, Live for who asked.
-type Result struct {
-	Answer custody.Answer
-	Live   any
-}
-
-// Word tells who asked what to do.
-type Word uint8
-
-const (
-	Answered Word = iota // with the answer, while the lease is valid, if there is one
-	Taken                // the id is under way here
-	Foreign              // the id is that of another request
-	Nothing              // another member answers, or nobody: end the connection
-	Gone                 // who asked has left, or its time is up
-)
-
-// Outcome is what to tell a client.
-type Outcome struct {
-	Word   Word
-	Answer custody.Answer
-	Live   any // of this process's own run; nil: Answer is all there is
-	Lease  *Lease
-}
-
 // flight is a request under custody here.
 type flight struct {
-	work    Work
-	run     func(Leave) Result
-	waits   []chan Outcome
+	work    custody.Work
+	run     func(custody.Leave) custody.Result
+	waits   []chan custody.Outcome
 	running bool
-	lease   *Lease // that it runs under
+	lease   custody.Lease // that it runs under
 }
 
 // keeper is the actor of custody: one goroutine owns the node and all flights.
@@ -166,22 +124,29 @@
 }
 
 // open takes a request.
-func (k *keeper) open(now int64, w Work, wait chan Outcome, run func(Leave) Result) {
+func (k *keeper) open(now int64, w custody.Work, wait chan custody.Outcome, run func(custody.Leave) custody.Result) {
 	if fl := k.flights[w.ID]; fl != nil {
 		switch {
 		case fl.work.Digest != w.Digest:
-			wait <- Outcome{Word: Foreign}
+			wait <- custody.Outcome{Word: custody.Foreign}
 		case !w.Resume:
-			wait <- Outcome{Word: Taken}
+			wait <- custody.Outcome{Word: custody.Taken}
 		default:
 			fl.waits = append(fl.waits, wait)
 		}
 		return
 	}
-	fl := &flight{work: w, run: run, waits: []chan Outcome{wait}, lease: k.f.lease.Load()}
+	fl := &flight{work: w, run: run, waits: []chan custody.Outcome{wait}, lease: k.f.lease.Load()}
 	k.flights[w.ID] = fl
 	rec := custody.Record{
-		ID: w.ID, Class: w.Class, Effect: w.Effect, Digest: w.Digest, Life: w.Left.Microseconds(), Attempts: 1, Request: w.Request,
+		ID: w.ID, Class: w.Class, Effect: w.Effect, Digest: w.Digest, Life: w.Left.Microseconds(), Attempts: 1,
+	}
+	if len(w.Stored.Head) > 0 {
+		text, err := k.f.coder.out.Marshal(w.Stored)
+		if err != nil {
+			log.Printf("event=fleet_not_stored id=%s err=%q", w.ID, err) // it is sent again only when asked for
+		}
+		rec.Request = text
 	}
 	switch {
 	case w.Resume:
@@ -196,7 +161,7 @@
 }
 
 // left takes one who asked from the list. What was not begun is asked for no more; what was goes on.
-func (k *keeper) left(id string, wait chan Outcome) {
+func (k *keeper) left(id string, wait chan custody.Outcome) {
 	fl := k.flights[id]
 	if fl == nil {
 		return
@@ -227,18 +192,18 @@
 			former = max(1, time.Duration(e.Record.Age)*time.Microsecond)
 			log.Printf("event=taken_over id=%s class=%s effect=%d age_us=%d asked=%t", e.ID, e.Record.Class, e.Record.Effect, e.Record.Age, len(fl.waits) > 0)
 		}
-		k.start(fl, Leave{Lease: fl.lease, Former: former})
+		k.start(fl, custody.Leave{Lease: fl.lease, Former: former})
 	case custody.Give:
 		k.counts.given++
-		k.tell(fl, Outcome{Answer: e.Record.Answer, Lease: k.f.lease.Load()})
+		k.tell(fl, custody.Outcome{Answer: e.Record.Answer, Lease: k.f.lease.Load()})
 	case custody.Missing:
 		k.missing(fl, e)
 	case custody.Doubled:
 		k.counts.doubled++
-		k.tell(fl, Outcome{Word: Foreign})
+		k.tell(fl, custody.Outcome{Word: custody.Foreign})
 	case custody.Lost:
 		k.counts.lost++
-		k.tell(fl, Outcome{Word: Nothing}) // one that runs is called back by the end of its lease
+		k.tell(fl, custody.Outcome{Word: custody.Nothing}) // one that runs is called back by the end of its lease
 	case custody.Orphan:
 		k.orphan(e)
 	}
@@ -254,29 +219,29 @@
 	switch e.Next(fl.work.Strict) {
 	case custody.Refuse:
 		if now-k.f.ticked.Load() > pausedAfter.Microseconds() {
-			k.tell(fl, Outcome{Word: Nothing}) // this process was stopped: its client may have gone elsewhere
+			k.tell(fl, custody.Outcome{Word: custody.Nothing}) // this process was stopped: its client may have gone elsewhere
 			return
 		}
-		k.tell(fl, Outcome{Answer: custody.Answer{Verdict: custody.Refused, RetryAfter: k.f.wait, Why: "no custody"}})
+		k.tell(fl, custody.Outcome{Answer: custody.Answer{Verdict: custody.Refused, RetryAfter: k.f.wait, Why: "no custody"}})
 	case custody.Fail:
 		why := "may have run: nobody can say"
 		if e.Fresh {
 			why = "no custody"
 		}
 		k.node.Drop(e.ID)
-		k.tell(fl, Outcome{Answer: custody.Answer{Verdict: custody.Failed, Why: why}, Lease: k.f.lease.Load()})
+		k.tell(fl, custody.Outcome{Answer: custody.Answer{Verdict: custody.Failed, Why: why}, Lease: k.f.lease.Load()})
 	default:
 		k.node.Drop(e.ID)
 		var former time.Duration
 		if !e.Fresh {
 			former = max(1, time.Duration(e.Record.Age)*time.Microsecond)
 		}
-		k.start(fl, Leave{Former: former})
+		k.start(fl, custody.Leave{Former: former})
 	}
 }
 
 // start runs a request that may be sent.
-func (k *keeper) start(fl *flight, l Leave) {
+func (k *keeper) start(fl *flight, l custody.Leave) {
 	if fl.running {
 		return
 	}
@@ -292,13 +257,13 @@
 			if l.Lease == nil || l.Lease.Valid() {
 				k.node.Answered(now, id, r.Answer)
 			}
-			k.tell(fl, Outcome{Answer: r.Answer, Live: r.Live, Lease: l.Lease})
+			k.tell(fl, custody.Outcome{Answer: r.Answer, Live: r.Live, Lease: l.Lease})
 		}
 	}()
 }
 
 // tell answers all that wait for a request. What is live goes to the first.
-func (k *keeper) tell(fl *flight, o Outcome) {
+func (k *keeper) tell(fl *flight, o custody.Outcome) {
 	delete(k.flights, fl.work.ID)
 	for _, w := range fl.waits {
 		w <- o
@@ -319,14 +284,19 @@
 	if k.flights[e.ID] != nil {
 		return
 	}
-	run, err := k.f.hooks.Unasked(&rec)
+	var stored custody.Stored
+	err := k.f.coder.in.Unmarshal(rec.Request, &stored)
+	var run func(custody.Leave) custody.Result
+	if err == nil {
+		run, err = k.f.hooks.Unasked(&rec, &stored)
+	}
 	if err != nil {
 		log.Printf("event=not_taken_over id=%s err=%q", rec.ID, err)
 		return
 	}
 	k.counts.unasked++
 	k.flights[e.ID] = &flight{
-		work: Work{ID: rec.ID, Class: rec.Class, Effect: rec.Effect, Digest: rec.Digest, Resume: true}, run: run, lease: k.f.lease.Load(),
+		work: custody.Work{ID: rec.ID, Class: rec.Class, Effect: rec.Effect, Digest: rec.Digest, Resume: true}, run: run, lease: k.f.lease.Load(),
 	}
 	k.node.Resume(k.f.micros(), rec)
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -15,7 +15,6 @@
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
-	"damsonscale/internal/fleet"
 	"damsonscale/internal/lifecycle"
 	"damsonscale/internal/sidecar"
 	"damsonscale/internal/upstream"
@@ -55,7 +54,7 @@
 	server  *fasthttp.Server
 	sockets atomic.Int64 // connections past which a new one takes an idle one's place
 	life    *lifecycle.Owner
-	fleet   *fleet.Fleet  // nil: none
+	keeper  Keeper        // nil: none
 	room    chan struct{} // a token for each connection that may still be accepted
 
 	mu         sync.Mutex
@@ -418,7 +417,7 @@
 		ctx.SetConnectionClose() // one that sends this is of no more use, and its socket is
 		return
 	}
-	if f.fleet != nil && f.keep(ctx, c, parsed, body) {
+	if f.keeper != nil && f.keep(ctx, c, parsed, body) {
 		return
 	}
 	call := parsed.call(h, body, c.readAt)
--- a/internal/frontend/keep.go
+++ b/internal/frontend/keep.go
@@ -6,12 +6,10 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
 	"damsonscale/internal/custody"
-	"damsonscale/internal/fleet"
 	"damsonscale/internal/options"
 	"damsonscale/internal/sidecar"
 	"damsonscale/internal/upstream"
@@ -20,30 +18,32 @@
 // resumeHead marks a request that its client has asked of another member before.
 const resumeHead = "Req-Resume"
 
-// stored is what a member needs to send a request that nobody has asked it for.
-type stored struct {
-	_           struct{} `cbor:",toarray"`
-	Head, Body  []byte
-	Tenant, Key string
+// Keeper keeps work with an effect, so that it survives the loss of its sidecar.
+type Keeper interface {
+	// Do brings a request under custody, has run send it if that is this member's to do, and tells its outcome. gone is
+	// closed when its client leaves.
+	Do(w custody.Work, gone <-chan struct{}, run func(custody.Leave) custody.Result) custody.Outcome
+	Custody(class string, e custody.Effect) options.Custody
+	Longest() time.Duration // that a request may be in custody
 }
 
-// Join has the work with an effect kept by a fleet, from the next request on.
-func (f *Frontend) Join(fl *fleet.Fleet) { f.fleet = fl }
+// Join has the work with an effect kept from the next request on.
+func (f *Frontend) Join(k Keeper) { f.keeper = k }
 
 // keep serves a request under the fleet's custody; false: its class has none.
 func (f *Frontend) keep(ctx *fasthttp.RequestCtx, c *clientConn, p *parsed, b *body) bool {
 	h := &ctx.Request.Header
 	class := &p.now.settings.Classes[p.request.Class]
 	effect := effectOf(class.Semantics)
-	policy := f.fleet.Custody(class.Name, effect)
+	policy := f.keeper.Custody(class.Name, effect)
 	if policy == options.None {
 		return false
 	}
-	p.left = min(p.left, f.fleet.Longest())
+	p.left = min(p.left, f.keeper.Longest())
 	b.held = slices.Clone(b.held) // it outlasts its client
 	call := p.call(h, b, c.readAt)
 	call.Whole = c.watch
-	w := fleet.Work{
+	w := custody.Work{
 		ID: p.request.ID, Class: class.Name, Effect: effect, Resume: string(h.Peek(resumeHead)) == "1", Strict: policy == options.Strict,
 		Left: call.Left(time.Now()), Digest: digest(class.Name, h.Peek("Idempotency-Key"), p.request.Key, b.held),
 	}
@@ -52,22 +52,22 @@
 	case b.rest != nil: // it can't be sent again: once begun, it is treated as work that must not be
 		w.Effect = custody.Unsafe
 	case effect == custody.Keyed && class.Group == decide.ScopeAll:
-		w.Request = p.store(call, b)
+		w.Stored = p.store(call, b)
 	}
 	if b.rest == nil {
 		gone = c.watch()
 	}
-	o := f.fleet.Do(w, gone, f.run(call))
+	o := f.keeper.Do(w, gone, f.run(call))
 	broken := b.close()
 	c.unwatch()
 	switch {
-	case broken != nil && o.Word != fleet.Answered:
+	case broken != nil && o.Word != custody.Answered:
 		bad := b.fault(broken)
 		ctx.Error(bad.text, bad.status)
 	default:
 		f.tell(ctx, c, &o)
 	}
-	if broken != nil || o.Word == fleet.Gone {
+	if broken != nil || o.Word == custody.Gone {
 		ctx.SetConnectionClose()
 	}
 	return true
@@ -94,22 +94,18 @@
 	return d.Sum64()
 }
 
-// store makes what holders keep of a request; nil where it can't be made: then it is sent again only when asked for.
-func (p *parsed) store(call *sidecar.Call, b *body) []byte {
-	s := stored{Head: call.Message.Head, Body: b.held, Key: p.request.Key}
+// store makes what holders keep of a request.
+func (p *parsed) store(call *sidecar.Call, b *body) custody.Stored {
+	s := custody.Stored{Head: call.Message.Head, Body: b.held, Key: p.request.Key}
 	if t := p.request.Tenant; t >= 0 {
 		s.Tenant = p.now.settings.Tenants[t].Name
 	}
-	text, err := cbor.Marshal(s)
-	if err != nil {
-		return nil
-	}
-	return text
+	return s
 }
 
 // run makes what sends a call, under a leave that it may lose.
-func (f *Frontend) run(call *sidecar.Call) func(fleet.Leave) fleet.Result {
-	return func(l fleet.Leave) fleet.Result {
+func (f *Frontend) run(call *sidecar.Call) func(custody.Leave) custody.Result {
+	return func(l custody.Leave) custody.Result {
 		var over <-chan struct{}
 		var leave func() bool
 		if l.Lease != nil {
@@ -117,7 +113,7 @@
 		}
 		call.Under(leave, l.Former)
 		a, left := f.side.Do(call, over)
-		r := fleet.Result{Live: a}
+		r := custody.Result{Live: a}
 		switch {
 		case left:
 			r.Answer = custody.Answer{Verdict: custody.Failed, Why: "its member is out"}
@@ -135,11 +131,7 @@
 }
 
 // Unasked makes what runs a recorded request that nobody has asked for again.
-func (f *Frontend) Unasked(rec *custody.Record) (func(fleet.Leave) fleet.Result, error) {
-	var s stored
-	if err := cbor.Unmarshal(rec.Request, &s); err != nil {
-		return nil, fmt.Errorf("its record: %w", err)
-	}
+func (f *Frontend) Unasked(rec *custody.Record, s *custody.Stored) (func(custody.Leave) custody.Result, error) {
 	now := f.now.Load()
 	class, ok := now.classes[rec.Class]
 	if !ok {
@@ -162,20 +154,20 @@
 }
 
 // tell answers as custody has it. A member that has lost its leave answers nothing: another one does.
-func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, o *fleet.Outcome) {
-	if o.Word == fleet.Answered && o.Lease != nil && !o.Lease.Valid() {
+func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, o *custody.Outcome) {
+	if o.Word == custody.Answered && o.Lease != nil && !o.Lease.Valid() {
 		f.Unheard(o.Live)
-		o.Word = fleet.Nothing
+		o.Word = custody.Nothing
 	}
 	switch o.Word {
-	case fleet.Nothing:
+	case custody.Nothing:
 		ctx.SetConnectionClose()
 		c.Close()
-	case fleet.Gone:
+	case custody.Gone:
 		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Late})
-	case fleet.Taken:
+	case custody.Taken:
 		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Duplicate})
-	case fleet.Foreign:
+	case custody.Foreign:
 		ctx.Error("the id is that of another request", fasthttp.StatusConflict)
 	default:
 		if a, ok := o.Live.(sidecar.Answer); ok {
