--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -49,7 +49,6 @@
 	address string // told to the others where it is not the listed one
 	again   int64  // µs
 	wait    int64
-	ticked  atomic.Int64
 
 	ctx    context.Context
 	me     atomic.Pointer[custody.Member]
@@ -129,7 +128,6 @@
 		ln, f.address = second, second.Addr().String()
 	}
 	f.ctx = ctx
-	f.ticked.Store(f.micros())
 	go f.wire.serve(ctx, ln)
 	go f.keeper.run(ctx)
 	go f.tend(ctx)
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,227 @@
+package fleet
+
+import (
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+
+	"damsonscale/internal/custody"
+	"damsonscale/internal/frame"
+)
+
+func member(name string, n uint64) custody.Member {
+	return custody.Member{Name: name, Incarnation: n}
+}
+
+// The epoch counts what changed, and no late or doubled word changes anything.
+func TestRoster(t *testing.T) {
+	r, a1, a2 := &roster{}, member("a", 1), member("a", 2)
+	for i, c := range []struct {
+		e     entry
+		epoch uint64
+		lives bool // its member, after it
+	}{
+		{entry{Member: a1}, 1, true},
+		{entry{Member: a1}, 1, true},
+		{entry{Member: a2, Address: "x:1"}, 2, true},
+		{entry{Out: true, Member: a1}, 3, false},
+		{entry{Out: true, Member: a1}, 3, false},
+		{entry{Member: a1}, 3, false}, // a late word of one that is out
+		{entry{Out: true, Member: member("b", 1)}, 3, false},
+	} {
+		old := *r
+		next := r.apply(&c.e)
+		if next.Epoch != c.epoch || next.lives(c.e.Member) != c.lives || r.Epoch != old.Epoch || len(r.Seats) != len(old.Seats) {
+			t.Fatalf("entry %d: %+v of %+v", i, next, old)
+		}
+		r = next
+	}
+	v := r.view()
+	if s := v.Live[a2]; len(v.Live) != 1 || s.Joined != 2 || s.First || r.addressOf("a", "listed") != "x:1" || r.addressOf("b", "listed") != "listed" {
+		t.Fatalf("%+v", v)
+	}
+	for _, bad := range []*roster{
+		{Epoch: 1, Seats: []seat{{Member: a1, Joined: 2}}}, {Epoch: 1, Seats: []seat{{}}}, {Epoch: 1, Seats: []seat{{Member: a1}, {Member: a1}}},
+	} {
+		if bad.check() == nil {
+			t.Errorf("taken: %+v", bad)
+		}
+	}
+}
+
+// Nobody is out whose lease may still be valid by its own clock, whoever granted it and whatever stopped meanwhile.
+func TestNobodyIsOutBeforeItsLease(t *testing.T) {
+	const lease, every = time.Second, 50 * time.Millisecond
+	a := member("a", 1)
+	r := (&roster{}).apply(&entry{Member: a})
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	for name, c := range map[string]struct {
+		granted []int // ms after this member began to lead
+		stopped [2]int
+		until   int // last ms at which it must live
+		from    int // first ms at which it must be out
+	}{
+		"never asked": {nil, [2]int{}, 1015, 1100},
+		"asked":       {[]int{300, 700}, [2]int{}, 1715, 1800},
+		"the leader was stopped: asks may wait for it": {[]int{300}, [2]int{400, 5000}, 6015, 6100},
+	} {
+		g := &grants{lease: lease}
+		g.reset(start)
+		out := 0
+		for ms, next := 0, 0; ms <= 8000 && out == 0; ms += 5 {
+			if ms > c.stopped[0] && ms < c.stopped[1] {
+				continue
+			}
+			if ms%50 == 0 {
+				g.tick(at(ms), every)
+			}
+			if next < len(c.granted) && ms >= c.granted[next] {
+				g.grant(at(ms), a)
+				next++
+			}
+			if ms%50 == 0 && len(g.due(at(ms), r)) > 0 {
+				out = ms
+			}
+		}
+		if out <= c.until || out > c.from {
+			t.Errorf("%s: out after %d ms, not within %d to %d", name, out, c.until, c.from)
+		}
+		if g.grant(at(9000), a) {
+			t.Errorf("%s: a lease for one that is being put out", name)
+		}
+	}
+}
+
+func TestLeaseEnds(t *testing.T) {
+	l := &Lease{start: time.Now().Add(-time.Hour), over: make(chan struct{})}
+	now := int64(time.Hour)
+	if l.Valid() {
+		t.Error("valid before it was granted")
+	}
+	l.extend(now, time.Hour)
+	l.extend(now-int64(time.Minute), time.Hour) // an older grant that came late
+	if !l.Valid() || l.until.Load() != now+int64(time.Hour) {
+		t.Error("not valid, or shortened")
+	}
+	l.end()
+	l.end()
+	l.extend(now, 2*time.Hour)
+	select {
+	case <-l.Over():
+	default:
+		t.Error("not over")
+	}
+	if l.Valid() {
+		t.Error("valid though it is over")
+	}
+}
+
+// What was saved is there after a restart, and a disk that can't be written is told.
+func TestStore(t *testing.T) {
+	dir := t.TempDir()
+	s, err := openStore(dir, []uint64{1, 2, 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := openStore(dir, nil); !errors.Is(err, ErrHeld) {
+		t.Fatalf("opened twice: %v", err)
+	}
+	one := func(index, term uint64, data string) *raftpb.Entry {
+		return &raftpb.Entry{Index: new(index), Term: new(term), Data: []byte(data)}
+	}
+	hard := &raftpb.HardState{Term: new(uint64(5)), Vote: new(uint64(2)), Commit: new(uint64(3))}
+	for _, rd := range []raft.Ready{
+		{HardState: hard, Entries: []*raftpb.Entry{one(2, 4, "a"), one(3, 4, "b"), one(4, 4, "lost")}},
+		{Entries: []*raftpb.Entry{one(4, 5, "c"), one(5, 5, "d")}}, // in place of what another leader had sent
+	} {
+		if err := s.save(&rd); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.compact(3, &raftpb.ConfState{Voters: []uint64{1, 2, 3}}, []byte("roster")); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	if s, err = openStore(dir, []uint64{9}); err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	got, conf, err := s.InitialState()
+	last, _ := s.LastIndex()
+	entries, err2 := s.Entries(4, 6, 1<<20)
+	snapshot, _ := s.Snapshot()
+	if err != nil || err2 != nil || got.GetVote() != 2 || got.GetTerm() != 5 || len(conf.GetVoters()) != 3 || last != 5 || len(entries) != 2 ||
+		string(entries[0].GetData()) != "c" || string(snapshot.GetData()) != "roster" {
+		t.Fatalf("%v %v %v %v: %v %v last %d", err, err2, got, conf, entries, snapshot, last)
+	}
+	full := t.TempDir()
+	if err := os.Symlink("/dev/full", filepath.Join(full, storeFile)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := openStore(full, nil); err == nil {
+		t.Error("a full disk is not told")
+	}
+	file := filepath.Join(full, "file")
+	os.WriteFile(file, nil, 0o600)
+	if _, err := openStore(filepath.Join(file, "state"), nil); err == nil {
+		t.Error("a place that can't be is not told")
+	}
+}
+
+func TestVoters(t *testing.T) {
+	for n, want := range map[int]int{1: 1, 2: 1, 3: 3, 4: 3, 5: 5, 9: 5, 300: 5} {
+		var names []string
+		for i := range n {
+			names = append(names, string(rune('a'+i%26))+string(rune('a'+i/26)))
+		}
+		if got := votersOf(names); len(got) != want {
+			t.Errorf("%d members: %d vote, not %d", n, len(got), want)
+		}
+	}
+}
+
+// Whom this member does not know is refused by name before anything of it counts.
+func TestGreeting(t *testing.T) {
+	c, err := newCoder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := newWire(c, []string{"a", "b", "c"})
+	greet := func(kind byte, v any) error {
+		text, _ := c.out.Marshal(v)
+		f, _ := frame.Append(nil, kind, text)
+		near, far := net.Pipe()
+		go func() { near.Write(f); near.Close() }()
+		_, err := w.greet(far)
+		return err
+	}
+	good := hello{Fleet: fleetID([]string{"c", "b", "a"}), From: member("b", 1)}
+	other, stranger := good, good
+	other.Fleet++
+	stranger.From.Name = "d"
+	for name, c := range map[string]struct {
+		kind byte
+		v    any
+		ok   bool
+	}{
+		"good": {kindHello, good, true}, "another fleet": {kindHello, other, false}, "a stranger": {kindHello, stranger, false},
+		"no hello": {kindAsk, good, false}, "nonsense": {kindHello, "x", false}, "too deep": {kindHello, [][][]int{{{1}}}, false},
+	} {
+		if err := greet(c.kind, c.v); (err == nil) != c.ok {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for range connsMost {
+		greet(kindHello, good)
+	}
+	if greet(kindHello, good) == nil {
+		t.Error("a flood of connections is taken")
+	}
+}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -10,9 +10,10 @@
 
 const (
 	keeperBox   = 4096
-	batchMost   = 256     // messages in a frame
-	batchBytes  = 1 << 20 // of them
-	pausedAfter = 100 * time.Millisecond
+	batchMost   = 256       // messages in a frame
+	batchBytes  = 1 << 20   // of them
+	pausedAfter = 100_000   // µs without a turn, after which this process was stopped
+	wakes       = 1_000_000 // µs after that within which it may read what had come meanwhile
 )
 
 // flight is a request under custody here.
@@ -31,6 +32,8 @@
 	box     chan func(now int64)
 	flights map[string]*flight
 	blind   int64 // until then no quorum is to be expected: strict work is refused at once
+	turned  int64 // when it last had a turn
+	woke    int64 // when it last found that it had been stopped
 	counts  counts
 }
 
@@ -54,11 +57,12 @@
 	report := time.NewTicker(10 * time.Second)
 	defer report.Stop()
 	var last counts
-	for {
+	for k.turned = k.f.micros(); ; k.settle() {
 		select {
 		case <-ctx.Done():
 			return
 		case fn := <-k.box:
+			k.turn()
 			fn(k.f.micros())
 			for more := true; more; { // what has come meanwhile goes out in the same frames
 				select {
@@ -69,7 +73,7 @@
 				}
 			}
 		case <-tick.C:
-			k.f.ticked.Store(k.f.micros())
+			k.turn()
 			k.node.Tick(k.f.micros())
 		case <-report.C:
 			if k.counts != last {
@@ -79,10 +83,22 @@
 					last.taken, last.resumed, last.given, last.missing, last.lost, last.unasked, last.doubled, records, bytes, len(k.flights))
 			}
 		}
-		k.settle()
 	}
 }
 
+// turn notes that this process runs, and whether it had been stopped.
+func (k *keeper) turn() {
+	now := k.f.micros()
+	if now-k.turned > pausedAfter {
+		k.woke = now
+	}
+	k.turned = now
+}
+
+// fresh tells whether requests come when they are sent. Just after a stop they may have waited for it, and their clients may
+// have gone elsewhere: nothing is refused then. Guards against a refusal of what another member runs.
+func (k *keeper) fresh(now int64) bool { return k.woke == 0 || now-k.woke > wakes }
+
 // settle carries out what the node says and sends what it wants sent.
 func (k *keeper) settle() {
 	for events := k.node.Events(); len(events) > 0; events = k.node.Events() {
@@ -152,7 +168,7 @@
 	case w.Resume:
 		k.counts.resumed++
 		k.node.Resume(now, rec)
-	case w.Strict && now < k.blind:
+	case w.Strict && now < k.blind && k.fresh(now):
 		k.does(&custody.Event{Does: custody.Missing, ID: w.ID, Record: rec, Fresh: true, AtOnce: true})
 	default:
 		k.counts.taken++
@@ -213,13 +229,13 @@
 func (k *keeper) missing(fl *flight, e *custody.Event) {
 	k.counts.missing++
 	now := k.f.micros()
-	if !e.AtOnce {
+	if !e.AtOnce && k.fresh(now) {
 		k.blind = now + k.f.wait
 	}
 	switch e.Next(fl.work.Strict) {
 	case custody.Refuse:
-		if now-k.f.ticked.Load() > pausedAfter.Microseconds() {
-			k.tell(fl, custody.Outcome{Word: custody.Nothing}) // this process was stopped: its client may have gone elsewhere
+		if !k.fresh(now) {
+			k.tell(fl, custody.Outcome{Word: custody.Nothing})
 			return
 		}
 		k.tell(fl, custody.Outcome{Answer: custody.Answer{Verdict: custody.Refused, RetryAfter: k.f.wait, Why: "no custody"}})
