Keyed work without custody stays within its key's window; holders look at what is due alone

Cause, found by reading: two members that know nothing of each other may send the same key, one of them past its window; such work is failed or refused now. A holder sorted all of its ids 60 times a second. Ages take in the whole way of an ask.

--- a/internal/custody/holder.go
+++ b/internal/custody/holder.go
@@ -22,11 +22,12 @@
 	bytes int
 	// Ids of expired records, in two halves: the older one is dropped when the newer has lasted for long enough.
 	gone, goneBefore map[uint64]bool
-	turn             int64
+	turn, swept      int64
+	left             map[string]bool // ids whose owner is out, which this holder may take over unasked
 }
 
 func newHolder() holder {
-	return holder{slots: map[string]*slot{}, gone: map[uint64]bool{}, goneBefore: map[uint64]bool{}}
+	return holder{slots: map[string]*slot{}, gone: map[uint64]bool{}, goneBefore: map[uint64]bool{}, left: map[string]bool{}}
 }
 
 func (h *holder) forgot(id string) bool {
@@ -149,6 +150,10 @@
 
 // expire forgets what is too old, and remembers that it did.
 func (n *Node) expire(now int64) {
+	if now-n.swept < n.conf.Keep/20 {
+		return
+	}
+	n.swept = now
 	if now-n.turn >= n.conf.Longest+n.conf.Keep || len(n.gone) >= forgetMost {
 		n.goneBefore, n.gone, n.turn = n.gone, map[uint64]bool{}, now
 	}
@@ -187,5 +192,6 @@
 			}
 		}
 		s.orphan = now + place*n.conf.Stagger
+		n.left[id] = true
 	}
 }
--- a/internal/custody/node.go
+++ b/internal/custody/node.go
@@ -116,6 +116,7 @@
 	came    int64  // when rec.Age counted
 	began   int64
 	again   int64 // when to send once more
+	sent    int64 // when it was last sent
 	holders []string
 	replies map[string]*Message // the latest of each holder, to this ballot and phase
 	taken   bool                // from another owner
@@ -295,7 +296,7 @@
 
 // resend sends what has no reply that counts.
 func (n *Node) resend(now int64, c *claim) {
-	c.again = now + n.conf.Again
+	c.again, c.sent = now+n.conf.Again, now
 	m := Message{Kind: Ask, ID: c.id, Ballot: c.ballot, Epoch: n.view.Epoch, Digest: c.rec.Digest}
 	if c.phase != asking {
 		rec := c.rec
@@ -452,7 +453,7 @@
 		age := c.rec.Age
 		c.rec, c.taken, c.seen, c.from = *m.Record, true, true, m.Record.Owner
 		c.rec.Owner, c.rec.Epoch, c.rec.Seq = n.conf.Me, c.mine.Epoch, 0
-		c.rec.Age = max(c.rec.Age, age)
+		c.rec.Age = max(c.rec.Age+now-c.sent, age) // all of the way there and back counts
 		if len(c.rec.Request) == 0 && c.rec.Answer.Verdict == None {
 			c.rec.Request = c.mine.Request
 		}
@@ -498,8 +499,13 @@
 // Tick moves on what waits for time. It returns when it has to be called again at the latest.
 func (n *Node) Tick(now int64) (next int64) {
 	n.expire(now)
-	for _, id := range slices.Sorted(maps.Keys(n.slots)) {
-		if s := n.slots[id]; s.orphan != 0 && s.orphan <= now && n.claims[id] == nil && n.In() {
+	for _, id := range slices.Sorted(maps.Keys(n.left)) {
+		s := n.slots[id]
+		if s == nil || s.orphan == 0 {
+			delete(n.left, id)
+			continue
+		}
+		if s.orphan <= now && n.claims[id] == nil && n.In() {
 			s.orphan = now + int64(len(n.conf.Names)+1)*n.conf.Stagger // once more, should this come to nothing
 			rec := s.rec
 			if rec.Age += now - s.came; rec.Age < rec.Life && rec.Answer.Verdict == None {
--- a/internal/custody/port.go
+++ b/internal/custody/port.go
@@ -10,7 +10,8 @@
 	Resume    bool   // it was asked of another member before
 	Strict    bool   // it goes out under custody alone
 	Left      time.Duration
-	Stored    Stored // what is needed to send it unasked; no head: it can't be
+	Window    time.Duration // for which any server drops a repeat of its key; 0: not everywhere
+	Stored    Stored        // what is needed to send it unasked; no head: it can't be
 }
 
 // Stored is what a member needs to send a request that nobody has asked it for.
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -232,7 +232,14 @@
 	if !e.AtOnce && k.fresh(now) {
 		k.blind = now + k.f.wait
 	}
-	switch e.Next(fl.work.Strict) {
+	next := e.Next(fl.work.Strict)
+	if w := &fl.work; next == custody.GoOn && w.Effect == custody.Keyed && w.Window < w.Left {
+		next = e.Next(true) // Guards against two members that send the same key, none knowing of the other, past its window
+		if next == custody.GoOn {
+			next = custody.Fail
+		}
+	}
+	switch next {
 	case custody.Refuse:
 		if !k.fresh(now) {
 			k.tell(fl, custody.Outcome{Word: custody.Nothing})
--- a/internal/frontend/keep.go
+++ b/internal/frontend/keep.go
@@ -52,7 +52,7 @@
 	case b.rest != nil: // it can't be sent again: once begun, it is treated as work that must not be
 		w.Effect = custody.Unsafe
 	case effect == custody.Keyed && class.Group == decide.ScopeAll:
-		w.Stored = p.store(call, b)
+		w.Window, w.Stored = time.Duration(class.Window)*time.Microsecond, p.store(call, b)
 	}
 	if b.rest == nil {
 		gone = c.watch()
