--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -16,7 +16,7 @@
 	"github.com/alecthomas/kong"
 
 	"damsonscale/internal/custody"
-	"damsonscale/internal/custody/explore"
+	"damsonscale/internal/explore"
 	"damsonscale/internal/rig"
 )
 
--- a/internal/custody/explore/explore.go
+++ b/internal/explore/explore.go
@@ -52,15 +52,15 @@
 
 // proc is one name's process.
 type proc struct {
-	up     bool
-	me     custody.Member
-	lease  bool // until the world ends it
-	now    int64
-	epoch  int // of the log, as it has learned it
-	node   *custody.Node
-	work   map[int]*work // by request
-	waits  map[int]bool  // requests whose clients wait here
-	resume map[int]bool  // requests that came here as asked again
+	up    bool
+	me    custody.Member
+	lease bool // until the world ends it
+	now   int64
+	epoch int // of the log, as it has learned it
+	node  *custody.Node
+	work  map[int]*work // by request
+	waits map[int]bool  // requests whose clients wait here
+	asked map[int]int   // the step at which they asked
 }
 
 // work is a request that this process may send.
@@ -98,6 +98,16 @@
 	net      []message
 	requests []*request
 	broken   string
+	step     int
+	history  []Heard
+}
+
+// Heard is what a client was told by one member, between two steps of a history.
+type Heard struct {
+	Request   int
+	From, To  int
+	Answer    string
+	Undecided bool // nobody could say, or it was refused: this says nothing of the request
 }
 
 func start(c *Config) *world {
@@ -120,7 +130,7 @@
 func (w *world) process(name string, inc uint64) *proc {
 	me := custody.Member{Name: name, Incarnation: inc}
 	return &proc{
-		up: true, me: me, lease: true, work: map[int]*work{}, waits: map[int]bool{}, resume: map[int]bool{},
+		up: true, me: me, lease: true, work: map[int]*work{}, waits: map[int]bool{}, asked: map[int]int{},
 		node: custody.New(custody.Config{
 			Me: me, Names: names, Holders: 3, Records: 100, Bytes: 1 << 20, Keep: longest, Longest: longest, Wait: wait, Again: again,
 			Stagger: again, Plant: w.conf.Plant,
@@ -219,6 +229,9 @@
 	}
 	delete(p.waits, i)
 	r := w.requests[i]
+	w.history = append(w.history, Heard{
+		i, p.asked[i], w.step, fmt.Sprint(a.Verdict, a.Body), a.Verdict == custody.Refused || a.Why == unknown || r.effect == custody.Safe,
+	})
 	r.told = append(r.told, fmt.Sprint(a.Verdict, string(a.Body)))
 	switch a.Verdict {
 	case custody.Served:
@@ -366,7 +379,7 @@
 	p := w.procs[n]
 	w.left.Asks--
 	w.requests[i].asks++
-	p.waits[i], p.resume[i] = true, resume
+	p.waits[i], p.asked[i] = true, w.step
 	if p.work[i] != nil {
 		return // it waits for what is under way
 	}
@@ -418,7 +431,7 @@
 
 func (w *world) clone() *world {
 	c := *w
-	c.log, c.net = slices.Clone(w.log), slices.Clone(w.net)
+	c.log, c.net, c.history = slices.Clone(w.log), slices.Clone(w.net), slices.Clone(w.history)
 	c.incs = map[string]uint64{}
 	for k, v := range w.incs {
 		c.incs[k] = v
@@ -429,7 +442,7 @@
 		if p.node != nil {
 			q.node = p.node.Clone()
 		}
-		q.work, q.waits, q.resume = map[int]*work{}, map[int]bool{}, map[int]bool{}
+		q.work, q.waits, q.asked = map[int]*work{}, map[int]bool{}, map[int]int{}
 		for i, k := range p.work {
 			one := *k
 			q.work[i] = &one
@@ -437,8 +450,8 @@
 		for i, v := range p.waits {
 			q.waits[i] = v
 		}
-		for i, v := range p.resume {
-			q.resume[i] = v
+		for i, v := range p.asked {
+			q.asked[i] = v
 		}
 		c.procs = append(c.procs, &q)
 	}
@@ -490,6 +503,7 @@
 	States int
 	Broken string   // empty: nothing
 	Trace  []string // the moves that led there
+	Heard  []Heard  // by clients, with Walk
 }
 
 // Exhaust looks at every order of moves up to a depth, each state once, shallow ones first.
@@ -542,8 +556,10 @@
 			break
 		}
 		m := moves[random.IntN(len(moves))]
+		w.step++
 		m.do(w)
 		f.States++
+		f.Heard = w.history
 		f.Trace = append(f.Trace, m.name)
 		if w.broken != "" {
 			f.Broken = w.broken
--- a/internal/custody/explore/explore_test.go
+++ b/internal/explore/explore_test.go
@@ -5,6 +5,8 @@
 	"strings"
 	"testing"
 
+	"github.com/anishathalye/porcupine"
+
 	"damsonscale/internal/custody"
 )
 
@@ -32,6 +34,40 @@
 	t.Logf("%d steps at random", steps)
 }
 
+// What clients hear of a request is what one place would tell that answers it once: each history at random is linearizable.
+func TestHistoriesAreLinearizable(t *testing.T) {
+	model := porcupine.Model{
+		Partition: func(all []porcupine.Operation) [][]porcupine.Operation {
+			parts := make([][]porcupine.Operation, len(both))
+			for _, o := range all {
+				parts[o.Input.(int)] = append(parts[o.Input.(int)], o)
+			}
+			return parts
+		},
+		Init: func() any { return "" },
+		Step: func(state, _, output any) (bool, any) { return state == "" || state == output, output },
+	}
+	heard := 0
+	check := func(all []Heard) bool {
+		var ops []porcupine.Operation
+		for _, h := range all {
+			if !h.Undecided {
+				ops = append(ops, porcupine.Operation{Input: h.Request, Output: h.Answer, Call: int64(h.From), Return: int64(h.To)})
+			}
+		}
+		heard += len(ops)
+		return porcupine.CheckOperations(model, ops)
+	}
+	for seed := range uint64(1000) {
+		if f := Walk(Config{Effects: both, Strict: true, Budget: Much}, 1_000_000+seed, 150); !check(f.Heard) {
+			t.Fatalf("seed %d: %+v\n%s", seed, f.Heard, strings.Join(f.Trace, "\n"))
+		}
+	}
+	if two := []Heard{{0, 1, 2, "a", false}, {0, 3, 4, "b", false}}; heard < 200 || check(two) {
+		t.Errorf("%d answers heard, or two that differ pass", heard)
+	}
+}
+
 // Each planted fault is found. Guards against an explorer that can find nothing.
 func TestPlantedFaultsAreFound(t *testing.T) {
 	for _, c := range []struct {
