--- a/internal/custody/holder.go
+++ b/internal/custody/holder.go
@@ -98,6 +98,8 @@
 		n.slots[m.ID] = s
 	}
 	s.promised, s.known, s.at, s.rec, s.came, s.orphan = m.Ballot, true, m.Ballot, *m.Record, now, 0
+	s.rec.Age = max(0, s.rec.Age)
+	s.rec.Life = min(s.rec.Life, s.rec.Age+n.conf.Longest) // whatever its owner says: nothing is held for good
 	s.expires = now + n.conf.Keep
 	if s.rec.Answer.Verdict == None {
 		s.expires += max(0, s.rec.Life-s.rec.Age) + n.conf.Keep
--- /dev/null
+++ b/internal/fleet/fuzz_test.go
@@ -0,0 +1,50 @@
+package fleet
+
+import (
+	"testing"
+
+	"damsonscale/internal/custody"
+)
+
+// Whatever a member says, custody stays bounded and panics at nothing.
+func FuzzCustody(f *testing.F) {
+	c, err := newCoder()
+	if err != nil {
+		f.Fatal(err)
+	}
+	a, b := member("a", 1), member("b", 1)
+	rec := custody.Record{ID: "x", Effect: custody.Keyed, Owner: b, Epoch: 9, Life: 1 << 62, Age: -5, Request: []byte("r")}
+	good, err := c.out.Marshal([]custody.Message{
+		{Kind: custody.Write, ID: "x", Ballot: custody.Ballot{By: b}, Epoch: 2, Record: &rec}, {Kind: custody.Ask, ID: "x", Ballot: custody.Ballot{Round: 2, By: b}},
+		{Kind: custody.Promised, To: custody.Ask, ID: "mine", Known: true, Ballot: custody.Ballot{Round: 1, By: a}},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(good)
+	f.Fuzz(func(t *testing.T, in []byte) {
+		var all []custody.Message
+		if c.in.Unmarshal(in, &all) != nil {
+			return
+		}
+		n := custody.New(custody.Config{
+			Me: a, Names: []string{"a", "b", "c"}, Holders: 3, Records: 8, Bytes: 4096, Keep: 1000, Longest: 1000, Wait: 100, Again: 10, Stagger: 10,
+		})
+		n.See(0, (&roster{}).apply(&entry{Member: a}).apply(&entry{Member: b}).view())
+		n.Resume(0, custody.Record{ID: "mine", Effect: custody.Unsafe, Life: 1000})
+		for i := range all {
+			n.Handle(5, b, &all[i])
+		}
+		if records, bytes := n.Held(); records > 8 || bytes > 4096 {
+			t.Fatalf("%d records of %d bytes", records, bytes)
+		}
+		for now := int64(10); now < 10_000; now += 100 {
+			n.Tick(now)
+			n.Sent()
+			n.Events()
+		}
+		if records, bytes := n.Held(); records != 0 || bytes != 0 {
+			t.Fatalf("%d records of %d bytes are held for good", records, bytes)
+		}
+	})
+}
--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -76,6 +76,12 @@
 
 // due lists the members whose last lease is over by any clock: they are to be put out.
 func (g *grants) due(now time.Time, r *roster) (out []custody.Member) {
+	for m := range g.last {
+		if !r.lives(m) {
+			delete(g.last, m)
+			delete(g.outing, m)
+		}
+	}
 	whole := g.lease + time.Duration(float64(g.lease)*skew)
 	for _, s := range r.Seats {
 		if g.last[s.Member].IsZero() { // it has joined just now, or this term has: guards against one that is out before it could ask
