--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -345,3 +345,22 @@
 		}
 	}
 }
+
+// BenchmarkRequest is the price of one request at all three holders together, without encoding and sockets.
+func BenchmarkRequest(b *testing.B) {
+	f := newFleet(3, 3)
+	for _, n := range f.nodes {
+		n.conf.Records, n.conf.Bytes = 1<<20, 1<<30
+	}
+	b.ReportAllocs()
+	for i := range b.N {
+		id := fmt.Sprint(i)
+		f.nodes["m000"].Take(f.now, record(id, Keyed))
+		f.settle()
+		f.nodes["m000"].Answered(f.now, id, Answer{Verdict: Served, Body: []byte("yes")})
+		f.settle()
+		if f.heard("m000"); i%10_000 == 9_999 {
+			f.pass(2*testKeep + testLongest)
+		}
+	}
+}
