The rig's processes listen on a loopback host of their own, so that no connection takes their port

Cause: one process of several side by side ended at its start, its address in use: a port that was free when it was chosen had become a connection's own by then.

--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -84,11 +85,13 @@
 	return ctx.Err()
 }
 
-// freeAddrs finds addresses that are free now, all different.
+// freeAddrs finds addresses that are free now, all different, on a loopback host of their own. Guards against a port that
+// some connection from 127.0.0.1 takes before the process listens, or while it is down.
 func freeAddrs(n int) ([]string, error) {
 	var out []string
+	host := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", host)
 		if err != nil {
 			return nil, err
 		}
