--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -102,6 +102,7 @@
 // A recorded answer is given again, the same bytes; a request of another body under its id is refused by name.
 func TestAskedAgainAfterTheAnswer(t *testing.T) {
 	line := short("")
+	line.LeaseMs = 2000 // a busy machine must not end a lease here
 	p := &play{set: Setup{Binary: filepath.Join(programs.dir, "damsonscale"), Dir: t.TempDir()}, line: line}
 	defer p.close()
 	if err := p.begin(context.Background()); err != nil {
--- a/internal/rig/timeline.go
+++ b/internal/rig/timeline.go
@@ -86,8 +86,9 @@
 	KeepOpen   bool     `json:"keep_open,omitempty"` // it goes on listening to the one that was silent
 	Servers    []Server `json:"servers"`
 	Work       []Work   `json:"work"`
-	Disks      []Disk   `json:"disks,omitempty"`  // by process
-	Strict     []string `json:"strict,omitempty"` // classes that are refused where no record can be kept
+	LeaseMs    int64    `json:"lease_ms,omitempty"` // 0: the program's own
+	Disks      []Disk   `json:"disks,omitempty"`    // by process
+	Strict     []string `json:"strict,omitempty"`   // classes that are refused where no record can be kept
 	Faults     []Fault  `json:"faults"`
 }
 
@@ -112,6 +113,7 @@
 	check(t.PerSecond >= 1 && t.PerSecond <= mostPerSecond, "per_second: %d is not within 1 to %d", t.PerSecond, mostPerSecond)
 	check(t.DeadlineMs >= 100 && t.DeadlineMs <= 60_000, "deadline_ms: %d is not within 100 to 60000", t.DeadlineMs)
 	check(t.SilenceMs >= 10 && t.SilenceMs <= t.DeadlineMs, "silence_ms: %d is not within 10 to the deadline", t.SilenceMs)
+	check(t.LeaseMs == 0 || t.LeaseMs >= 100 && t.LeaseMs <= 10_000, "lease_ms: %d is not within 100 to 10000", t.LeaseMs)
 	check(len(t.Servers) > 0, "servers: none")
 	for i, s := range t.Servers {
 		check(s.LeastMs >= 0 && s.MostMs >= s.LeastMs, "servers[%d]: %d to %d ms is no range", i, s.LeastMs, s.MostMs)
