Read again: custody's unread state goes, one body copy instead of two, each thing once

Event.Seen, Record.Attempts, Tick's result and View were written or returned and never read; the time since a former send was computed in two places; who tells the roster was found out once a member; a body that came as a stream was copied though it was ours already; the longest deadline was computed twice at the start. No decision changes.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -101,10 +101,11 @@
 	}
 	up.share.set()
 	go side.Run(context.Background())
+	var most atomic.Int64 // the longest deadline of any settings so far
+	most.Store(longest(conf.Settings.Classes))
 	var members Membership
 	if together {
-		most := time.Duration(longest(conf.Settings.Classes)) * time.Microsecond
-		if members, err = join(opts, conf.Name, most, front); err != nil {
+		if members, err = join(opts, conf.Name, time.Duration(most.Load())*time.Microsecond, front); err != nil {
 			return err
 		}
 		if err := members.Run(context.Background()); err != nil {
@@ -116,8 +117,6 @@
 		return err
 	}
 	go front.Tend(term)
-	var most atomic.Int64 // the longest deadline of any settings so far
-	most.Store(longest(conf.Settings.Classes))
 	go reload(hup, conf, side, front, &most)
 	log.Printf("event=start name=%s listen=%s discovery=%s", conf.Name, conf.Listen, conf.Discovery)
 	select {
--- a/internal/custody/clone.go
+++ b/internal/custody/clone.go
@@ -35,7 +35,7 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(n.claims)) {
 		c := n.claims[id]
-		fmt.Fprint(w, id, c.phase, c.ballot, c.rec, c.came, c.began, c.again, c.sent, c.taken, c.seen, c.lived, c.late, c.marked, c.give, c.judged, c.from)
+		fmt.Fprint(w, id, c.phase, c.ballot, c.rec, c.came, c.began, c.again, c.sent, c.taken, c.lived, c.late, c.marked, c.give, c.judged, c.from)
 		for _, h := range slices.Sorted(maps.Keys(c.replies)) {
 			r := *c.replies[h]
 			var rec Record
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -110,7 +110,7 @@
 }
 
 func record(id string, e Effect) Record {
-	r := Record{ID: id, Digest: 7, Effect: e, Life: testLongest, Attempts: 1, Class: "c"}
+	r := Record{ID: id, Digest: 7, Effect: e, Life: testLongest, Class: "c"}
 	if e == Keyed {
 		r.Request = []byte("what goes on")
 	}
--- a/internal/custody/node.go
+++ b/internal/custody/node.go
@@ -54,7 +54,7 @@
 	return [...]string{"run", "give", "missing", "doubled", "lost", "orphan", "kept"}[d]
 }
 
-// Event is one such word. Seen: some holder told that the request was begun.
+// Event is one such word.
 type Event struct {
 	Does   Does
 	ID     string
@@ -62,9 +62,8 @@
 	Taken  bool   // from another owner, with Run or Missing: it may have run there
 	From   Member // with Taken: its owner before
 	Judged bool   // with Give: this process has found that it may have run, nobody had answered it
-	Seen   bool
-	Fresh  bool // with Missing: this process was the first to be asked, or a quorum said that it was never sent
-	AtOnce bool // with Missing: nobody was asked, and its client can't have gone elsewhere meanwhile
+	Fresh  bool   // with Missing: this process was the first to be asked, or a quorum said that it was never sent
+	AtOnce bool   // with Missing: nobody was asked, and its client can't have gone elsewhere meanwhile
 }
 
 // Next is what to do where no quorum of holders can be had.
@@ -122,7 +121,6 @@
 	taken   bool                // from another owner
 	from    Member              // which
 	judged  bool                // found here that it may have run
-	seen    bool                // some holder told that it was begun
 	lived   int64               // when a holder last told that the owner lives
 	late    bool                // the caller was told that it is missing
 	marked  bool                // holders were told that it may be under way
@@ -154,7 +152,6 @@
 func (n *Node) Sent() []To                 { out := n.out; n.out = nil; return out }
 func (n *Node) Events() []Event            { e := n.events; n.events = nil; return e }
 func (n *Node) tell(e Event)               { n.events = append(n.events, e) }
-func (n *Node) View() *View                { return n.view }
 func (n *Node) Held() (records, bytes int) { return len(n.slots), n.bytes }
 
 // See takes a newer view.
@@ -262,16 +259,12 @@
 // Answered gives a request that runs here its final answer, for those who ask again.
 func (n *Node) Answered(now int64, id string, a Answer) {
 	if c := n.claims[id]; c != nil && (c.phase == running || c.phase == writing) {
-		n.close(now, c, a)
+		c.phase, c.rec.Answer, c.rec.Request = closing, a, nil
+		c.expires = now + n.conf.Keep
+		n.send(now, c)
 	}
 }
 
-func (n *Node) close(now int64, c *claim, a Answer) {
-	c.phase, c.rec.Answer, c.rec.Request = closing, a, nil
-	c.expires = now + n.conf.Keep
-	n.send(now, c)
-}
-
 // Drop forgets a claim: the request goes on without custody, or not at all.
 func (n *Node) Drop(id string) { delete(n.claims, id) }
 
@@ -339,7 +332,7 @@
 	c.replies[from] = m
 	switch m.Kind {
 	case Lives:
-		c.seen, c.lived = true, now
+		c.lived = now
 	case Out:
 		n.end(c, Event{Does: Lost})
 		return
@@ -393,7 +386,7 @@
 	}
 	e := Event{Does: Missing, Taken: c.taken, Fresh: c.phase == writing && !c.taken}
 	if m := c.latest(); m != nil && c.phase == asking {
-		c.seen, e.Taken = true, true
+		e.Taken = true
 		if m.Record.Answer.Verdict != None {
 			n.end(c, Event{Does: Give, Record: *m.Record, Taken: true})
 			return
@@ -404,7 +397,7 @@
 		return
 	}
 	c.late = true // the caller ends it, by Answered or by Drop
-	e.ID, e.Record, e.Seen = c.id, c.rec, c.seen
+	e.ID, e.Record = c.id, c.rec
 	n.tell(e)
 }
 
@@ -420,13 +413,10 @@
 // end tells the last word of a claim.
 func (n *Node) end(c *claim, e Event) {
 	delete(n.claims, c.id)
-	e.ID, e.Seen = c.id, c.seen
+	e.ID = c.id
 	if e.Does == Missing {
 		e.Record = c.rec
 	}
-	if e.Does == Give {
-		e.Seen = true
-	}
 	n.tell(e)
 }
 
@@ -451,7 +441,7 @@
 	c.rec.Age += now - c.began
 	if m := c.latest(); m != nil {
 		age := c.rec.Age
-		c.rec, c.taken, c.seen, c.from = *m.Record, true, true, m.Record.Owner
+		c.rec, c.taken, c.from = *m.Record, true, m.Record.Owner
 		c.rec.Owner, c.rec.Epoch, c.rec.Seq = n.conf.Me, c.mine.Epoch, 0
 		c.rec.Age = max(c.rec.Age+now-c.sent, age) // all of the way there and back counts
 		if len(c.rec.Request) == 0 && c.rec.Answer.Verdict == None {
@@ -483,7 +473,7 @@
 		n.closed(c)
 	case !c.late:
 		c.phase, c.again = running, now+n.conf.Again
-		n.tell(Event{Does: Run, ID: c.id, Record: c.rec, Taken: c.taken, From: c.from, Seen: c.seen})
+		n.tell(Event{Does: Run, ID: c.id, Record: c.rec, Taken: c.taken, From: c.from})
 	}
 }
 
@@ -496,8 +486,8 @@
 	n.end(c, Event{Does: Kept})
 }
 
-// Tick moves on what waits for time. It returns when it has to be called again at the latest.
-func (n *Node) Tick(now int64) (next int64) {
+// Tick moves on what waits for time.
+func (n *Node) Tick(now int64) {
 	n.expire(now)
 	for _, id := range slices.Sorted(maps.Keys(n.left)) {
 		s := n.slots[id]
@@ -535,5 +525,4 @@
 			n.resend(now, c)
 		}
 	}
-	return now + min(n.conf.Again, n.conf.Stagger)
 }
--- a/internal/custody/record.go
+++ b/internal/custody/record.go
@@ -78,20 +78,19 @@
 
 // Record is what holders keep of a request.
 type Record struct {
-	_        struct{} `cbor:",toarray"`
-	ID       string
-	Digest   uint64 // of class, key and body
-	Class    string
-	Effect   Effect
-	Owner    Member
-	Epoch    uint64 // under which the owner took it
-	Age      int64  // at the time of the message
-	Life     int64  // its deadline, as an age
-	Attempts uint32 // at least so many were sent
-	Sent     bool   // its owner had leave to send it: it may be taken over unasked
-	Request  []byte // what a taker needs to send it unasked; empty: only its client can have it sent
-	Seq      uint32 // of the owner's writes
-	Answer   Answer
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Digest  uint64 // of class, key and body
+	Class   string
+	Effect  Effect
+	Owner   Member
+	Epoch   uint64 // under which the owner took it
+	Age     int64  // at the time of the message
+	Life    int64  // its deadline, as an age
+	Sent    bool   // its owner had leave to send it: it may be taken over unasked
+	Request []byte // what a taker needs to send it unasked; empty: only its client can have it sent
+	Seq     uint32 // of the owner's writes
+	Answer  Answer
 }
 
 func (r *Record) size() int {
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -164,7 +164,7 @@
 func index(id string) (i int) { fmt.Sscanf(id, "r%d", &i); return i }
 
 func (w *world) record(i int) custody.Record {
-	r := custody.Record{ID: id(i), Digest: 1, Effect: w.requests[i].effect, Life: longest, Attempts: 1}
+	r := custody.Record{ID: id(i), Digest: 1, Effect: w.requests[i].effect, Life: longest}
 	if r.Effect == custody.Keyed {
 		r.Request = []byte("x")
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -253,12 +253,7 @@
 }
 
 // learn takes a newer roster in. Only what is agreed comes here.
-func (f *Fleet) learn(r *roster, tell bool) {
-	select {
-	case f.box <- func() { f.learned(r, tell) }:
-	case <-f.ctx.Done():
-	}
-}
+func (f *Fleet) learn(r *roster, tell bool) { f.post(func() { f.learned(r, tell) }) }
 
 func (f *Fleet) learned(r *roster, tell bool) {
 	if r.Epoch <= f.roster.Load().Epoch {
@@ -270,12 +265,12 @@
 	if me := *f.me.Load(); r.gone(me) && !f.ended.Load() {
 		f.putOut()
 	}
-	if e := f.epochs.Load(); !tell || e == nil {
+	if !tell || f.epochs.Load() == nil || !f.firstVoter(r) {
 		return
 	}
-	// Who votes tells those who do not; the voters have it from the log.
+	// One who votes tells those who do not; the voters have it from the log.
 	for _, s := range r.Seats {
-		if !slices.Contains(f.voters, s.Member.Name) && f.firstVoter(r) {
+		if !slices.Contains(f.voters, s.Member.Name) {
 			f.tellRoster(s.Member.Name)
 		}
 	}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -40,12 +40,11 @@
 // counts are for the log.
 type counts struct{ taken, resumed, given, missing, lost, unasked, doubled int64 }
 
-func (k *keeper) post(fn func(now int64)) bool {
+// post hands the actor something to do, unless it has too much to do.
+func (k *keeper) post(fn func(now int64)) {
 	select {
 	case k.box <- fn:
-		return true
 	default:
-		return false
 	}
 }
 
@@ -155,7 +154,7 @@
 	fl := &flight{work: w, run: run, waits: []chan custody.Outcome{wait}, lease: k.f.lease.Load()}
 	k.flights[w.ID] = fl
 	rec := custody.Record{
-		ID: w.ID, Class: w.Class, Effect: w.Effect, Digest: w.Digest, Life: w.Left.Microseconds(), Attempts: 1,
+		ID: w.ID, Class: w.Class, Effect: w.Effect, Digest: w.Digest, Life: w.Left.Microseconds(),
 	}
 	if len(w.Stored.Head) > 0 {
 		text, err := k.f.coder.out.Marshal(w.Stored)
@@ -205,7 +204,7 @@
 		k.blind = 0
 		var former time.Duration
 		if e.Taken {
-			former = max(1, time.Duration(e.Record.Age)*time.Microsecond)
+			former = since(e)
 			log.Printf("event=taken_over id=%s class=%s effect=%d age_us=%d asked=%t", e.ID, e.Record.Class, e.Record.Effect, e.Record.Age, len(fl.waits) > 0)
 		}
 		k.start(fl, custody.Leave{Lease: fl.lease, Former: former})
@@ -257,12 +256,17 @@
 		k.node.Drop(e.ID)
 		var former time.Duration
 		if !e.Fresh {
-			former = max(1, time.Duration(e.Record.Age)*time.Microsecond)
+			former = since(e)
 		}
 		k.start(fl, custody.Leave{Former: former})
 	}
 }
 
+// since is how long ago another member may have sent a request; never 0, which means that none has.
+func since(e *custody.Event) time.Duration {
+	return max(1, time.Duration(e.Record.Age)*time.Microsecond)
+}
+
 // start runs a request that may be sent.
 func (k *keeper) start(fl *flight, l custody.Leave) {
 	if fl.running {
--- a/internal/frontend/keep.go
+++ b/internal/frontend/keep.go
@@ -40,7 +40,9 @@
 		return false
 	}
 	p.left = min(p.left, f.keeper.Longest())
-	b.held = slices.Clone(b.held) // it outlasts its client
+	if b.src == nil {
+		b.held = slices.Clone(b.held) // it outlasts its client, and is the server's memory; what came as a stream is our own
+	}
 	call := p.call(h, b, c.readAt)
 	call.Whole = c.watch
 	w := custody.Work{
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -5,9 +5,10 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
-	"sort"
+	"slices"
 	"strings"
 	"time"
 
@@ -232,12 +233,7 @@
 	if n := len(o.Fleet.Members); t.Enabled && n > 0 && t.Holders > n {
 		r.wrong("takeover.holders", "%d holders of %d members", t.Holders, n)
 	}
-	classes := make([]string, 0, len(t.Classes))
-	for c := range t.Classes {
-		classes = append(classes, c)
-	}
-	sort.Strings(classes)
-	for _, c := range classes {
+	for _, c := range slices.Sorted(maps.Keys(t.Classes)) {
 		if v := t.Classes[c]; v != None && v != BestEffort && v != Strict {
 			r.wrong("takeover.custody."+c, "%q is none of none, best_effort, strict", string(v))
 		}
