Read again: the rig lists servers in discovery's own type; a lock, settings and loops less

Its own type for the list was discovery.List once more; asks of a request are added by one goroutine alone; other builds and further variables could be set by nobody.

--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,12 +20,12 @@
 
 // Ask is one ask of one member.
 type Ask struct {
-	Member int           `json:"member"`
-	After  time.Duration `json:"after"` // the request's start
-	Took   time.Duration `json:"took"`
-	Status int           `json:"status"` // 0: no whole answer
-	Body   string        `json:"body"`
-	Err    string        `json:"err,omitempty"`
+	Member int
+	After  time.Duration // the request's start
+	Took   time.Duration
+	Status int // 0: no whole answer
+	Body   string
+	Err    string
 }
 
 // final tells whether the client is done with it.
@@ -37,18 +38,10 @@
 
 // Request is one request of a client with all that it heard.
 type Request struct {
-	ID    string    `json:"id"`
-	Class string    `json:"class"`
-	At    time.Time `json:"at"`
-	Asks  []Ask     `json:"asks"`
-
-	mu sync.Mutex
-}
-
-func (r *Request) add(a Ask) {
-	r.mu.Lock()
-	r.Asks = append(r.Asks, a)
-	r.mu.Unlock()
+	ID    string
+	Class string
+	At    time.Time
+	Asks  []Ask
 }
 
 // clients ask members for work, each request when its time has come, however the earlier ones went.
@@ -121,7 +114,7 @@
 		select {
 		case a := <-answers:
 			open--
-			r.add(a)
+			r.Asks = append(r.Asks, a)
 			if a.final() {
 				c.rest(r, &a, answers, open, cancel)
 				return
@@ -136,8 +129,7 @@
 		member = (member + 1) % len(c.members)
 	}
 	for ; open > 0; open-- { // what is still open may answer
-		a := <-answers
-		r.add(a)
+		r.Asks = append(r.Asks, <-answers)
 	}
 }
 
@@ -147,7 +139,7 @@
 		cancel()
 	}
 	for ; open > 0; open-- {
-		r.add(<-answers)
+		r.Asks = append(r.Asks, <-answers)
 	}
 }
 
@@ -155,11 +147,10 @@
 	a = Ask{Member: member, After: time.Since(r.At)}
 	began := time.Now()
 	defer func() { a.Took = time.Since(began) }()
+	kind := classes[slices.IndexFunc(classes, func(k class) bool { return k.name == r.Class })] // the timeline was checked
 	method, body := http.MethodGet, io.Reader(nil)
-	for _, k := range classes {
-		if k.name == r.Class && k.post {
-			method, body = http.MethodPost, strings.NewReader("clip "+r.ID)
-		}
+	if kind.post {
+		method, body = http.MethodPost, strings.NewReader("clip "+r.ID)
 	}
 	q, err := http.NewRequestWithContext(ctx, method, "http://"+c.members[member]+"/"+r.Class+"/x?obj="+r.ID[12:], body)
 	if err != nil {
@@ -169,7 +160,7 @@
 	q.Header["Req-Id"] = []string{r.ID}
 	q.Header["Req-Deadline-Ms"] = []string{fmt.Sprint(max(1, left.Milliseconds()))}
 	q.Header["Req-Owner"] = []string{"acme"}
-	if r.Class == "make" {
+	if kind.key {
 		q.Header["Idempotency-Key"] = []string{"k" + r.ID}
 	}
 	if n > 0 {
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -162,12 +163,7 @@
 }
 
 func made(runs []Execution, answer string) bool {
-	for _, run := range runs {
-		if run.Answer == answer {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(runs, func(run Execution) bool { return run.Answer == answer })
 }
 
 // reachable tells whether some member ran long enough within the request's time to answer it.
--- a/internal/rig/registry.go
+++ b/internal/rig/registry.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"damsonscale/internal/discovery"
 )
 
 const beat = 2 * time.Second // of a watch
@@ -16,12 +18,11 @@
 	*http.Server
 }
 
-func startRegistry(hosts []host) (*registry, error) {
+func startRegistry(list *discovery.List) (*registry, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	list := map[string]any{"seq": 1, "whole": true, "hosts": hosts}
 	h := func(w http.ResponseWriter, r *http.Request) {
 		json.NewEncoder(w).Encode(list)
 		if r.URL.Query().Get("watch") != "1" {
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"os/exec"
@@ -12,8 +13,8 @@
 	"time"
 )
 
-// programs builds the program once for all tests.
-var programs = struct{ dir string }{}
+// programs is where the program was built, once for all tests.
+var programs string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "rig-test-")
@@ -27,15 +28,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
-	programs.dir = dir
+	programs = dir
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
 }
 
-func play1(t *testing.T, line *Timeline) *Report {
+func played(t *testing.T, line *Timeline) *Report {
 	t.Helper()
-	set := Setup{Binary: filepath.Join(programs.dir, "damsonscale"), Dir: t.TempDir()}
+	set := Setup{Binary: filepath.Join(programs, "damsonscale"), Dir: t.TempDir()}
 	r, err := Run(context.Background(), set, line)
 	if err != nil {
 		t.Fatal(err)
@@ -82,7 +83,7 @@
 			t.Parallel()
 			slots <- true
 			defer func() { <-slots }()
-			r := play1(t, line)
+			r := played(t, line)
 			if !r.Kept() || r.Served == 0 {
 				t.Errorf("%s\n%s", r.Line(), strings.Join(r.Breaks, "\n"))
 			}
@@ -94,7 +95,7 @@
 func TestWithoutAFleetWorkRunsTwice(t *testing.T) {
 	line := short("without a fleet", Fault{AtMs: 1000, ForMs: 700, Kind: Kill, Who: 0}, Fault{AtMs: 2500, ForMs: 1500, Kind: Stop, Who: 1})
 	line.Fleet, line.PerSecond, line.Work = false, 100, []Work{{Class: "once", Share: 1}}
-	if r := play1(t, line); r.Twice == 0 {
+	if r := played(t, line); r.Twice == 0 {
 		t.Errorf("nothing ran twice: %s", r.Line())
 	}
 }
@@ -103,7 +104,7 @@
 func TestAskedAgainAfterTheAnswer(t *testing.T) {
 	line := short("")
 	line.LeaseMs = 2000 // a busy machine must not end a lease here
-	p := &play{set: Setup{Binary: filepath.Join(programs.dir, "damsonscale"), Dir: t.TempDir()}, line: line}
+	p := &play{set: Setup{Binary: filepath.Join(programs, "damsonscale"), Dir: t.TempDir()}, line: line}
 	defer p.close()
 	if err := p.begin(context.Background()); err != nil {
 		t.Fatal(err)
@@ -123,12 +124,11 @@
 			t.Fatal(err)
 		}
 		defer resp.Body.Close()
-		var b strings.Builder
-		buf := make([]byte, 4096)
-		for n, err := 0, error(nil); err == nil; b.Write(buf[:n]) {
-			n, err = resp.Body.Read(buf)
+		text, err := io.ReadAll(resp.Body)
+		if err != nil {
+			t.Fatal(err)
 		}
-		return resp.StatusCode, b.String()
+		return resp.StatusCode, string(text)
 	}
 	for _, class := range []string{"make", "once"} {
 		status, first := ask(0, class, "id-"+class, "body", false)
@@ -162,7 +162,7 @@
 	time.AfterFunc(2500*time.Millisecond, cancel)
 	dir := t.TempDir()
 	line := short("", Fault{AtMs: 300, ForMs: 4000, Kind: Stop, Who: 0})
-	if _, err := Run(ctx, Setup{Binary: filepath.Join(programs.dir, "damsonscale"), Dir: dir}, line); err == nil {
+	if _, err := Run(ctx, Setup{Binary: filepath.Join(programs, "damsonscale"), Dir: dir}, line); err == nil {
 		t.Fatal("no error")
 	}
 	all, _ := filepath.Glob("/proc/[0-9]*/environ")
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -18,10 +18,8 @@
 
 // Setup is where a timeline is played.
 type Setup struct {
-	Binary string            // of the program
-	Builds map[int]string    // of other builds, by process
-	Dir    string            // for configurations, state and logs
-	Env    map[string]string // further variables of the processes
+	Binary string // of the program
+	Dir    string // for configurations, state and logs
 }
 
 // Run plays a timeline and judges it. It ends all processes that it started, also when ctx ends before.
@@ -56,7 +54,7 @@
 	if p.servers, err = startServers(p.line.Servers, p.line.Seed); err != nil {
 		return err
 	}
-	if p.registry, err = startRegistry(p.servers.hosts); err != nil {
+	if p.registry, err = startRegistry(&p.servers.list); err != nil {
 		return err
 	}
 	fleet, err := freeAddrs(2 * p.line.Processes)
@@ -107,12 +105,6 @@
 	one := &process{
 		name: name(i), binary: p.set.Binary, listen: listen, dir: filepath.Join(p.set.Dir, name(i)), starter: p.starter,
 	}
-	if b := p.set.Builds[i]; b != "" {
-		one.binary = b
-	}
-	for k, v := range p.set.Env {
-		one.env = append(one.env, k+"="+v)
-	}
 	one.config = p.config(i, listen)
 	if p.line.Fleet {
 		path, err := p.options(i, one.dir, members)
@@ -154,7 +146,7 @@
 	return map[string]any{
 		"name": name(i), "listen": listen, "discovery": p.registry.addr, "seed": fmt.Sprintf("%016x", p.line.Seed+uint64(i)),
 		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":    map[string]any{"seq": 1, "whole": true, "hosts": p.servers.hosts},
+		"known":    &p.servers.list,
 		"settings": settings,
 	}
 }
--- a/internal/rig/servers.go
+++ b/internal/rig/servers.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"damsonscale/internal/discovery"
 )
 
 // class is a kind of request, as the processes' settings have it.
@@ -40,21 +42,15 @@
 	keys   map[string]string      // the answer, by key
 	random *rand.Rand
 	count  atomic.Int64
-	hosts  []host
+	list   discovery.List // as discovery tells it
 	ends   []io.Closer
 }
 
-// host is a server as discovery lists it.
-type host struct {
-	Host   string  `json:"host"`
-	Dial   string  `json:"dial"`
-	Site   string  `json:"site"`
-	Health string  `json:"health"`
-	Share  float64 `json:"share"`
-}
-
 func startServers(set []Server, seed uint64) (*servers, error) {
-	s := &servers{runs: map[string][]Execution{}, keys: map[string]string{}, random: rand.New(rand.NewPCG(seed, 1))}
+	s := &servers{
+		runs: map[string][]Execution{}, keys: map[string]string{}, random: rand.New(rand.NewPCG(seed, 1)),
+		list: discovery.List{Seq: 1, Whole: true},
+	}
 	for i, one := range set {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
@@ -65,7 +61,9 @@
 		h := &http.Server{Handler: s.handler(name, one)}
 		go h.Serve(ln)
 		s.ends = append(s.ends, h)
-		s.hosts = append(s.hosts, host{Host: name, Dial: ln.Addr().String(), Site: "a", Health: "Ready", Share: 1})
+		s.list.Hosts = append(s.list.Hosts, discovery.Entry{
+			Host: name, Dial: ln.Addr().String(), Zone: "a", Health: discovery.Ready, Share: 1,
+		})
 	}
 	return s, nil
 }
