A voter beside its own upgrade listens at its address again; frames keep their name

Frames queued by a process that came back as another member went out under the old one until the connection was dialled anew.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -126,6 +126,7 @@
 			return fmt.Errorf("fleet.address: %w", err)
 		}
 		ln, f.address = second, second.Addr().String()
+		go f.comeBack(ctx)
 	}
 	f.ctx = ctx
 	go f.wire.serve(ctx, ln)
@@ -139,6 +140,22 @@
 	return nil
 }
 
+// comeBack listens at the listed address too, as soon as the process that has it ends. Guards against a voter that nobody
+// finds: the others learn another address by its joining alone, which may need its vote.
+func (f *Fleet) comeBack(ctx context.Context) {
+	for ctx.Err() == nil {
+		if ln, err := net.Listen("tcp", f.opts.Fleet.Address); err == nil {
+			log.Printf("event=fleet_listens address=%s", ln.Addr())
+			f.wire.serve(ctx, ln)
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(redial):
+		}
+	}
+}
+
 // vote keeps the epoch log, as soon as no other process of this sidecar does. A member that can't keep it votes for
 // nothing, and says why.
 func (f *Fleet) vote(ctx context.Context) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -225,3 +226,39 @@
 		t.Error("a flood of connections is taken")
 	}
 }
+
+// What a process says after it came back as another member goes out in that one's name, and nothing more in the old one's.
+func TestFramesGoOutInTheirOwnName(t *testing.T) {
+	c, err := newCoder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx := t.Context()
+	type heard struct {
+		from custody.Member
+		text string
+	}
+	got := make(chan heard, 64)
+	to, from := newWire(c, []string{"a", "b"}), newWire(c, []string{"a", "b"})
+	to.take = func(from custody.Member, _ byte, payload []byte) { got <- heard{from, string(payload)} }
+	go to.serve(ctx, ln)
+	var me atomic.Pointer[custody.Member]
+	from.me, from.where = func() custody.Member { return *me.Load() }, func(string) string { return ln.Addr().String() }
+	for n := range uint64(5) {
+		now := member("b", n+1)
+		me.Store(&now)
+		from.send(ctx, "a", kindAsk, []byte(now.Name+string(rune('1'+n))))
+		select {
+		case h := <-got:
+			if h.from != now || h.text != "b"+string(rune('1'+n)) {
+				t.Fatalf("%+v after %+v", h, now)
+			}
+		case <-time.After(10 * time.Second):
+			t.Fatalf("what %+v said has not come", now)
+		}
+	}
+}
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -76,7 +76,13 @@
 type line struct {
 	w     *wire
 	name  string
-	queue chan []byte
+	queue chan queued
+}
+
+// queued is a frame with the member that it speaks for.
+type queued struct {
+	as    custody.Member
+	frame []byte
 }
 
 func newWire(c *coder, names []string) *wire {
@@ -97,48 +103,58 @@
 	w.mu.Lock()
 	l := w.lines[name]
 	if l == nil {
-		l = &line{w: w, name: name, queue: make(chan []byte, queueMost)}
+		l = &line{w: w, name: name, queue: make(chan queued, queueMost)}
 		w.lines[name] = l
 		go l.run(ctx)
 	}
 	w.mu.Unlock()
 	select {
-	case l.queue <- f:
+	case l.queue <- queued{w.me(), f}:
 	default:
 	}
 }
 
+var errMoved = errors.New("moved")
+
 // run sends what is queued, over a connection that is dialled anew when it breaks.
 func (l *line) run(ctx context.Context) {
+	var first *queued
 	for ctx.Err() == nil {
-		var first []byte
-		select {
-		case first = <-l.queue:
-		case <-ctx.Done():
-			return
-		}
-		if err := l.connected(ctx, first); err != nil {
-			for drained := false; !drained; { // it is old by the time it could be sent
-				select {
-				case <-l.queue:
-				default:
-					drained = true
-				}
-			}
+		if first == nil {
 			select {
-			case <-time.After(redial):
+			case q := <-l.queue:
+				first = &q
 			case <-ctx.Done():
+				return
+			}
+		}
+		var err error
+		if first, err = l.connected(ctx, first); err == nil || errors.Is(err, errMoved) {
+			continue
+		}
+		first = nil
+		for drained := false; !drained; { // it is old by the time it could be sent
+			select {
+			case <-l.queue:
+			default:
+				drained = true
 			}
 		}
+		select {
+		case <-time.After(redial):
+		case <-ctx.Done():
+		}
 	}
 }
 
-func (l *line) connected(ctx context.Context, next []byte) error {
+// connected sends next and what is queued, as one member to one address. It returns a frame that another connection has to
+// send; one of a member that this process was before is dropped. Guards against frames that go out in another's name.
+func (l *line) connected(ctx context.Context, next *queued) (*queued, error) {
 	d := net.Dialer{Timeout: dialTimeout}
 	addr := l.w.where(l.name)
 	conn, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
@@ -151,39 +167,46 @@
 	me := l.w.me()
 	text, err := l.w.coder.out.Marshal(hello{Fleet: l.w.id, From: me})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	first, err := frame.Append(nil, kindHello, text)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if _, err := out.Write(first); err != nil {
-		return err
+		return nil, err
 	}
 	for {
+		if l.w.me() != me || l.w.where(l.name) != addr { // as another member, or to another process
+			return next, errMoved
+		}
 		conn.SetWriteDeadline(time.Now().Add(writeStall))
 		for next != nil {
-			if _, err := out.Write(next); err != nil {
-				return err
+			switch {
+			case next.as == me:
+				if _, err := out.Write(next.frame); err != nil {
+					return nil, err
+				}
+			case next.as == l.w.me():
+				return next, errMoved
 			}
 			select {
-			case next = <-l.queue:
+			case q := <-l.queue:
+				next = &q
 			default:
 				next = nil
 			}
 		}
 		if err := out.Flush(); err != nil {
-			return err
-		}
-		if l.w.me() != me || l.w.where(l.name) != addr { // as another member, or to another process
-			return errors.New("moved")
+			return nil, err
 		}
 		select {
-		case next = <-l.queue:
+		case q := <-l.queue:
+			next = &q
 		case <-gone:
-			return io.EOF
+			return nil, io.EOF
 		case <-ctx.Done():
-			return ctx.Err()
+			return nil, ctx.Err()
 		}
 	}
 }
