--- /dev/null
+++ b/internal/acts/acts.go
@@ -0,0 +1,106 @@
+// Package acts has the words of an audited fleet: what a sidecar does, and the version of what it goes by. docs/audit.md
+// tells how and why.
+package acts
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"damsonscale/internal/custody"
+)
+
+// Version is what a decision was made by.
+type Version struct {
+	_        struct{} `cbor:",toarray"`
+	Settings uint64   // number given by the fleet; 0: the sidecar's own file
+	Digest   uint64   // of their bytes, the first 8 of SHA-256
+	List     int64    // seq of discovery's list; -1: none yet
+	Build    string   // of the program
+	Protocol uint16   // of the fleet
+}
+
+// Kind is what was done.
+type Kind uint8
+
+const (
+	Took     Kind = iota + 1 // a request of a client; Note: its class
+	TookOver                 // one that another member may have sent
+	Sent                     // decided to be sent; Note: the server
+	Unsent                   // what was decided to be sent was not written
+	Served                   // answered with a server's answer
+	Refused                  // answered: a new try is harmless
+	Failed                   // answered otherwise
+	Kinds    = iota
+)
+
+var kindNames = [Kinds + 1]string{"", "took", "took_over", "sent", "unsent", "served", "refused", "failed"}
+
+// String names the kind as logs and tables do.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) && k > 0 {
+		return kindNames[k]
+	}
+	return "kind" + strconv.Itoa(int(k))
+}
+
+// Act is one of them, as it is told.
+type Act struct {
+	N       uint64
+	Kind    Kind
+	Version Version
+	At      int64 // µs since the process's start
+	ID      string
+	Note    string
+}
+
+// Stamp is the place of a version in the book of one process.
+type Stamp uint32
+
+// Ref names an act.
+type Ref struct {
+	Member  custody.Member
+	N       uint64
+	Version Version
+}
+
+// Header carries a Ref from a member to a server or a client.
+const Header = "Req-Actor"
+
+// Append puts a ref into text: name, incarnation, act, settings, digest, list.
+func (r *Ref) Append(b []byte) []byte {
+	b = append(append(b, r.Member.Name...), '/')
+	b = append(strconv.AppendUint(b, r.Member.Incarnation, 16), '/')
+	b = append(strconv.AppendUint(b, r.N, 10), '/')
+	b = append(strconv.AppendUint(b, r.Version.Settings, 10), '/')
+	b = append(strconv.AppendUint(b, r.Version.Digest, 16), '/')
+	return strconv.AppendInt(b, r.Version.List, 10)
+}
+
+// ParseRef reads what Append wrote. A name may contain slashes.
+func ParseRef(text string) (r Ref, err error) {
+	parts := strings.Split(text, "/")
+	if len(parts) < 6 {
+		return r, fmt.Errorf("%s: expected six parts, got %q", Header, text)
+	}
+	name, rest := strings.Join(parts[:len(parts)-5], "/"), parts[len(parts)-5:]
+	var errs [5]error
+	r.Member.Name = name
+	r.Member.Incarnation, errs[0] = strconv.ParseUint(rest[0], 16, 64)
+	r.N, errs[1] = strconv.ParseUint(rest[1], 10, 64)
+	r.Version.Settings, errs[2] = strconv.ParseUint(rest[2], 10, 64)
+	r.Version.Digest, errs[3] = strconv.ParseUint(rest[3], 16, 64)
+	r.Version.List, errs[4] = strconv.ParseInt(rest[4], 10, 64)
+	for _, e := range errs {
+		if e != nil {
+			return r, fmt.Errorf("%s: %w", Header, e)
+		}
+	}
+	return r, nil
+}
+
+// Ledger is the account that a sidecar keeps of itself.
+type Ledger interface {
+	Under(settings, digest uint64, list int64) Stamp // tells the version in force from now on
+	Add(k Kind, under Stamp, id, note string) Ref    // notes an act
+}
--- /dev/null
+++ b/internal/audit/account.go
@@ -0,0 +1,151 @@
+package audit
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	"damsonscale/internal/acts"
+	"damsonscale/internal/custody"
+)
+
+// Span is acts by number, both included.
+type Span struct{ First, Last uint64 }
+
+// Account is what is known of one incarnation.
+type Account struct {
+	Member custody.Member
+	Known  []Span // acts that can be told, in order
+	Last   uint64 // the last act known of, told or counted
+	Ended  bool   // in good order: there are no acts after Last
+	Counts []Count
+	Faults []string   // segments that are spoilt, that don't fit each other
+	Acts   []acts.Act // of those told, the ones asked for
+	Wall   int64      // Unix ms by its own clock, of its last segment; 0: not told
+}
+
+// Gaps lists the acts that are known to have been and can't be told. Those before the first told one are out of the window, or lost.
+func (a *Account) Gaps() (out []Span) {
+	next := uint64(1)
+	for _, k := range a.Known {
+		if k.First > next {
+			out = append(out, Span{next, k.First - 1})
+		}
+		next = k.Last + 1
+	}
+	if next <= a.Last {
+		out = append(out, Span{next, a.Last})
+	}
+	return out
+}
+
+// Query chooses acts. Its zero value chooses all.
+type Query struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Member  string
+	Version *uint64 // number of the settings
+	Since   int64   // Unix ms, by the clock of the member that acted; 0: ever
+}
+
+func (q *Query) wants(a *acts.Act) bool {
+	return (q.ID == "" || q.ID == a.ID) && (q.Version == nil || *q.Version == a.Version.Settings)
+}
+
+// Assemble makes accounts of segments, which may be doubled, spoilt, or of several members, in any order.
+func (c *Codec) Assemble(fleet uint64, all []Sealed, q *Query) []Account {
+	chains, faults := map[custody.Member][]*link{}, map[custody.Member][]string{}
+	var unread []string
+	for i := range all {
+		seg, err := c.Open(fleet, &all[i])
+		if err != nil {
+			unread = append(unread, fmt.Sprintf("segment %v: %v", all[i].Hash, err))
+			continue
+		}
+		chains[seg.Member] = append(chains[seg.Member], &link{seg, all[i].Hash})
+	}
+	var out []Account
+	for m, chain := range chains {
+		if q.Member != "" && q.Member != m.Name {
+			continue
+		}
+		out = append(out, account(m, chain, faults[m], q))
+	}
+	slices.SortFunc(out, func(a, b Account) int {
+		return cmp.Or(cmp.Compare(a.Member.Name, b.Member.Name), cmp.Compare(a.Wall, b.Wall), cmp.Compare(a.Member.Incarnation, b.Member.Incarnation))
+	})
+	if len(unread) > 0 {
+		out = append(out, Account{Faults: slices.Compact(slices.Sorted(slices.Values(unread)))})
+	}
+	return out
+}
+
+type link struct {
+	*Segment
+	hash Hash
+}
+
+func account(m custody.Member, chain []*link, faults []string, q *Query) Account {
+	a := Account{Member: m, Faults: faults}
+	slices.SortStableFunc(chain, func(x, y *link) int { return cmp.Compare(x.Index, y.Index) })
+	var last *link
+	fault := func(format string, args ...any) { a.Faults = append(a.Faults, fmt.Sprintf(format, args...)) }
+	for _, l := range chain {
+		switch {
+		case last == nil && l.Index == 1 && (l.First != 1 || l.Before != Hash{}):
+			fault("segment 1 begins with act %d", l.First)
+			continue
+		case last == nil:
+		case l.Index == last.Index && l.hash == last.hash:
+			continue
+		case l.Index == last.Index:
+			fault("two segments %d: %v and %v", l.Index, last.hash, l.hash)
+			continue
+		case l.Index == last.Index+1 && l.Before != last.hash:
+			fault("segment %d names %v as the one before, which is %v", l.Index, l.Before, last.hash)
+		case l.First <= last.Last || l.Index == last.Index+1 && l.First != last.Last+1:
+			fault("segment %d begins with act %d, the one before ends with %d", l.Index, l.First, last.Last)
+			continue
+		case last.End:
+			fault("segment %d comes after the end", l.Index)
+		}
+		last = l
+		a.Last, a.Ended, a.Counts, a.Wall = l.Last, l.End, l.Counts, cmp.Or(l.Wall, a.Wall)
+		if l.Last < l.First {
+			continue
+		}
+		told, err := l.Acts()
+		if err != nil {
+			fault("%v", err)
+			continue
+		}
+		if n := len(a.Known); n > 0 && a.Known[n-1].Last+1 == l.First {
+			a.Known[n-1].Last = l.Last
+		} else {
+			a.Known = append(a.Known, Span{l.First, l.Last})
+		}
+		if q.Since > 0 && l.Wall > 0 && l.Wall < q.Since {
+			continue
+		}
+		for i := range told {
+			if q.wants(&told[i]) {
+				a.Acts = append(a.Acts, told[i])
+			}
+		}
+	}
+	a.check(fault)
+	return a
+}
+
+// check compares counts and acts where all acts can be told.
+func (a *Account) check(fault func(string, ...any)) {
+	total := uint64(0)
+	for _, c := range a.Counts {
+		for _, n := range c.Of {
+			total += n
+		}
+	}
+	if a.Last > 0 && total != a.Last {
+		fault("%d acts counted, %d numbered", total, a.Last)
+	}
+}
--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,277 @@
+package audit
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"damsonscale/internal/acts"
+	"damsonscale/internal/custody"
+)
+
+const fleet = 77
+
+type writer struct {
+	t    testing.TB
+	now  int64
+	book *Book
+	all  []Sealed
+}
+
+func newWriter(t testing.TB, plant Plant) *writer {
+	w := &writer{t: t}
+	book, err := NewBook(fleet, custody.Member{Name: "a", Incarnation: 1}, "build", 1, func() int64 { return w.now }, plant)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.book = book
+	return w
+}
+
+// does notes n acts under a stamp and cuts after them.
+func (w *writer) does(n int, under acts.Stamp) {
+	for i := range n {
+		w.now += 10
+		w.book.Add(acts.Kind(1+i%int(acts.Kinds)), under, fmt.Sprintf("id-%d", i), "s-1")
+	}
+	w.cut(w.book.Cut(w.now))
+}
+
+func (w *writer) cut(all []Sealed, err error) {
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.all = append(w.all, all...)
+}
+
+func codec(t testing.TB) *Codec {
+	c, err := NewCodec()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Every act is told under the version that it was decided by, also when another has come in force since.
+func TestActsBearTheirVersion(t *testing.T) {
+	w := newWriter(t, Sound)
+	one := w.book.Under(1, 11, 5)
+	two := w.book.Under(2, 22, 5)
+	again := w.book.Under(2, 22, 5)
+	if two == one || again != two {
+		t.Fatal(one, two, again)
+	}
+	w.does(10, two)
+	w.does(10, one)
+	w.does(0, one)
+	w.cut(w.book.End(w.now, custody.Member{Name: "a", Incarnation: 2}))
+	a := codec(t).Assemble(fleet, w.all, &Query{})
+	if len(a) != 1 || len(a[0].Faults) > 0 || !a[0].Ended || a[0].Last != 20 || len(a[0].Gaps()) > 0 || len(a[0].Acts) != 20 {
+		t.Fatalf("%+v", a)
+	}
+	for i, act := range a[0].Acts {
+		want := uint64(2)
+		if i >= 10 {
+			want = 1
+		}
+		if act.N != uint64(i+1) || act.Version.Settings != want || act.Version.Build != "build" || act.At != int64(10*(i+1)) || act.ID != fmt.Sprintf("id-%d", i%10) || act.Note != "s-1" {
+			t.Fatalf("%+v", act)
+		}
+	}
+	number := uint64(1)
+	if a := codec(t).Assemble(fleet, w.all, &Query{ID: "id-3", Version: &number}); len(a[0].Acts) != 1 || a[0].Acts[0].N != 14 {
+		t.Fatalf("%+v", a)
+	}
+	if ended, served := w.book.Service(1); ended != 0 || served != 0 {
+		t.Error("counts of another incarnation", ended, served)
+	}
+	if ref := w.book.Add(acts.Took, two, "x", ""); ref.N != 1 || ref.Member.Incarnation != 2 {
+		t.Errorf("%+v", ref)
+	}
+	if back, err := acts.ParseRef(string((&acts.Ref{Member: custody.Member{Name: "a/b", Incarnation: 9}, N: 7, Version: acts.Version{List: -1, Digest: 3}}).Append(nil))); err != nil ||
+		back.Member.Name != "a/b" || back.N != 7 || back.Version.List != -1 || back.Version.Digest != 3 {
+		t.Error(back, err)
+	}
+}
+
+// Whatever is lost, doubled, swapped or spoilt, the account tells nothing that was not, and exactly what is missing.
+func TestAccountStatesItsGaps(t *testing.T) {
+	c := codec(t)
+	rapid.Check(t, func(r *rapid.T) {
+		w := newWriter(t, Sound)
+		stamp := w.book.Under(3, 33, 1)
+		n := rapid.IntRange(2, 8).Draw(r, "segments")
+		for range n {
+			w.does(rapid.IntRange(1, 9).Draw(r, "acts"), stamp)
+		}
+		ended := rapid.Bool().Draw(r, "ended")
+		if ended {
+			w.cut(w.book.End(w.now, custody.Member{Name: "a", Incarnation: 2}))
+		}
+		var have []Sealed
+		known, last, end, spoilt := map[uint64]bool{}, uint64(0), false, false
+		for _, z := range w.all {
+			seg, err := c.Open(fleet, &z)
+			if err != nil {
+				t.Fatal(err)
+			}
+			switch rapid.IntRange(0, 4).Draw(r, "fate") {
+			case 0: // lost
+				continue
+			case 1: // one byte is edited
+				bad := z
+				bad.Text = slices.Clone(z.Text)
+				bad.Text[rapid.IntRange(0, len(bad.Text)-1).Draw(r, "at")] ^= 1 << rapid.IntRange(0, 7).Draw(r, "bit")
+				have, spoilt = append(have, bad), true
+				continue
+			case 2: // doubled
+				have = append(have, z)
+			}
+			have = append(have, z)
+			for k := seg.First; k <= seg.Last; k++ {
+				known[k] = true
+			}
+			last, end = seg.Last, seg.End
+		}
+		have = rapid.Permutation(have).Draw(r, "order")
+		for _, a := range c.Assemble(fleet, have, &Query{}) {
+			if a.Member.Name == "" {
+				if !spoilt {
+					t.Fatalf("%v", a.Faults)
+				}
+				continue
+			}
+			if a.Last != last || a.Ended != end || len(a.Faults) > 0 || len(a.Acts) != len(known) {
+				t.Fatalf("%+v, last %d, ended %t, %d known", a, last, end, len(known))
+			}
+			for _, act := range a.Acts {
+				if !known[act.N] {
+					t.Fatalf("act %d can't be known", act.N)
+				}
+			}
+			missing := uint64(0)
+			for _, g := range a.Gaps() {
+				for k := g.First; k <= g.Last; k++ {
+					if missing++; known[k] {
+						t.Fatalf("act %d is in a gap", k)
+					}
+				}
+			}
+			if missing+uint64(len(known)) != last {
+				t.Fatalf("%d missing and %d known of %d", missing, len(known), last)
+			}
+		}
+	})
+}
+
+// What does not belong together is named: another fleet's, a newer build's, a second chain under one number, a broken chain.
+func TestWhatDoesNotFitIsNamed(t *testing.T) {
+	c := codec(t)
+	w := newWriter(t, Sound)
+	for range 3 {
+		w.does(5, 0)
+	}
+	other := newWriter(t, Sound)
+	other.now = 1000
+	for range 3 {
+		other.does(5, 0)
+	}
+	newer, err := c.seal(&Segment{Format: format + 1, Fleet: fleet, Member: custody.Member{Name: "a"}, Index: 1, First: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	wider, err := c.out.Marshal([]any{format + 1, 1, 2, 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	broken, dropped := newWriter(t, ChainBroken), newWriter(t, ActDropped)
+	broken.does(5, 0)
+	broken.does(5, 0)
+	dropped.does(250, 0)
+	for name, k := range map[string]struct {
+		all  []Sealed
+		of   uint64
+		want string
+	}{
+		"another fleet":    {w.all[:1], fleet + 1, "of another fleet"},
+		"newer":            {[]Sealed{newer}, fleet, "newer build"},
+		"newer and longer": {[]Sealed{{Text: wider, Hash: hashOf(wider)}}, fleet, "newer build"},
+		"two chains":       {append(slices.Clone(w.all), other.all[1]), fleet, "two segments 2"},
+		"spliced":          {[]Sealed{w.all[0], other.all[1], w.all[2]}, fleet, "names"},
+		"chain broken":     {broken.all, fleet, "names"},
+		"act dropped":      {dropped.all, fleet, "250 acts counted, 248 numbered"},
+	} {
+		faults := ""
+		for _, a := range c.Assemble(k.of, k.all, &Query{}) {
+			faults += strings.Join(a.Faults, "\n")
+		}
+		if !strings.Contains(faults, k.want) {
+			t.Errorf("%s: %q", name, faults)
+		}
+	}
+}
+
+func hashOf(text []byte) Hash { return sha256.Sum256(text) }
+
+// Counts stay exact over more versions than are counted apart, and the shelf keeps the latest segment of each incarnation.
+func TestBounds(t *testing.T) {
+	c := codec(t)
+	w := newWriter(t, Sound)
+	for list := range int64(1000) {
+		w.does(3, w.book.Under(1+uint64(list)/500, 0, list))
+	}
+	shelf := NewShelf(c, fleet, 40_000)
+	for _, z := range w.all {
+		if _, err := shelf.Put(z); err != nil {
+			t.Fatal(err)
+		}
+	}
+	a := c.Assemble(fleet, shelf.Held("a"), &Query{})
+	if shelf.Bytes() > 40_000 || len(a) != 1 || a[0].Last != 3000 || len(a[0].Faults) > 0 || len(a[0].Counts) > mostCounts+1 {
+		t.Fatalf("%d bytes, %d accounts, %+v", shelf.Bytes(), len(a), a[0].Faults)
+	}
+	of := map[uint64]uint64{}
+	for _, k := range a[0].Counts {
+		for _, n := range k.Of {
+			of[k.Version.Settings] += n
+		}
+	}
+	if of[1] != 1500 || of[2] != 1500 {
+		t.Errorf("%v", of)
+	}
+	if _, err := shelf.Put(Sealed{Text: []byte("x")}); err == nil {
+		t.Error("nonsense is taken")
+	}
+	p, now := NewPushing(1<<20), int64(0)
+	for _, z := range w.all[:5] {
+		seg, err := c.Open(fleet, &z)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p.Add(z, seg, []string{"b", "c"})
+	}
+	if due := p.Due(now, "b", 100, 1<<20); len(due) != 5 || len(p.Due(now+50, "b", 100, 1<<20)) != 0 {
+		t.Error("sent again too soon, or not at all")
+	}
+	for i := range uint64(4) {
+		p.Taken("b", custody.Member{Name: "a", Incarnation: 1}, i+1)
+	}
+	if due := p.Due(now+200, "b", 100, 1<<20); len(due) != 1 || due[0].Hash != w.all[4].Hash || len(p.Due(0, "c", 100, 1)) != 1 {
+		t.Errorf("%d are due", len(due))
+	}
+}
+
+func BenchmarkAdd(b *testing.B) {
+	w := newWriter(b, Sound)
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		w.book.Add(acts.Sent, 0, "0000232b0000014d", "s-17")
+		if i%1000 == 0 {
+			w.book.Cut(0)
+		}
+	}
+}
--- /dev/null
+++ b/internal/rollout/plan.go
@@ -0,0 +1,254 @@
+// Package rollout says which version of the settings each member of a fleet is to act on, and who may not act at all. It
+// does no input or output and reads no clock; docs/audit.md tells how and why.
+package rollout
+
+import (
+	"cmp"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Bounds of orders.
+const (
+	MostText     = 256 << 10 // bytes of a version
+	mostWhy      = 300       // bytes of a reason
+	keptVersions = 8         // that one may go back to
+	keptOrders   = 64        // ids of orders that are known to have been carried out
+	Whole        = 1000      // share of all members, in thousandths
+)
+
+// Digest is that of the bytes of a version.
+type Digest [sha256.Size]byte
+
+// DigestOf is SHA-256 of a version's bytes.
+func DigestOf(text []byte) Digest { return sha256.Sum256(text) }
+
+// Version is one that was given a number.
+type Version struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64   // from 1, each once
+	Digest Digest
+	Size   int
+	Who    string
+	Why    string
+	Back   uint64 // whose bytes it has; 0: its own
+}
+
+// Kind is what an order wants.
+type Kind uint8
+
+const (
+	RollOut Kind = iota + 1 // Text becomes the target, for a share of the members first
+	Hold                    // the target goes no further
+	Back                    // the bytes of an earlier version become the target, for all
+	BarName                 // a name gets no lease
+	Readmit                 // it may again
+	Widen                   // a leader's: the target is for all
+	Fence                   // a leader's: no lease below the target
+)
+
+var kindNames = map[Kind]string{
+	RollOut: "rollout", Hold: "hold", Back: "back", BarName: "out", Readmit: "readmit", Widen: "widen", Fence: "fence",
+}
+
+// String names the kind as the operators' program does.
+func (k Kind) String() string { return cmp.Or(kindNames[k], "unknown") }
+
+// Order is one entry of the log that changes the plan.
+type Order struct {
+	_        struct{} `cbor:",toarray"`
+	Kind     Kind
+	ID       uint64 // drawn by who asks; one that was carried out is not again
+	Who, Why string
+	Text     []byte // with RollOut
+	Number   uint64 // with Back, Widen, Fence; with Hold the target meant, 0: any
+	Name     string // with BarName, Readmit
+	Share    int    // with RollOut, thousandths that adopt first
+	SettleMs int64  // with RollOut: for so long all of the share act on it before it is widened
+	GraceMs  int64  // with RollOut and Back: from the widening to the fence
+}
+
+// Plan is what the orders so far come to. One that was handed on is never changed.
+type Plan struct {
+	_        struct{} `cbor:",toarray"`
+	Last     uint64   // highest number given
+	Target   uint64   // 0: members go by their own files
+	Base     uint64   // what those outside the share go by
+	Share    int      // thousandths
+	SettleMs int64
+	GraceMs  int64
+	Fence    uint64 // below it no lease is given
+	Held     string // why the target goes no further; empty: it goes on
+	Versions []Version
+	Barred   []string
+	Done     []uint64
+}
+
+// Errors of an order.
+var (
+	ErrDone    = errors.New("this order was carried out before")
+	ErrVersion = errors.New("no such version is kept")
+	ErrOld     = errors.New("another target has been set meanwhile")
+	ErrNothing = errors.New("nothing to do")
+)
+
+// Check refuses an order that makes no sense by itself.
+func (o *Order) Check() error {
+	switch {
+	case kindNames[o.Kind] == "":
+		return fmt.Errorf("an order of an unknown kind, %d", o.Kind)
+	case len(o.Who) == 0 || len(o.Who) > mostWhy:
+		return errors.New("who: expected 1 to 300 bytes")
+	case len(o.Why) > mostWhy:
+		return errors.New("why: expected at most 300 bytes")
+	case o.ID == 0:
+		return errors.New("an order without an id")
+	case o.Kind == RollOut && (len(o.Text) == 0 || len(o.Text) > MostText):
+		return fmt.Errorf("a version of %d bytes, expected 1 to %d", len(o.Text), MostText)
+	case o.Kind == RollOut && (o.Share < 1 || o.Share > Whole):
+		return fmt.Errorf("share: %d is not within 1 to %d thousandths", o.Share, Whole)
+	case o.SettleMs < 0 || o.GraceMs < 0 || o.SettleMs > 86_400_000 || o.GraceMs > 86_400_000:
+		return errors.New("settle and grace: expected 0 to a day")
+	case (o.Kind == BarName || o.Kind == Readmit) && o.Name == "":
+		return errors.New("an order without a name")
+	case o.Kind != RollOut && len(o.Text) > 0:
+		return errors.New("bytes with an order that has none")
+	}
+	return nil
+}
+
+// Find finds a kept version.
+func (p *Plan) Find(number uint64) (Version, bool) {
+	for _, v := range p.Versions {
+		if v.Number == number {
+			return v, true
+		}
+	}
+	return Version{}, false
+}
+
+// Apply returns the plan after an order, the same one with an error where it changes nothing.
+func (p *Plan) Apply(o *Order) (*Plan, error) {
+	if err := o.Check(); err != nil {
+		return p, err
+	}
+	if slices.Contains(p.Done, o.ID) {
+		return p, ErrDone
+	}
+	n := *p
+	n.Versions, n.Barred, n.Done = slices.Clone(p.Versions), slices.Clone(p.Barred), append(slices.Clone(p.Done), o.ID)
+	if len(n.Done) > keptOrders {
+		n.Done = n.Done[len(n.Done)-keptOrders:]
+	}
+	err := error(nil)
+	switch o.Kind {
+	case RollOut:
+		n.target(Version{Digest: DigestOf(o.Text), Size: len(o.Text), Who: o.Who, Why: o.Why}, o)
+	case Back:
+		old, ok := p.Find(o.Number)
+		if !ok {
+			return p, fmt.Errorf("%d: %w", o.Number, ErrVersion)
+		}
+		from := o.Number
+		if old.Back > 0 {
+			from = old.Back
+		}
+		all := *o
+		all.Share = Whole
+		n.target(Version{Digest: old.Digest, Size: old.Size, Who: o.Who, Why: o.Why, Back: from}, &all)
+	case Hold:
+		switch {
+		case o.Number > 0 && o.Number != p.Target:
+			err = ErrOld
+		case p.Target == 0 || p.Held != "" || p.Fence == p.Target:
+			err = ErrNothing
+		}
+		n.Held = cmp.Or(o.Why, "held by "+o.Who)
+	case BarName:
+		if slices.Contains(p.Barred, o.Name) {
+			err = ErrNothing
+		}
+		n.Barred = append(n.Barred, o.Name)
+		slices.Sort(n.Barred)
+	case Readmit:
+		if !slices.Contains(p.Barred, o.Name) {
+			err = ErrNothing
+		}
+		n.Barred = slices.DeleteFunc(n.Barred, func(s string) bool { return s == o.Name })
+	case Widen, Fence:
+		if o.Number != p.Target || p.Held != "" {
+			err = ErrOld // another target, or a hold, came first
+		} else if o.Kind == Widen && p.Share == Whole || o.Kind == Fence && (p.Fence >= o.Number || p.Share < Whole) {
+			err = ErrNothing
+		}
+		if o.Kind == Fence {
+			n.Fence = o.Number
+		}
+		n.Share = Whole
+	}
+	if err != nil {
+		return p, err
+	}
+	return &n, nil
+}
+
+// target gives a version the next number and makes it the target.
+func (n *Plan) target(v Version, o *Order) {
+	if n.Share == Whole { // who is outside the new share stays with what all had
+		n.Base = n.Target
+	}
+	n.Last++
+	v.Number = n.Last
+	n.Target, n.Share, n.SettleMs, n.GraceMs, n.Held = v.Number, o.Share, o.SettleMs, o.GraceMs, ""
+	if o.Share == Whole {
+		n.Base = v.Number
+	}
+	n.Versions = append(n.Versions, v)
+	for i := 0; len(n.Versions) > keptVersions && i < len(n.Versions); {
+		if u := n.Versions[i].Number; u == n.Base || u == n.Target || u == n.Fence {
+			i++
+			continue
+		}
+		n.Versions = slices.Delete(n.Versions, i, i+1)
+	}
+}
+
+// Wanted is the version that a name is to act on; 0: its own file. No member goes below the fence.
+func (p *Plan) Wanted(name string, names []string) uint64 {
+	if p.Target == 0 || p.Share == Whole || slices.Contains(p.Cohort(names), name) {
+		return p.Target
+	}
+	return max(p.Base, p.Fence)
+}
+
+// Cohort lists the names that adopt the target first: a share of all, at least one, another choice for each target.
+func (p *Plan) Cohort(names []string) []string {
+	all := slices.Clone(names)
+	rank := func(name string) uint64 { return xxhash.Sum64String(fmt.Sprintf("%d/%s", p.Target, name)) }
+	slices.SortFunc(all, func(a, b string) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b)) })
+	return all[:min(len(all), max(1, len(all)*p.Share/Whole))]
+}
+
+// May tells whether a name that acts on a version may have a lease.
+func (p *Plan) May(name string, acts uint64) bool {
+	return acts >= p.Fence && !slices.Contains(p.Barred, name)
+}
+
+// Valid refuses a plan that nobody can have written.
+func (p *Plan) Valid() error {
+	met := map[uint64]bool{}
+	for _, v := range p.Versions {
+		if v.Number == 0 || v.Number > p.Last || met[v.Number] || v.Size > MostText {
+			return errors.New("a plan that makes no sense")
+		}
+		met[v.Number] = true
+	}
+	if p.Target > p.Last || p.Fence > p.Target || p.Base > p.Last || p.Share < 0 || p.Share > Whole || p.Target > 0 && !met[p.Target] {
+		return errors.New("a plan that makes no sense")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,223 @@
+package rollout
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var id uint64
+
+func order(k Kind, o Order) *Order {
+	id++
+	o.Kind, o.ID, o.Who = k, id, "me"
+	return &o
+}
+
+func applied(t *testing.T, p *Plan, all ...*Order) *Plan {
+	t.Helper()
+	for _, o := range all {
+		next, err := p.Apply(o)
+		if err != nil {
+			t.Fatalf("%v: %v", o.Kind, err)
+		}
+		p = next
+	}
+	return p
+}
+
+func text(s string, share int) Order {
+	return Order{Text: []byte(s), Share: share, GraceMs: 1000, SettleMs: 500}
+}
+
+func names(n int) (out []string) {
+	for i := range n {
+		out = append(out, fmt.Sprintf("n%d", i+1))
+	}
+	return out
+}
+
+// Orders give numbers once; who is outside the share stays; going back is a new number with old bytes.
+func TestOrders(t *testing.T) {
+	all := names(10)
+	first := order(RollOut, text("one", Whole))
+	p := applied(t, &Plan{}, first, order(RollOut, text("two", 200)))
+	if n := p.Cohort(all); len(n) != 2 || p.Wanted(n[0], all) != 2 || p.Base != 1 {
+		t.Fatalf("%v %+v", n, p)
+	}
+	adopt := 0
+	for _, n := range all {
+		if p.Wanted(n, all) == 2 {
+			adopt++
+		}
+	}
+	if adopt != 2 {
+		t.Error(adopt)
+	}
+	if _, err := p.Apply(first); !errors.Is(err, ErrDone) {
+		t.Error(err)
+	}
+	held := applied(t, p, order(Hold, Order{Why: "wait"}))
+	for name, o := range map[string]*Order{
+		"widened while held": order(Widen, Order{Number: 2}), "fenced while held": order(Fence, Order{Number: 2}), "held twice": order(Hold, Order{}),
+		"of another target": order(Hold, Order{Number: 1}), "back to nothing": order(Back, Order{Number: 7}), "readmitted": order(Readmit, Order{Name: "x"}),
+		"nobody": {Kind: Hold, ID: 1e6}, "no id": {Kind: Hold, Who: "me"}, "unknown": order(99, Order{}), "no text": order(RollOut, Order{Share: 1}),
+		"no share": order(RollOut, text("x", 0)), "fenced before it is whole": order(Fence, Order{Number: 2}),
+	} {
+		if next, err := held.Apply(o); err == nil || next != held {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	back := applied(t, held, order(Back, Order{Number: 1}))
+	v, _ := back.Find(3)
+	if back.Target != 3 || v.Back != 1 || v.Digest != DigestOf([]byte("one")) || back.Share != Whole || back.Held != "" {
+		t.Errorf("%+v", back)
+	}
+	fenced := applied(t, back, order(Fence, Order{Number: 3}), order(BarName, Order{Name: "n4"}))
+	if fenced.May("n1", 2) || !fenced.May("n1", 3) || fenced.May("n4", 3) {
+		t.Errorf("%+v", fenced)
+	}
+	if open := applied(t, fenced, order(Readmit, Order{Name: "n4"})); !open.May("n4", 3) || open.Valid() != nil {
+		t.Errorf("%+v", open)
+	}
+	for i := range 30 {
+		fenced = applied(t, fenced, order(RollOut, text(fmt.Sprint(i), 100)))
+	}
+	if len(fenced.Versions) != keptVersions || fenced.Wanted("nobody", all) != 3 || fenced.Valid() != nil {
+		t.Errorf("%+v", fenced)
+	}
+	if (&Plan{Last: 1, Target: 2}).Valid() == nil || (&Plan{Target: 1, Last: 1}).Valid() == nil {
+		t.Error("taken")
+	}
+}
+
+// heard has all names act on a version, with some exceptions.
+func heard(now time.Time, all []string, acts uint64, but map[string]Report) map[string]Heard {
+	out := map[string]Heard{}
+	for _, n := range all {
+		out[n] = Heard{Report{Acts: acts}, now}
+	}
+	for n, r := range but {
+		out[n] = Heard{r, now}
+	}
+	return out
+}
+
+// A leader widens what has settled, sets the fence after the grace, and stops by itself.
+func TestDriver(t *testing.T) {
+	all := names(9)
+	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
+	base := applied(t, &Plan{}, order(RollOut, text("one", Whole)))
+	canary := applied(t, base, order(RollOut, text("two", 300)))
+	cohort := canary.Cohort(all)
+	onTwo := map[string]Report{}
+	for _, n := range cohort {
+		onTwo[n] = Report{Acts: 2}
+	}
+	whole := applied(t, canary, order(Widen, Order{Number: 2}))
+	refuse := func(n int) map[string]Report {
+		out := map[string]Report{}
+		for _, name := range all[:n] {
+			out[name] = Report{Acts: 1, Refused: 2, Why: "Limits: odd"}
+		}
+		return out
+	}
+	falls := func(now uint64) map[string]Report {
+		return map[string]Report{all[0]: {Acts: 2, Now: Service{Ended: 100, Served: now}, Before: Service{Ended: 100, Served: 95}}}
+	}
+	guard := Guard{MostOut: 340} // 3 of 9
+	for name, c := range map[string]struct {
+		plan  *Plan
+		heard func(ms int) map[string]Heard
+		want  Kind // 0: none within 5 s
+		ms    int  // no sooner
+	}{
+		"not adopted yet": {canary, func(ms int) map[string]Heard { return heard(at(ms), all, 1, nil) }, 0, 0},
+		"settled":         {canary, func(ms int) map[string]Heard { return heard(at(ms), all, 1, onTwo) }, Widen, 500},
+		"all act on it":   {whole, func(ms int) map[string]Heard { return heard(at(ms), all, 2, nil) }, Fence, 0},
+		"three behind": {whole, func(ms int) map[string]Heard {
+			return heard(at(ms), all, 2, map[string]Report{"n1": {Acts: 1}, "n2": {Acts: 1}, "n3": {Acts: 1}})
+		}, Fence, 1000},
+		"four behind": {whole, func(ms int) map[string]Heard {
+			return heard(at(ms), all, 2, map[string]Report{"n1": {Acts: 1}, "n2": {Acts: 1}, "n3": {Acts: 1}, "n4": {Acts: 1}})
+		}, 0, 0},
+		"all behind":      {whole, func(ms int) map[string]Heard { return heard(at(ms), all, 1, nil) }, 0, 0},
+		"nobody is heard": {whole, func(int) map[string]Heard { return nil }, 0, 0},
+		"four barred": {func() *Plan {
+			p := *whole
+			p.Barred = all[:4]
+			return &p
+		}(), func(ms int) map[string]Heard { return heard(at(ms), all, 2, nil) }, 0, 0},
+		"three refuse":         {whole, func(ms int) map[string]Heard { return heard(at(ms), all, 2, refuse(3)) }, Fence, 1000},
+		"four refuse":          {whole, func(ms int) map[string]Heard { return heard(at(ms), all, 2, refuse(4)) }, Hold, 0},
+		"the whole share does": {applied(t, base, order(RollOut, text("three", 1))), func(ms int) map[string]Heard { return heard(at(ms), all, 1, refuse(9)) }, Hold, 0},
+		"service falls":        {canary, func(ms int) map[string]Heard { return heard(at(ms), all, 1, falls(80)) }, Hold, 0},
+		"it hardly falls":      {whole, func(ms int) map[string]Heard { return heard(at(ms), all, 2, falls(90)) }, Fence, 0},
+		"held":                 {applied(t, whole, order(Hold, Order{})), func(ms int) map[string]Heard { return heard(at(ms), all, 2, nil) }, 0, 0},
+	} {
+		d := &Driver{Guard: guard, Name: "n1"}
+		var o *Order
+		ms := 0
+		for ; ms <= 5000 && o == nil; ms += 10 {
+			o = d.Step(at(ms), c.plan, all, c.heard(ms))
+		}
+		switch {
+		case o == nil && c.want != 0, o != nil && (o.Kind != c.want || ms-10 < c.ms):
+			t.Errorf("%s: %+v after %d ms", name, o, ms-10)
+		case o != nil:
+			if next, err := c.plan.Apply(o); err != nil || next == c.plan {
+				t.Errorf("%s: %v", name, err)
+			}
+			if again := d.Step(at(ms), c.plan, all, c.heard(ms)); again != nil {
+				t.Errorf("%s: ordered again at once", name)
+			}
+		}
+	}
+	d := &Driver{Guard: guard}
+	if err := d.MayBar("n1", whole, all, heard(at(0), all, 2, nil), at(0)); err != nil {
+		t.Error(err)
+	}
+	if err := d.MayBar("n1", whole, all, heard(at(0), all[3:], 2, nil), at(0)); err != nil {
+		t.Error(err) // n1 is one of the three that nobody can tell about
+	}
+	if err := d.MayBar("n9", whole, all, heard(at(0), all[3:], 2, nil), at(0)); err == nil {
+		t.Error("a fourth may be shut out")
+	}
+}
+
+// Whatever orders come in whatever order, numbers only grow, the fence never passes the target, and each name has a version to act on.
+func TestPlansStayWhole(t *testing.T) {
+	all := names(7)
+	rapid.Check(t, func(r *rapid.T) {
+		p := &Plan{}
+		for range rapid.IntRange(1, 40).Draw(r, "orders") {
+			o := order(rapid.SampledFrom([]Kind{RollOut, Hold, Back, BarName, Readmit, Widen, Fence}).Draw(r, "kind"), Order{
+				Number: rapid.Uint64Range(0, 12).Draw(r, "number"), Name: rapid.SampledFrom(all).Draw(r, "name"),
+			})
+			if o.Kind == RollOut {
+				o.Text, o.Share = []byte{byte(o.ID)}, rapid.IntRange(1, Whole).Draw(r, "share")
+			}
+			next, err := p.Apply(o)
+			if err != nil && next != p {
+				t.Fatal("an order with an error changed the plan")
+			}
+			if next.Valid() != nil || next.Fence < p.Fence || next.Last < p.Last || next.Target < p.Target || len(next.Done) > keptOrders {
+				t.Fatalf("%+v after %+v by %+v", next, p, o)
+			}
+			for _, n := range all {
+				w := next.Wanted(n, all)
+				if _, kept := next.Find(w); w > 0 && !kept || w < next.Fence {
+					t.Fatalf("%s wants %d of %+v", n, w, next)
+				}
+			}
+			if slices.Contains(next.Barred, "") {
+				t.Fatal("a barred nobody")
+			}
+			p = next
+		}
+	})
+}
