--- a/cmd/damsonscale-fleet/main.go
+++ b/cmd/damsonscale-fleet/main.go
@@ -3,16 +3,21 @@
 package main
 
 import (
+	"os"
 	"time"
 
 	"damsonscale/internal/app"
 	"damsonscale/internal/fleet"
 	"damsonscale/internal/frontend"
+	"damsonscale/internal/operator"
 	"damsonscale/internal/options"
 )
 
 func main() {
-	app.Main(func(o *options.Options, name string, longest time.Duration, front *frontend.Frontend) (app.Membership, error) {
-		return fleet.New(o, name, longest, front)
+	if len(os.Args) > 1 && os.Args[1] == app.Fleet {
+		os.Exit(operator.Main(os.Args[2:], os.Stdout, os.Stderr))
+	}
+	app.Main(func(o *options.Options, name string, longest time.Duration, front *frontend.Frontend, tuning *app.Tuning) (app.Membership, error) {
+		return fleet.New(o, name, longest, front, tuning)
 	})
 }
--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -27,11 +27,12 @@
 	Binary string `help:"The program." default:"bin/damsonscale" type:"existingfile"`
 	Dir    string `help:"For configurations, state and logs; a fresh one under the temporary directory if not given." type:"path"`
 
-	Lost   lostCmd   `cmd:"" help:"Two processes killed outright and one stopped: what becomes of work in hand."`
-	Replay replayCmd `cmd:"" help:"Play a timeline from a file."`
-	Draw   drawCmd   `cmd:"" help:"Draw a timeline from a seed and write it."`
-	Search searchCmd `cmd:"" help:"Play drawn timelines, and keep those that break a rule."`
-	Shrink shrinkCmd `cmd:"" help:"Look for a smaller timeline that still breaks a rule."`
+	Lost     lostCmd     `cmd:"" help:"Two processes killed outright and one stopped: what becomes of work in hand."`
+	Rollouts rolloutsCmd `cmd:"" help:"Two versions one after the other, with a member that is stopped or cut off, or with none."`
+	Replay   replayCmd   `cmd:"" help:"Play a timeline from a file."`
+	Draw     drawCmd     `cmd:"" help:"Draw a timeline from a seed and write it."`
+	Search   searchCmd   `cmd:"" help:"Play drawn timelines, and keep those that break a rule."`
+	Shrink   shrinkCmd   `cmd:"" help:"Look for a smaller timeline that still breaks a rule."`
 
 	Explore exploreCmd `cmd:"" help:"Look for orders of events that break a promise of custody, without processes."`
 }
@@ -43,10 +44,15 @@
 	LengthMs  int64  `help:"Of a timeline, ms." default:"10000"`
 	PerSecond int    `help:"Requests." default:"100"`
 	Fleet     bool   `help:"The processes take work over from each other." default:"true" negatable:""`
+	Audit     bool   `help:"They keep account, and operators roll versions out."`
 }
 
 func (s *shape) draw(seed uint64) *rig.Timeline {
-	return rig.Draw(seed, s.Processes, s.LengthMs, s.PerSecond, s.Fleet)
+	t := rig.Draw(seed, s.Processes, s.LengthMs, s.PerSecond, s.Fleet)
+	if s.Audit {
+		t = rig.Audited(t)
+	}
+	return t
 }
 
 type lostCmd struct {
@@ -56,6 +62,13 @@
 
 func (c *lostCmd) Run(p *player) error { return p.one(rig.Lost(c.Seed, c.Fleet), p.dir) }
 
+type rolloutsCmd struct {
+	Seed uint64 `help:"Of the requests and the servers' times." default:"1"`
+	With string `help:"What is broken: none, stopped, cut." enum:"none,stopped,cut" default:"none"`
+}
+
+func (c *rolloutsCmd) Run(p *player) error { return p.one(rig.Rollouts(c.Seed, c.With), p.dir) }
+
 type replayCmd struct {
 	File  string `arg:"" type:"existingfile"`
 	Times int    `help:"How often." default:"1"`
@@ -217,6 +230,12 @@
 	for _, b := range r.Breaks {
 		fmt.Println(b)
 	}
+	for _, s := range r.Steps {
+		fmt.Println("step:", s)
+	}
+	if r.Waits != "" {
+		fmt.Println("waits:", r.Waits)
+	}
 	fmt.Println(r.Line())
 	if !r.Kept() {
 		return errBroken
--- a/internal/acts/acts.go
+++ b/internal/acts/acts.go
@@ -31,10 +31,11 @@
 	Served                   // answered with a server's answer
 	Refused                  // answered: a new try is harmless
 	Failed                   // answered otherwise
+	Turned                   // answered as Refused, since this member had no leave to act
 	Kinds    = iota
 )
 
-var kindNames = [Kinds + 1]string{"", "took", "took_over", "sent", "unsent", "served", "refused", "failed"}
+var kindNames = [Kinds + 1]string{"", "took", "took_over", "sent", "unsent", "served", "refused", "failed", "turned_away"}
 
 // String names the kind as logs and tables do.
 func (k Kind) String() string {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -10,12 +10,12 @@
 	"os/signal"
 	"path/filepath"
 	"runtime"
-	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"damsonscale/decide"
+	"damsonscale/internal/acts"
 	"damsonscale/internal/admin"
 	"damsonscale/internal/config"
 	"damsonscale/internal/frontend"
@@ -42,16 +42,21 @@
 // Membership is a sidecar's part in a fleet.
 type Membership interface {
 	frontend.Keeper
+	Ledger() acts.Ledger           // the account to keep; nil: none
+	Digest(text []byte) uint64     // of settings, for the account
 	Run(ctx context.Context) error // returns once it listens
 	Leave()                        // ends the membership, once the work is done
 }
 
 // Join makes a membership. longest is the longest deadline of a class.
-type Join func(o *options.Options, name string, longest time.Duration, front *frontend.Frontend) (Membership, error)
+type Join func(o *options.Options, name string, longest time.Duration, front *frontend.Frontend, tuning *Tuning) (Membership, error)
 
 // Main runs the program until SIGTERM. Where join is nil and the options want a fleet, fleetProgram takes this process over.
 func Main(join Join) {
 	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	if join == nil && len(os.Args) > 1 && os.Args[1] == Fleet {
+		log.Fatal(become(fleetProgram))
+	}
 	if err := run(join); err != nil {
 		log.Fatalf("event=exit err=%q", err)
 	}
@@ -100,24 +105,35 @@
 		memory: heap,
 	}
 	up.share.set()
-	go side.Run(context.Background())
 	var most atomic.Int64 // the longest deadline of any settings so far
 	most.Store(longest(conf.Settings.Classes))
+	tuning := newTuning(conf, side, front, &most)
 	var members Membership
 	if together {
-		if members, err = join(opts, conf.Name, time.Duration(most.Load())*time.Microsecond, front); err != nil {
+		if members, err = join(opts, conf.Name, time.Duration(most.Load())*time.Microsecond, front, tuning); err != nil {
 			return err
 		}
+		if ledger := members.Ledger(); ledger != nil {
+			tuning.sum = members.Digest
+			conf.Digest = tuning.digest(conf)
+			side.Audit(ledger)
+			front.Audit(ledger)
+		}
 		if err := members.Run(context.Background()); err != nil {
 			return err
 		}
 		front.Join(members)
 	}
+	go side.Run(context.Background())
 	if err := up.begin(term); err != nil {
 		return err
 	}
 	go front.Tend(term)
-	go reload(hup, conf, side, front, &most)
+	go func() { // also while draining
+		for range hup {
+			tuning.reload()
+		}
+	}()
 	log.Printf("event=start name=%s listen=%s discovery=%s", conf.Name, conf.Listen, conf.Discovery)
 	select {
 	case err := <-failed:
@@ -135,6 +151,9 @@
 	return nil
 }
 
+// Fleet is the argument by which the program speaks with a fleet instead of serving.
+const Fleet = "fleet"
+
 // become has a program that stands beside this one take this process over, with its environment and number.
 func become(name string) error {
 	here, err := os.Executable()
@@ -143,32 +162,11 @@
 	}
 	path := filepath.Join(filepath.Dir(here), name)
 	if err := syscall.Exec(path, append([]string{path}, os.Args[1:]...), os.Environ()); err != nil {
-		return fmt.Errorf("the options want a fleet: %s: %w", path, err)
+		return fmt.Errorf("a fleet needs %s: %w", path, err)
 	}
 	return nil
 }
 
-// reload reads the configuration again at each SIGHUP, also while draining. A faulty file changes nothing.
-func reload(hup <-chan os.Signal, conf *config.Config, side *sidecar.Sidecar, front *frontend.Frontend, most *atomic.Int64) {
-	for version := 2; ; {
-		<-hup
-		next, restart, err := conf.Reload(os.Getenv)
-		if err != nil {
-			log.Printf("event=reload_failed err=%q", err)
-			continue
-		}
-		retuned := next.Retuned(conf)
-		if retuned {
-			most.Store(max(most.Load(), longest(next.Settings.Classes)))
-			side.Retune(next, front.Retune)
-		}
-		side.Discover(next.Discovery)
-		log.Printf("event=reload version=%d retuned=%t discovery=%s was=%s needs_restart=%q", version, retuned,
-			next.Discovery, conf.Discovery, strings.Join(restart, ","))
-		conf, version = next, version+1
-	}
-}
-
 // drainFor is how long SIGTERM's drain may last, where the longest deadline is so many µs.
 func drainFor(longest int64) time.Duration {
 	return min(time.Duration(longest)*time.Microsecond, drainMost) + drainMore
--- /dev/null
+++ b/internal/app/tuning.go
@@ -0,0 +1,110 @@
+package app
+
+import (
+	"fmt"
+	"log"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"damsonscale/internal/config"
+	"damsonscale/internal/frontend"
+	"damsonscale/internal/sidecar"
+)
+
+// Tuning owns the configuration in force: its file's, or with the settings of a fleet's version.
+type Tuning struct {
+	side  *sidecar.Sidecar
+	front *frontend.Frontend
+	most  *atomic.Int64            // the longest deadline of any settings so far
+	sum   func(text []byte) uint64 // nil: no account is kept
+	env   func(string) string
+
+	mu      sync.Mutex
+	conf    *config.Config
+	version int    // of the file, counted from this start
+	number  uint64 // given by the fleet; 0: the file's own settings are in force
+	text    []byte // of that version
+}
+
+// reload reads the file again. A faulty file changes nothing. Once a fleet's settings are in force those of the file are checked
+// and not taken.
+func (t *Tuning) reload() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next, restart, err := t.conf.Reload(t.env)
+	if err != nil {
+		log.Printf("event=reload_failed err=%q", err)
+		return
+	}
+	of := "file"
+	if t.number > 0 {
+		if next, err = next.Adopt(t.text, t.env); err != nil {
+			log.Printf("event=reload_failed err=%q", fmt.Errorf("with the fleet's settings %d: %w", t.number, err))
+			return
+		}
+		of = fmt.Sprintf("fleet number=%d", t.number)
+	}
+	retuned := t.take(next, t.number, t.digest(next))
+	t.side.Discover(next.Discovery)
+	t.version++
+	log.Printf("event=reload version=%d retuned=%t discovery=%s was=%s needs_restart=%q settings=%s", t.version, retuned,
+		next.Discovery, t.conf.Discovery, strings.Join(restart, ","), of)
+	t.conf = next
+}
+
+// digest is that of the bytes that settings come from.
+func (t *Tuning) digest(c *config.Config) uint64 {
+	switch {
+	case t.sum == nil:
+		return 0
+	case t.number > 0:
+		return t.sum(t.text)
+	}
+	return t.sum(c.Text())
+}
+
+// take puts a configuration in force, in one step. The caller holds mu.
+func (t *Tuning) take(next *config.Config, number, digest uint64) (retuned bool) {
+	next.Number, next.Digest = number, digest
+	retuned = next.Retuned(t.conf)
+	if retuned || next.Number != t.conf.Number || next.Digest != t.conf.Digest {
+		t.most.Store(max(t.most.Load(), longest(next.Settings.Classes)))
+		t.side.Retune(next, t.front.Retune)
+	}
+	return retuned
+}
+
+// Adopt puts the settings of a fleet's version in force, or returns why that can't be; then nothing has changed.
+func (t *Tuning) Adopt(number uint64, text []byte) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	next, err := t.conf.Adopt(text, t.env)
+	if err != nil {
+		return err
+	}
+	t.number, t.text = number, text
+	retuned := t.take(next, number, t.digest(next))
+	log.Printf("event=adopted number=%d retuned=%t", number, retuned)
+	t.conf = next
+	return nil
+}
+
+// Check tells what Adopt would say.
+func (t *Tuning) Check(text []byte) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, err := t.conf.Adopt(text, t.env)
+	return err
+}
+
+// Rest closes what is idle: this process may not act.
+func (t *Tuning) Rest() {
+	t.front.Rest()
+	t.side.Rest()
+}
+
+func newTuning(conf *config.Config, side *sidecar.Sidecar, front *frontend.Frontend, most *atomic.Int64) *Tuning {
+	return &Tuning{side: side, front: front, most: most, env: os.Getenv, conf: conf, version: 1}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -45,6 +45,8 @@
 	Settings  decide.Settings
 	Transport Transport
 	Watch     *Watch // nil: off
+	Number    uint64 // of the settings, where a fleet gave them
+	Digest    uint64 // of the bytes that they come from, where an account is kept
 
 	listedAt string // discovery as the file itself has it
 	text     []byte // the file
--- a/internal/config/reload_test.go
+++ b/internal/config/reload_test.go
@@ -118,3 +118,52 @@
 		}
 	}
 }
+
+// A fleet's settings come in whole or not at all; what is each sidecar's own stays.
+func TestAdopt(t *testing.T) {
+	var file map[string]any
+	if err := json.Unmarshal([]byte(adoptable), &file); err != nil {
+		t.Fatal(err)
+	}
+	with := func(change func(settings map[string]any)) []byte {
+		var copied map[string]any
+		json.Unmarshal([]byte(adoptable), &copied)
+		set := copied["settings"].(map[string]any)
+		change(set)
+		text, _ := json.Marshal(map[string]any{"settings": set})
+		return text
+	}
+	none := func(string) string { return "" }
+	c, err := Parse([]byte(adoptable), none)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next, err := c.Adopt(with(func(s map[string]any) {
+		s["Me"], s["Zone"], s["Odd"], s["TickUs"] = 7, "z", 2, 6000
+	}), none)
+	if err != nil || next.Settings.Me != 1 || next.Settings.Zone != "a" || next.Settings.Limits.Tick != 6000 || next.Name != "p" || string(next.Text()) != adoptable {
+		t.Fatalf("%v %+v", err, next)
+	}
+	if whole, err := c.Adopt([]byte(strings.Replace(adoptable, `"p"`, `"another"`, 1)), none); err != nil || whole.Name != "p" || whole.Retuned(c) {
+		t.Error(err)
+	}
+	for want, text := range map[string][]byte{
+		"settings.Sideways: unknown key":        with(func(s map[string]any) { s["Sideways"] = 1 }),
+		"settings.Limits.Sideways: unknown key": with(func(s map[string]any) { s["Limits"].(map[string]any)["Sideways"] = 1 }),
+		"settings.Services[0].Odd: unknown key": with(func(s map[string]any) { s["Services"].([]any)[0].(map[string]any)["Odd"] = 1 }),
+		"settings.TickUs is missing":            with(func(s map[string]any) { delete(s, "TickUs") }),
+		"unknown semantics":                     with(func(s map[string]any) { s["Services"].([]any)[0].(map[string]any)["Semantics"] = "so" }),
+		"colour: unknown key":                   []byte(`{"colour": 1, "settings": {}}`),
+		"settings: expected an object":          []byte(`{}`),
+		"config: ":                              []byte(`{`),
+	} {
+		if _, err := c.Adopt(text, none); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+}
+
+const adoptable = `{"name": "p", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": {"Balancers": 2, "Me": 1, "Zone": "a", "Odd": 1,
+ "RegistryMode": "on_request", "TickUs": 5000, "Services": [{"Name": "look", "Semantics": "idempotent", "AimUs": 1000, "DeadlineUs": 2000, "LateShare": 0.3, "Worth": 1}],
+ "Limits": {"MaxAttempts": 3, "ConnIdleUs": 1000000, "DialTimeoutUs": 250000}, "ScoringMix": {"Whole": 1},
+ "Guarantees": {"AnswerSlackUs": 20000, "AskEveryUs": 10000000, "StopSendingWithinUs": 2000000, "ColdFrom": 0.3, "ColdUs": 8000000, "OverloadFactor": 3, "FallUs": 3000000}}}`
--- /dev/null
+++ b/internal/fleet/desk.go
@@ -0,0 +1,284 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"slices"
+	"time"
+
+	"damsonscale/internal/audit"
+	"damsonscale/internal/custody"
+	"damsonscale/internal/frame"
+	"damsonscale/internal/rollout"
+)
+
+const (
+	deskMost    = 8 // operators at a time
+	deskWait    = 5 * time.Second
+	deskPart    = 1 << 20 // bytes of segments in a frame
+	deskStall   = 10 * time.Second
+	orderStarts = 64 << 10
+)
+
+// What an operator may ask for.
+const (
+	AskStanding = "status"
+	AskOrder    = "order"
+	AskSegments = "segments"
+)
+
+// Ask is one of an operator's. A connection carries one.
+type Ask struct {
+	_      struct{} `cbor:",toarray"`
+	Fleet  uint64
+	Do     string
+	Order  *rollout.Order
+	Member string // with AskSegments: of that name alone
+}
+
+// Reply answers it, with segments in several frames.
+type Reply struct {
+	_          struct{} `cbor:",toarray"`
+	Err        string
+	NotLeading bool // with an Err: Leader can do it, if it is known
+	Unknown    bool // with an Err: it may be agreed all the same
+	Leader     string
+	Standing   *Standing
+	Segments   []audit.Sealed
+	More       bool
+}
+
+// Told is a member's last report, as the leader has it.
+type Told struct {
+	_      struct{} `cbor:",toarray"`
+	Report rollout.Report
+	AgeMs  int64
+}
+
+// Standing is what a member knows of the fleet.
+type Standing struct {
+	_       struct{} `cbor:",toarray"`
+	Name    string   // whose word it is
+	Me      custody.Member
+	Leads   bool
+	Leader  string
+	Epoch   uint64
+	Plan    rollout.Plan
+	Names   []string
+	Living  []custody.Member
+	Reports map[string]Told // of a leader alone
+	Waits   string
+}
+
+// desk answers one operator.
+func (f *Fleet) desk(conn net.Conn, payload []byte) {
+	var a Ask
+	reply := Reply{}
+	switch err := f.coder.in.Unmarshal(payload, &a); {
+	case err != nil:
+		reply.Err = fmt.Sprintf("not readable: %v", err)
+	case a.Fleet != f.wire.id:
+		reply.Err = "this member is of another fleet: its members have other names"
+	case f.ledger == nil:
+		reply.Err = "this member keeps no account: audit.enabled is false in its options"
+	default:
+		reply = f.answer(conn, &a)
+	}
+	f.reply(conn, &reply)
+}
+
+func (f *Fleet) reply(conn net.Conn, r *Reply) error {
+	text, err := f.coder.out.Marshal(r)
+	if err != nil {
+		return err
+	}
+	out, err := frame.Append(nil, kindDesk, text)
+	if err != nil {
+		return err
+	}
+	conn.SetWriteDeadline(time.Now().Add(deskStall))
+	_, err = conn.Write(out)
+	return err
+}
+
+func (f *Fleet) answer(conn net.Conn, a *Ask) Reply {
+	ctx, cancel := context.WithTimeout(f.ctx, deskWait)
+	defer cancel()
+	switch a.Do {
+	case AskStanding:
+		return Reply{Standing: f.standing(ctx)}
+	case AskSegments:
+		return f.segments(ctx, conn, a.Member)
+	case AskOrder:
+		if a.Order == nil || a.Order.Kind == rollout.Widen || a.Order.Kind == rollout.Fence {
+			return Reply{Err: "no order of an operator's"}
+		}
+		if err := f.ordered(ctx, a.Order); errors.Is(err, errNoLead) {
+			return Reply{Err: err.Error(), NotLeading: true, Leader: f.leads()}
+		} else if errors.Is(err, errNoLeader) || errors.Is(err, errLate) {
+			return Reply{Err: err.Error(), Unknown: true}
+		} else if err != nil {
+			return Reply{Err: err.Error()}
+		}
+		return Reply{Standing: f.standing(ctx)}
+	}
+	return Reply{Err: fmt.Sprintf("%q is nothing that can be asked", a.Do)}
+}
+
+func (f *Fleet) leads() string {
+	if l := f.leader.Load(); l != nil {
+		return *l
+	}
+	return ""
+}
+
+// ordered has an order agreed. The member that it enters by checks a version before anybody else sees it.
+func (f *Fleet) ordered(ctx context.Context, o *rollout.Order) error {
+	if err := o.Check(); err != nil {
+		return err
+	}
+	e := f.epochs.Load()
+	if e == nil {
+		return errNoLead
+	}
+	if o.Kind == rollout.RollOut {
+		if err := f.tuner.Check(o.Text); err != nil {
+			return err
+		}
+	}
+	if o.Name != "" && !slices.Contains(f.names, o.Name) {
+		return fmt.Errorf("%q is no member of this fleet", o.Name)
+	}
+	back := make(chan error, 1)
+	select {
+	case e.box <- func() { e.order(o, func(err error) { back <- err }) }:
+	case <-ctx.Done():
+		return errBusy
+	}
+	select {
+	case err := <-back:
+		return err
+	case <-ctx.Done():
+		return errLate
+	}
+}
+
+// standing tells what this member knows, and what all reported if it leads.
+func (f *Fleet) standing(ctx context.Context) *Standing {
+	r := f.roster.Load()
+	s := &Standing{Name: f.name, Me: *f.me.Load(), Leader: f.leads(), Epoch: r.Epoch, Plan: r.Plan, Names: f.names}
+	for _, one := range r.Seats {
+		s.Living = append(s.Living, one.Member)
+	}
+	e := f.epochs.Load()
+	if e == nil {
+		return s
+	}
+	type told struct {
+		heard map[string]rollout.Heard
+		waits string
+		leads bool
+	}
+	back := make(chan told, 1)
+	select {
+	case e.box <- func() {
+		h, w, l := e.standing()
+		back <- told{h, w, l}
+	}:
+	case <-ctx.Done():
+		return s
+	}
+	select {
+	case t := <-back:
+		s.Leads, s.Waits = t.leads, t.waits
+		if t.leads {
+			s.Leader, s.Reports = f.name, map[string]Told{}
+			for name, h := range t.heard {
+				s.Reports[name] = Told{Report: h.Report, AgeMs: time.Since(h.At).Milliseconds()}
+			}
+		}
+	case <-ctx.Done():
+	}
+	return s
+}
+
+// segments sends what this member holds, its own up to now first.
+func (f *Fleet) segments(ctx context.Context, conn net.Conn, name string) Reply {
+	back := make(chan []audit.Sealed, 1)
+	select {
+	case f.ledger.box <- func() {
+		f.ledger.add(f.book.Cut(time.Now().UnixMilli()))
+		back <- f.ledger.shelf.Held(name)
+	}:
+	case <-ctx.Done():
+		return Reply{Err: errBusy.Error()}
+	}
+	var all []audit.Sealed
+	select {
+	case all = <-back:
+	case <-ctx.Done():
+		return Reply{Err: errBusy.Error()}
+	}
+	part, bytes := []audit.Sealed(nil), 0
+	for _, z := range all {
+		if bytes += len(z.Text); bytes > deskPart && len(part) > 0 {
+			if err := f.reply(conn, &Reply{Segments: part, More: true}); err != nil {
+				return Reply{Err: err.Error()}
+			}
+			part, bytes = nil, len(z.Text)
+		}
+		part = append(part, z)
+	}
+	return Reply{Segments: part}
+}
+
+// Call asks a member as an operator does.
+func Call(ctx context.Context, addr string, names []string, a Ask) (*Reply, error) {
+	coder, err := newCoder()
+	if err != nil {
+		return nil, err
+	}
+	a.Fleet = fleetID(names)
+	text, err := coder.out.Marshal(a)
+	if err != nil {
+		return nil, err
+	}
+	out, err := frame.Append(make([]byte, 0, orderStarts), kindDesk, text)
+	if err != nil {
+		return nil, err
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	conn.SetDeadline(time.Now().Add(deskWait + deskStall))
+	if _, err := conn.Write(out); err != nil {
+		return nil, err
+	}
+	var whole Reply
+	for {
+		kind, payload, err := frame.Read(conn)
+		if err != nil {
+			return nil, err
+		}
+		var r Reply
+		if kind != kindDesk {
+			return nil, errKind
+		}
+		if err := coder.in.Unmarshal(payload, &r); err != nil {
+			return nil, err
+		}
+		r.Segments = append(whole.Segments, r.Segments...)
+		if whole = r; !r.More {
+			return &whole, nil
+		}
+	}
+}
+
+// ID tells fleets apart by their members' names.
+func ID(names []string) uint64 { return fleetID(names) }
--- a/internal/fleet/epochs.go
+++ b/internal/fleet/epochs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"log"
 	"slices"
@@ -13,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"damsonscale/internal/custody"
+	"damsonscale/internal/rollout"
 )
 
 const (
@@ -29,6 +31,7 @@
 	Member  custody.Member
 	Sent    int64
 	Address string // where it listens, if not where the options say
+	Report  rollout.Report
 }
 
 // granted answers it. Out: the member is out, and has to come back as another.
@@ -38,20 +41,34 @@
 	Sent   int64
 	Epoch  uint64
 	Out    bool
+	Shut   bool // it may not act by the plan of that epoch
+}
+
+// kept is what a snapshot of the log has.
+type kept struct {
+	_      struct{} `cbor:",toarray"`
+	Roster *roster
+	Texts  map[string][]byte // bytes of the versions, by digest
 }
 
 // epochs is the actor of the epoch log at one of those who vote.
 type epochs struct {
-	lease  time.Duration
-	every  time.Duration // between ticks
-	voters []string
-	store  *store
-	node   *raft.RawNode
-	conf   *raftpb.ConfState
-	box    chan func()
-	send   func(name string, kind byte, payload []byte)
-	told   func(*roster)
-	coder  *coder
+	lease   time.Duration
+	every   time.Duration // between ticks
+	voters  []string
+	store   *store
+	node    *raft.RawNode
+	conf    *raftpb.ConfState
+	box     chan func()
+	send    func(name string, kind byte, payload []byte)
+	told    func(*roster, map[string][]byte)
+	coder   *coder
+	names   []string
+	texts   map[string][]byte // of the plan's versions, by digest; one that was handed on is never changed
+	driver  rollout.Driver
+	heard   map[string]rollout.Heard // in this term
+	orders  map[uint64]func(error)   // that wait for their entry, by id
+	noFence bool                     // a fault on purpose
 
 	roster  *roster
 	applied uint64
@@ -100,7 +117,8 @@
 	}
 	e := &epochs{
 		lease: lease, every: max(lease/20, 5*time.Millisecond), voters: voters, store: s, box: make(chan func(), epochsBox),
-		roster: &roster{}, joining: map[custody.Member]time.Time{}, grants: grants{lease: lease},
+		roster: &roster{}, joining: map[custody.Member]time.Time{}, grants: grants{lease: lease}, texts: map[string][]byte{},
+		driver: rollout.Driver{Name: name}, heard: map[string]rollout.Heard{}, orders: map[uint64]func(error){},
 	}
 	e.grants.reset(time.Now())
 	if e.coder, err = newCoder(); err != nil {
@@ -132,11 +150,11 @@
 	if len(data) == 0 {
 		return nil
 	}
-	r := new(roster)
-	if err := e.coder.in.Unmarshal(data, r); err != nil {
-		return fmt.Errorf("snapshot: %w", err)
+	var k kept
+	if err := e.coder.in.Unmarshal(data, &k); err != nil || k.Roster == nil {
+		return fmt.Errorf("snapshot: %w", errors.Join(err, errRoster))
 	}
-	e.roster = r
+	e.roster, e.texts = k.Roster, k.Texts
 	return nil
 }
 
@@ -184,18 +202,23 @@
 		log.Printf("event=fleet_putting_out member=%s incarnation=%x", m.Name, m.Incarnation)
 		e.propose(&entry{Out: true, Member: m})
 	}
+	if o := e.driver.Step(now, &e.roster.Plan, e.names, e.roster.living(), e.heard); o != nil {
+		log.Printf("event=fleet_orders order=%v number=%d why=%q", o.Kind, o.Number, o.Why)
+		e.propose(&entry{Order: o})
+	}
 	e.confirm()
 }
 
-func (e *epochs) propose(one *entry) {
+func (e *epochs) propose(one *entry) error {
 	data, err := e.coder.out.Marshal(one)
 	if err == nil {
 		err = e.node.Propose(data)
 	}
-	if err != nil {
+	if err != nil && one.Order == nil {
 		delete(e.grants.outing, one.Member)
 		delete(e.joining, one.Member)
 	}
+	return err
 }
 
 // ready carries out what the library wants: disk first, then messages, then what is agreed.
@@ -209,6 +232,12 @@
 			if leads := rd.SoftState.RaftState == raft.StateLeader; leads != e.leads {
 				e.leads, e.waiting, e.asked = leads, nil, nil
 				e.joining = map[custody.Member]time.Time{}
+				e.heard = map[string]rollout.Heard{}
+				e.driver.Reset()
+				for id, reply := range e.orders {
+					delete(e.orders, id)
+					reply(errNoLeader)
+				}
 				e.grants.reset(time.Now())
 				if leads {
 					log.Printf("event=fleet_leads")
@@ -223,14 +252,14 @@
 				return err
 			}
 			e.applied = rd.Snapshot.GetMetadata().GetIndex()
-			e.told(e.roster)
+			e.told(e.roster, e.texts)
 		}
 		before := e.roster
 		for _, one := range rd.CommittedEntries {
 			e.apply(one)
 		}
 		if e.roster != before {
-			e.told(e.roster)
+			e.told(e.roster, e.texts)
 		}
 		for _, r := range rd.ReadStates {
 			if len(r.RequestCtx) == 8 && binary.BigEndian.Uint64(r.RequestCtx) == e.read && len(e.asked) > 0 {
@@ -253,8 +282,12 @@
 		log.Printf("event=fleet_entry_unreadable index=%d err=%q", one.GetIndex(), err) // of a newer build: it changes nothing here
 		return
 	}
+	if what.Order != nil {
+		e.ordered(what.Order, one.GetIndex() <= e.old)
+		return
+	}
 	delete(e.joining, what.Member)
-	if next := e.roster.apply(&what); next != e.roster {
+	if next := e.roster.apply(&what, e.names); next != e.roster {
 		e.roster = next
 		if one.GetIndex() <= e.old {
 			return
@@ -295,9 +328,12 @@
 	if !e.leads {
 		return
 	}
+	e.heard[a.Member.Name] = rollout.Heard{Report: a.Report, At: time.Now()}
 	switch {
 	case e.roster.gone(a.Member):
-		e.give(a, true)
+		e.give(a, granted{Out: true})
+	case !e.may(&a):
+		e.give(a, granted{Shut: true})
 	case !e.roster.lives(a.Member):
 		if now := time.Now(); now.Sub(e.joining[a.Member]) >= e.lease {
 			e.joining[a.Member] = now
@@ -328,17 +364,26 @@
 	e.asked, e.index = nil, 0
 	now := time.Now()
 	for _, a := range asked {
-		if e.roster.lives(a.Member) && e.grants.grant(now, a.Member) {
-			e.give(a, false)
-		} else if e.roster.gone(a.Member) {
-			e.give(a, true)
+		switch {
+		case e.roster.gone(a.Member):
+			e.give(a, granted{Out: true})
+		case !e.may(&a): // by the log as of a moment after the ask came: guards against a lease that begins below the fence
+			e.give(a, granted{Shut: true})
+		case e.roster.lives(a.Member) && e.grants.grant(now, a.Member):
+			e.give(a, granted{})
 		}
 	}
 	e.confirm()
 }
 
-func (e *epochs) give(a askLease, out bool) {
-	text, err := e.coder.out.Marshal(granted{Member: a.Member, Sent: a.Sent, Epoch: e.roster.Epoch, Out: out})
+// may tells whether the plan lets a member act.
+func (e *epochs) may(a *askLease) bool {
+	return e.noFence || e.roster.Plan.May(a.Member.Name, a.Report.Acts)
+}
+
+func (e *epochs) give(a askLease, g granted) {
+	g.Member, g.Sent, g.Epoch = a.Member, a.Sent, e.roster.Epoch
+	text, err := e.coder.out.Marshal(g)
 	if err == nil {
 		e.send(a.Member.Name, kindGrant, text)
 	}
@@ -358,7 +403,7 @@
 	if err != nil || e.applied < first+compactAfter {
 		return err
 	}
-	data, err := e.coder.out.Marshal(e.roster)
+	data, err := e.coder.out.Marshal(kept{Roster: e.roster, Texts: e.texts})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,6 +3,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"crypto/rand"
 	"encoding/binary"
@@ -10,12 +11,16 @@
 	"fmt"
 	"log"
 	"net"
+	"runtime/debug"
 	"slices"
 	"sync/atomic"
 	"time"
 
+	"damsonscale/internal/acts"
+	"damsonscale/internal/audit"
 	"damsonscale/internal/custody"
 	"damsonscale/internal/options"
+	"damsonscale/internal/rollout"
 )
 
 const (
@@ -32,6 +37,24 @@
 	Unheard(live any)
 }
 
+// Tuner puts versions of the settings in force.
+type Tuner interface {
+	Adopt(number uint64, text []byte) error // whole, or not at all
+	Check(text []byte) error                // tells what Adopt would say
+	Rest()                                  // closes what is idle
+}
+
+// protocol is the version of what members tell each other.
+const protocol = 1
+
+// plants are faults on purpose.
+type plants struct {
+	custody    custody.Plant
+	audit      audit.Plant
+	noFence    bool // leases are given below the fence
+	looseGuard bool // the guard lets one more be without a lease
+}
+
 // Fleet is this process's part in its fleet.
 type Fleet struct {
 	name    string
@@ -45,9 +68,15 @@
 	keeper  *keeper
 	voters  []string
 	start   time.Time
-	plant   custody.Plant
-	address string // told to the others where it is not the listed one
-	again   int64  // µs
+	plant   plants
+	build   string
+	tuner   Tuner
+	book    *audit.Book // nil, with ledger: no account is kept
+	ledger  *ledger
+	tuned   tuned       // of the member's own actor
+	shut    atomic.Bool // this member may not act by what it knows of the plan
+	address string      // told to the others where it is not the listed one
+	again   int64       // µs
 	wait    int64
 
 	ctx    context.Context
@@ -62,7 +91,7 @@
 
 // New makes a member. longest is the longest deadline of a class, which counts unless the options say another. Nothing is
 // listened to or sent before Run.
-func New(o *options.Options, name string, longest time.Duration, hooks Hooks) (*Fleet, error) {
+func New(o *options.Options, name string, longest time.Duration, hooks Hooks, tuner Tuner) (*Fleet, error) {
 	c, err := newCoder()
 	if err != nil {
 		return nil, err
@@ -71,7 +100,7 @@
 		longest = o.Takeover.Longest
 	}
 	f := &Fleet{
-		longest: longest, name: name, opts: o, listed: map[string]string{}, hooks: hooks, coder: c, start: time.Now(), box: make(chan func(), 1024),
+		longest: longest, name: name, opts: o, listed: map[string]string{}, hooks: hooks, tuner: tuner, coder: c, build: build(), start: time.Now(), box: make(chan func(), 1024),
 		again: max(o.Fleet.Lease.Microseconds()/20, 5000), plant: planted(),
 	}
 	f.wait = o.Fleet.Lease.Microseconds() / 2
@@ -85,13 +114,21 @@
 		return nil, err
 	}
 	f.wire = newWire(c, f.names)
-	f.wire.me, f.wire.take = func() custody.Member { return *f.me.Load() }, f.take
+	f.wire.me, f.wire.take, f.wire.desk = func() custody.Member { return *f.me.Load() }, f.take, f.desk
+	if o.Audit.Enabled {
+		if f.book, err = audit.NewBook(f.wire.id, *f.me.Load(), f.build, protocol, f.micros, f.plant.audit); err != nil {
+			return nil, err
+		}
+		if f.ledger, err = newLedger(f); err != nil {
+			return nil, err
+		}
+	}
 	f.wire.where = func(name string) string { return f.roster.Load().addressOf(name, f.listed[name]) }
 	f.keeper = &keeper{f: f, box: make(chan func(int64), keeperBox), flights: map[string]*flight{}}
 	f.keeper.node = custody.New(custody.Config{
 		Me: *f.me.Load(), Names: f.names, Holders: o.Takeover.Holders, Records: o.Takeover.Records, Bytes: o.Takeover.Bytes,
 		Keep: o.Takeover.KeepAnswers.Microseconds(), Longest: longest.Microseconds(), Wait: f.wait, Again: f.again, Slack: o.Fleet.Lease.Microseconds(),
-		Stagger: o.Fleet.Lease.Microseconds() / 2, Plant: f.plant,
+		Stagger: o.Fleet.Lease.Microseconds() / 2, Plant: f.plant.custody,
 	})
 	return f, nil
 }
@@ -106,7 +143,7 @@
 		old.end()
 	}
 	f.me.Store(&custody.Member{Name: f.name, Incarnation: binary.BigEndian.Uint64(b[:])})
-	f.lease.Store(&Lease{start: f.start, plant: f.plant, over: make(chan struct{})})
+	f.lease.Store(&Lease{start: f.start, plant: f.plant.custody, shut: &f.shut, over: make(chan struct{})})
 	return nil
 }
 
@@ -132,6 +169,9 @@
 	go f.wire.serve(ctx, ln)
 	go f.keeper.run(ctx)
 	go f.tend(ctx)
+	if f.ledger != nil {
+		go f.ledger.run(ctx)
+	}
 	if slices.Contains(f.voters, f.name) {
 		go f.vote(ctx)
 	}
@@ -163,8 +203,9 @@
 	for ctx.Err() == nil {
 		e, err := newEpochs(f.opts.Fleet.StateDir, f.name, f.voters, f.opts.Fleet.Lease)
 		if err == nil {
-			e.send = f.send
-			e.told = func(r *roster) { f.learn(r, true) }
+			e.send, e.names, e.noFence = f.send, f.names, f.plant.noFence
+			e.driver.Guard = rollout.Guard{MostOut: f.opts.Audit.MostOut, Loose: f.plant.looseGuard}
+			e.told = func(r *roster, texts map[string][]byte) { f.learn(r, texts, true) }
 			f.epochs.Store(e)
 			err = e.run(ctx)
 			f.epochs.Store(nil)
@@ -205,6 +246,7 @@
 			fn()
 		case <-next.C:
 			f.ask()
+			f.follow()
 			if f.lease.Load().Valid() {
 				next.Reset(every)
 			} else {
@@ -220,7 +262,7 @@
 		return
 	}
 	me, sent := *f.me.Load(), time.Since(f.start)
-	text, err := f.coder.out.Marshal(askLease{Member: me, Sent: int64(sent), Address: f.address})
+	text, err := f.coder.out.Marshal(askLease{Member: me, Sent: int64(sent), Address: f.address, Report: f.report()})
 	if err != nil {
 		return
 	}
@@ -245,15 +287,18 @@
 		return
 	}
 	f.leader.Store(&from)
+	if g.Epoch > f.roster.Load().Epoch {
+		f.send(from, kindViewAsk, nil)
+	}
+	if g.Shut {
+		return
+	}
 	lease := f.lease.Load()
 	was := lease.until.Load() > 0
 	lease.extend(g.Sent, f.opts.Fleet.Lease)
 	if !was {
 		log.Printf("event=fleet_lease name=%s incarnation=%x leader=%s epoch=%d", me.Name, me.Incarnation, from, g.Epoch)
 	}
-	if g.Epoch > f.roster.Load().Epoch {
-		f.send(from, kindViewAsk, nil)
-	}
 }
 
 // putOut makes another member of this process: the one it was is out.
@@ -266,17 +311,24 @@
 	me := *f.me.Load()
 	log.Printf("event=fleet_out name=%s incarnation=%x now=%x", old.Name, old.Incarnation, me.Incarnation)
 	f.keeper.box <- func(int64) { f.keeper.node.Rejoin(me) }
+	if f.ledger != nil {
+		f.ledger.post(func() { f.ledger.next(me) })
+	}
 	f.ask()
 }
 
-// learn takes a newer roster in. Only what is agreed comes here.
-func (f *Fleet) learn(r *roster, tell bool) { f.post(func() { f.learned(r, tell) }) }
+// learn takes a newer roster in, with the bytes of versions as far as they came with it. Only what is agreed comes here.
+func (f *Fleet) learn(r *roster, texts map[string][]byte, tell bool) {
+	f.post(func() { f.learned(r, texts, tell) })
+}
 
-func (f *Fleet) learned(r *roster, tell bool) {
+func (f *Fleet) learned(r *roster, texts map[string][]byte, tell bool) {
 	if r.Epoch <= f.roster.Load().Epoch {
 		return
 	}
 	f.roster.Store(r)
+	f.keepTexts(texts)
+	f.follow()
 	v := r.view()
 	f.keeper.box <- func(now int64) { f.keeper.node.See(now, v) }
 	if me := *f.me.Load(); r.gone(me) && !f.ended.Load() {
@@ -345,9 +397,30 @@
 		r := new(roster)
 		if err = f.coder.in.Unmarshal(payload, r); err == nil {
 			if err = r.check(); err == nil {
-				f.learn(r, false)
+				f.learn(r, nil, false)
 			}
 		}
+	case kindWant:
+		f.post(func() { f.want(from, payload) })
+	case kindHave:
+		var h haveText
+		if err = f.coder.in.Unmarshal(payload, &h); err == nil {
+			f.post(func() { f.have(h.Text) })
+		}
+	case kindSegments:
+		var all []audit.Sealed
+		if err = f.coder.in.Unmarshal(payload, &all); err == nil && f.ledger != nil {
+			f.ledger.post(func() { f.ledger.hold(from, all) })
+		}
+	case kindTaken:
+		var all []takenOf
+		if err = f.coder.in.Unmarshal(payload, &all); err == nil && f.ledger != nil {
+			f.ledger.post(func() {
+				for _, one := range all {
+					f.ledger.pushing.Taken(from.Name, one.Of, one.Index)
+				}
+			})
+		}
 	case kindCustody:
 		var all []custody.Message
 		if err = f.coder.in.Unmarshal(payload, &all); err == nil {
@@ -436,6 +509,41 @@
 	return options.None
 }
 
+// Needed is the lease without which nothing at all is taken or sent; nil: none is.
+func (f *Fleet) Needed() custody.Lease {
+	if f.ledger == nil {
+		return nil
+	}
+	return f.lease.Load()
+}
+
+// Ledger is the account that this member keeps of itself; nil: none.
+func (f *Fleet) Ledger() acts.Ledger {
+	if f.book == nil {
+		return nil
+	}
+	return f.book
+}
+
+// Digest is that of settings, for the account.
+func (f *Fleet) Digest(text []byte) uint64 { return audit.Digest(text) }
+
+func digest64(d rollout.Digest) uint64 { return binary.BigEndian.Uint64(d[:8]) }
+
+// build names the program's build.
+func build() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(12, len(s.Value))]
+		}
+	}
+	return cmp.Or(info.Main.Version, "unknown")
+}
+
 // Longest is how long a request may be in custody.
 func (f *Fleet) Longest() time.Duration { return f.longest }
 
@@ -447,6 +555,14 @@
 	if err != nil {
 		return
 	}
+	if f.ledger != nil {
+		done := make(chan struct{})
+		f.ledger.post(func() { f.ledger.next(*f.me.Load()); close(done) })
+		select {
+		case <-done:
+		case <-time.After(leaveWait):
+		}
+	}
 	for _, v := range f.voters {
 		f.send(v, kindLeave, text)
 	}
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -37,7 +37,7 @@
 		{entry{Out: true, Member: member("b", 1)}, 3, false},
 	} {
 		old := *r
-		next := r.apply(&c.e)
+		next := r.apply(&c.e, nil)
 		if next.Epoch != c.epoch || next.lives(c.e.Member) != c.lives || r.Epoch != old.Epoch || len(r.Seats) != len(old.Seats) {
 			t.Fatalf("entry %d: %+v of %+v", i, next, old)
 		}
@@ -60,7 +60,7 @@
 func TestNobodyIsOutBeforeItsLease(t *testing.T) {
 	const lease, every = time.Second, 50 * time.Millisecond
 	a := member("a", 1)
-	r := (&roster{}).apply(&entry{Member: a})
+	r := (&roster{}).apply(&entry{Member: a}, nil)
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 	for name, c := range map[string]struct {
@@ -101,7 +101,7 @@
 }
 
 func TestLeaseEnds(t *testing.T) {
-	l := &Lease{start: time.Now().Add(-time.Hour), over: make(chan struct{})}
+	l := &Lease{shut: new(atomic.Bool), start: time.Now().Add(-time.Hour), over: make(chan struct{})}
 	now := int64(time.Hour)
 	if l.Valid() {
 		t.Error("valid before it was granted")
@@ -200,7 +200,10 @@
 		f, _ := frame.Append(nil, kind, text)
 		near, far := net.Pipe()
 		go func() { near.Write(f); near.Close() }()
-		_, err := w.greet(far)
+		kind, payload, err := frame.Read(far)
+		if err == nil {
+			_, err = w.greet(kind, payload)
+		}
 		return err
 	}
 	good := hello{Fleet: fleetID([]string{"c", "b", "a"}), From: member("b", 1)}
--- a/internal/fleet/fuzz_test.go
+++ b/internal/fleet/fuzz_test.go
@@ -30,7 +30,7 @@
 		n := custody.New(custody.Config{
 			Me: a, Names: []string{"a", "b", "c"}, Holders: 3, Records: 8, Bytes: 4096, Keep: 1000, Longest: 1000, Wait: 100, Again: 10, Stagger: 10,
 		})
-		n.See(0, (&roster{}).apply(&entry{Member: a}).apply(&entry{Member: b}).view())
+		n.See(0, (&roster{}).apply(&entry{Member: a}, nil).apply(&entry{Member: b}, nil).view())
 		n.Resume(0, custody.Record{ID: "mine", Effect: custody.Unsafe, Life: 1000})
 		for i := range all {
 			n.Handle(5, b, &all[i])
--- a/internal/fleet/grants.go
+++ b/internal/fleet/grants.go
@@ -18,6 +18,7 @@
 	until atomic.Int64
 	ended atomic.Bool
 	over  chan struct{} // closed once the incarnation is out
+	shut  *atomic.Bool  // while this process may not act by what it knows of the fleet's plan
 	plant custody.Plant
 }
 
@@ -35,7 +36,7 @@
 	if l.plant == custody.LeaseUnchecked {
 		return true
 	}
-	return !l.ended.Load() && int64(time.Since(l.start)) < l.until.Load()
+	return !l.ended.Load() && !l.shut.Load() && int64(time.Since(l.start)) < l.until.Load()
 }
 
 // extend takes a grant for what was asked at a time.
--- /dev/null
+++ b/internal/fleet/orders.go
@@ -0,0 +1,224 @@
+package fleet
+
+import (
+	"errors"
+	"log"
+	"time"
+
+	"damsonscale/internal/custody"
+	"damsonscale/internal/rollout"
+)
+
+var (
+	errNoLeader = errors.New("the fleet has changed its leader: whether this was agreed is not known here")
+	errNoLead   = errors.New("this member does not lead")
+	errLate     = errors.New("not agreed in time: too few members can be reached, or it may still be agreed; ask for the status")
+	errBusy     = errors.New("this member has too much to do")
+)
+
+// order puts an order into the log; reply is told what came of it, once, and may not wait.
+func (e *epochs) order(o *rollout.Order, reply func(error)) {
+	if !e.leads {
+		reply(errNoLead)
+		return
+	}
+	_, err := e.roster.Plan.Apply(o, e.names, e.roster.living()) // it is told at once what is wrong with it
+	if err == nil && o.Kind == rollout.BarName {
+		err = e.driver.MayBar(o.Name, &e.roster.Plan, e.names, e.heard, time.Now())
+	}
+	if err == nil && e.orders[o.ID] != nil {
+		err = rollout.ErrDone
+	}
+	if err == nil {
+		e.orders[o.ID] = reply
+		if err = e.propose(&entry{Order: o}); err != nil {
+			delete(e.orders, o.ID)
+		}
+	}
+	if err != nil {
+		reply(err)
+	}
+}
+
+// ordered applies an order that was agreed.
+func (e *epochs) ordered(o *rollout.Order, old bool) {
+	next, err := e.roster.Plan.Apply(o, e.names, e.roster.living())
+	if reply := e.orders[o.ID]; reply != nil {
+		delete(e.orders, o.ID)
+		reply(err)
+	}
+	if err != nil {
+		return
+	}
+	e.roster = e.roster.apply(&entry{Order: o}, e.names)
+	texts := map[string][]byte{}
+	for _, v := range next.Versions {
+		if text, ok := e.texts[string(v.Digest[:])]; ok {
+			texts[string(v.Digest[:])] = text
+		}
+	}
+	if o.Kind == rollout.RollOut {
+		d := rollout.DigestOf(o.Text)
+		texts[string(d[:])] = o.Text
+	}
+	e.texts = texts
+	if !old {
+		log.Printf("event=fleet_order epoch=%d order=%v target=%d fence=%d share=%d held=%q name=%q who=%q why=%q", e.roster.Epoch, o.Kind,
+			next.Target, next.Fence, next.Share, next.Held, o.Name, o.Who, o.Why)
+	}
+}
+
+// standing is what a member tells of the fleet, as the log's leader if it leads.
+func (e *epochs) standing() (heard map[string]rollout.Heard, waits string, leads bool) {
+	if !e.leads {
+		return nil, "", false
+	}
+	heard = make(map[string]rollout.Heard, len(e.heard))
+	for name, h := range e.heard {
+		heard[name] = h
+	}
+	return heard, e.driver.Waits, true
+}
+
+// tuned is the state of what this member acts on. The member's own actor has it.
+type tuned struct {
+	acts    uint64 // number
+	digest  uint64 // of the bytes
+	before  uint64 // number that it acted on before
+	refused uint64 // that it could not adopt
+	why     string
+	texts   map[string][]byte // of versions, by digest, as far as they are known here
+	under   bool              // a version is being adopted
+	asked   time.Time         // when a version's bytes were last asked for
+	turn    int               // whom
+}
+
+// haveText answers who asks for a version's bytes.
+type haveText struct {
+	_    struct{} `cbor:",toarray"`
+	Text []byte
+}
+
+// follow adopts what the plan wants of this member, and stops it where it may not act. On the member's own actor.
+func (f *Fleet) follow() {
+	if f.ledger == nil {
+		return
+	}
+	plan := &f.roster.Load().Plan
+	f.shutOut(!plan.May(f.name, f.tuned.acts))
+	want := plan.Wanted(f.name)
+	if want <= f.tuned.acts || want == f.tuned.refused || f.tuned.under {
+		return // a number only grows: the lease was asked for under it
+	}
+	v, ok := plan.Find(want)
+	if !ok {
+		return
+	}
+	text, ok := f.tuned.texts[string(v.Digest[:])]
+	if !ok {
+		f.fetch(v)
+		return
+	}
+	f.tuned.under = true
+	go func() {
+		err := f.tuner.Adopt(v.Number, text)
+		f.post(func() { f.adopted(v, err) })
+	}()
+}
+
+func (f *Fleet) adopted(v rollout.Version, err error) {
+	t := &f.tuned
+	if t.under = false; err != nil {
+		t.refused, t.why = v.Number, err.Error()
+		log.Printf("event=fleet_version_refused number=%d err=%q", v.Number, err)
+	} else {
+		t.before, t.acts, t.digest = t.acts, v.Number, digest64(v.Digest)
+	}
+	f.follow()
+	f.ask() // whoever leads should hear it soon
+}
+
+// fetch asks one member after the other for the bytes of a version.
+func (f *Fleet) fetch(v rollout.Version) {
+	t := &f.tuned
+	if time.Since(t.asked) < f.opts.Fleet.Lease/asksALease/2 {
+		return
+	}
+	t.asked = time.Now()
+	for range f.names {
+		t.turn++
+		if name := f.names[t.turn%len(f.names)]; name != f.name {
+			f.send(name, kindWant, v.Digest[:])
+			return
+		}
+	}
+}
+
+// want answers who asks for bytes that are known here.
+func (f *Fleet) want(from custody.Member, digest []byte) {
+	text, ok := f.tuned.texts[string(digest)]
+	if !ok {
+		return
+	}
+	if out, err := f.coder.out.Marshal(haveText{Text: text}); err == nil {
+		f.send(from.Name, kindHave, out)
+	}
+}
+
+// have takes bytes that the plan names; others are nothing to it.
+func (f *Fleet) have(text []byte) {
+	d := rollout.DigestOf(text)
+	for _, v := range f.roster.Load().Plan.Versions {
+		if v.Digest == d {
+			f.keepTexts(map[string][]byte{string(d[:]): text})
+			f.follow()
+			return
+		}
+	}
+}
+
+// keepTexts takes bytes in, and drops those that the plan no longer names.
+func (f *Fleet) keepTexts(more map[string][]byte) {
+	all := map[string][]byte{}
+	for _, v := range f.roster.Load().Plan.Versions {
+		k := string(v.Digest[:])
+		if text, ok := more[k]; ok {
+			all[k] = text
+		} else if text, ok := f.tuned.texts[k]; ok {
+			all[k] = text
+		}
+	}
+	f.tuned.texts = all
+}
+
+// shutOut stops this member, or lets it act again.
+func (f *Fleet) shutOut(shut bool) {
+	if f.shut.Swap(shut) == shut {
+		return
+	}
+	plan := &f.roster.Load().Plan
+	log.Printf("event=fleet_shut name=%s shut=%t acts=%d fence=%d refused=%d why=%q", f.name, shut, f.tuned.acts, plan.Fence, f.tuned.refused, f.tuned.why)
+	if shut {
+		f.tuner.Rest()
+	}
+}
+
+// report is what this member tells who leads.
+func (f *Fleet) report() (r rollout.Report) {
+	t := &f.tuned
+	if f.ledger == nil {
+		return r
+	}
+	r = rollout.Report{Acts: t.acts, Refused: t.refused, Why: t.why, Digest: t.digest, Build: f.build}
+	if len(r.Why) > mostWhy {
+		r.Why = r.Why[:mostWhy]
+	}
+	r.Now.Ended, r.Now.Served = f.book.Service(t.acts)
+	r.Before.Ended, r.Before.Served = f.book.Service(t.before)
+	if t.before == t.acts {
+		r.Before = rollout.Service{}
+	}
+	return r
+}
+
+const mostWhy = 300 // bytes of a reason that a member tells
--- a/internal/fleet/plant_on.go
+++ b/internal/fleet/plant_on.go
@@ -6,11 +6,21 @@
 	"os"
 	"strconv"
 
+	"damsonscale/internal/audit"
 	"damsonscale/internal/custody"
 )
 
 // planted is the fault that this build is to have.
-func planted() custody.Plant {
-	n, _ := strconv.Atoi(os.Getenv("DAMSONSCALE_PLANT"))
-	return custody.Plant(n)
+func planted() (p plants) {
+	switch n, _ := strconv.Atoi(os.Getenv("DAMSONSCALE_PLANT")); {
+	case n < 10:
+		p.custody = custody.Plant(n)
+	case n < 20:
+		p.audit = audit.Plant(n - 10)
+	case n == 20:
+		p.noFence = true
+	case n == 21:
+		p.looseGuard = true
+	}
+	return p
 }
--- a/internal/fleet/roster.go
+++ b/internal/fleet/roster.go
@@ -2,12 +2,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"damsonscale/internal/custody"
+	"damsonscale/internal/rollout"
 )
 
 const goneKept = 16 // incarnations of a name that are known to be out
@@ -17,7 +19,8 @@
 	_       struct{} `cbor:",toarray"`
 	Out     bool
 	Member  custody.Member
-	Address string // where it listens, if not where the options say
+	Address string         // where it listens, if not where the options say
+	Order   *rollout.Order // instead of all that
 }
 
 // seat is a living member's.
@@ -35,6 +38,7 @@
 	Epoch uint64
 	Seats []seat              // of the living, in the order of their joining
 	Gone  map[string][]uint64 // incarnations that are out, the latest of each name
+	Plan  rollout.Plan        // of the versions that members are to act on
 }
 
 func (r *roster) find(m custody.Member) int {
@@ -45,18 +49,33 @@
 
 func (r *roster) gone(m custody.Member) bool { return slices.Contains(r.Gone[m.Name], m.Incarnation) }
 
+// living are the names that have a member.
+func (r *roster) living() (out []string) {
+	for _, s := range r.Seats {
+		out = append(out, s.Member.Name)
+	}
+	return out
+}
+
 // met tells whether any process of a name was ever a member.
 func (r *roster) met(name string) bool {
 	return len(r.Gone[name]) > 0 || slices.ContainsFunc(r.Seats, func(s seat) bool { return s.Member.Name == name })
 }
 
 // apply returns the roster after an entry; the same one where that changes nothing.
-func (r *roster) apply(e *entry) *roster {
+func (r *roster) apply(e *entry, names []string) *roster {
+	if e.Order != nil {
+		plan, err := r.Plan.Apply(e.Order, names, r.living())
+		if err != nil {
+			return r
+		}
+		return &roster{Epoch: r.Epoch + 1, Seats: r.Seats, Gone: r.Gone, Plan: *plan}
+	}
 	at := r.find(e.Member)
 	if e.Out != (at >= 0) || !e.Out && r.gone(e.Member) {
 		return r // doubled, or a late word of one that is out
 	}
-	next := &roster{Epoch: r.Epoch + 1, Seats: slices.Clone(r.Seats), Gone: maps.Clone(r.Gone)}
+	next := &roster{Epoch: r.Epoch + 1, Seats: slices.Clone(r.Seats), Gone: maps.Clone(r.Gone), Plan: r.Plan}
 	if !e.Out {
 		next.Seats = append(next.Seats, seat{Member: e.Member, Joined: next.Epoch, First: !r.met(e.Member.Name), Address: e.Address})
 		return next
@@ -106,6 +125,9 @@
 		}
 		met[s.Member] = true
 	}
+	if err := r.Plan.Valid(); err != nil {
+		return fmt.Errorf("%w: %w", errRoster, err)
+	}
 	return nil
 }
 
--- a/internal/fleet/wire.go
+++ b/internal/fleet/wire.go
@@ -28,6 +28,11 @@
 	kindViewAsk
 	kindView
 	kindLeave
+	kindDesk // an operator's ask, the first of its connection, and what answers it
+	kindWant // a version's bytes, by digest
+	kindHave
+	kindSegments // of an account, to be held
+	kindTaken
 )
 
 const (
@@ -65,11 +70,13 @@
 	me    func() custody.Member
 	where func(name string) string // a member's address now
 	take  func(from custody.Member, kind byte, payload []byte)
+	desk  func(conn net.Conn, payload []byte)
 
-	mu    sync.Mutex
-	lines map[string]*line
-	conns map[string]int
-	told  map[string]time.Time // refusals, told once in a while
+	mu     sync.Mutex
+	lines  map[string]*line
+	conns  map[string]int
+	atDesk int
+	told   map[string]time.Time // refusals, told once in a while
 }
 
 // line is the way to one name: an actor with a bounded queue.
@@ -233,7 +240,15 @@
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	conn.SetReadDeadline(time.Now().Add(helloWithin))
 	in := bufio.NewReaderSize(conn, 64<<10)
-	from, err := w.greet(in)
+	kind, payload, err := frame.Read(in)
+	if err == nil && kind == kindDesk {
+		w.operator(conn, payload)
+		return
+	}
+	var from custody.Member
+	if err == nil {
+		from, err = w.greet(kind, payload)
+	}
 	if err != nil {
 		w.refuse(conn.RemoteAddr().String(), from.Name, err)
 		return
@@ -254,12 +269,28 @@
 	}
 }
 
-// greet reads who dials, and refuses whom this member does not know.
-func (w *wire) greet(in io.Reader) (from custody.Member, err error) {
-	kind, payload, err := frame.Read(in)
-	if err != nil {
-		return from, err
+// operator answers an operator, some at a time.
+func (w *wire) operator(conn net.Conn, payload []byte) {
+	w.mu.Lock()
+	room := w.atDesk < deskMost
+	if room {
+		w.atDesk++
 	}
+	w.mu.Unlock()
+	if !room {
+		w.refuse(conn.RemoteAddr().String(), "", errBusy)
+		return
+	}
+	defer func() {
+		w.mu.Lock()
+		w.atDesk--
+		w.mu.Unlock()
+	}()
+	w.desk(conn, payload)
+}
+
+// greet reads who dials, and refuses whom this member does not know.
+func (w *wire) greet(kind byte, payload []byte) (from custody.Member, err error) {
 	var h hello
 	switch err := w.coder.in.Unmarshal(payload, &h); {
 	case kind != kindHello:
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -15,6 +15,8 @@
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
+	"damsonscale/internal/acts"
+	"damsonscale/internal/custody"
 	"damsonscale/internal/lifecycle"
 	"damsonscale/internal/sidecar"
 	"damsonscale/internal/upstream"
@@ -39,6 +41,8 @@
 	graceIdle       = 50 * time.Millisecond  // a connection idle for this long has no request on its way
 	idleSoft        = 300 * time.Millisecond // the same, where there is time to wait for its next request
 
+	shutRetry = 500 * time.Millisecond // after which a member without a leave may have it again
+
 	// The operators' drain: after 4 s nothing may be left that is idle.
 	drainSoft = 1000 * time.Millisecond
 	drainHard = 2500 * time.Millisecond
@@ -55,6 +59,7 @@
 	sockets atomic.Int64 // connections past which a new one takes an idle one's place
 	life    *lifecycle.Owner
 	keeper  Keeper        // nil: none
+	ledger  acts.Ledger   // nil: no account is kept
 	room    chan struct{} // a token for each connection that may still be accepted
 
 	mu         sync.Mutex
@@ -417,10 +422,18 @@
 		ctx.SetConnectionClose() // one that sends this is of no more use, and its socket is
 		return
 	}
+	leave := f.leave()
+	if leave != nil && !leave.Valid() {
+		f.shut(ctx, parsed)
+		return
+	}
 	if f.keeper != nil && f.keep(ctx, c, parsed, body) {
 		return
 	}
 	call := parsed.call(h, body, c.readAt)
+	if leave != nil {
+		call.Under(leave.Valid, 0)
+	}
 	var gone <-chan struct{}
 	if call.Message.Rest == nil {
 		gone = c.watch()
@@ -435,11 +448,53 @@
 	} else {
 		f.answer(ctx, c, a)
 	}
+	f.account(ctx, parsed.request.ID, a.Under)
 	if left || broken != nil {
 		ctx.SetConnectionClose()
 	}
 }
 
+// shut refuses a request that this member has no leave to take.
+func (f *Frontend) shut(ctx *fasthttp.RequestCtx, p *parsed) {
+	refuse(ctx, sidecar.Answer{RetryAfter: shutRetry})
+	f.noted(ctx, acts.Turned, p.request.ID, f.side.Under())
+	ctx.SetConnectionClose() // clients have others to go to
+}
+
+// leave is what this process needs to act at all; nil: nothing.
+func (f *Frontend) leave() custody.Lease {
+	if f.keeper == nil {
+		return nil
+	}
+	return f.keeper.Needed()
+}
+
+// Audit has an account kept of the answers.
+func (f *Frontend) Audit(l acts.Ledger) { f.ledger = l }
+
+// account notes the answer to a request, and names it to the client. under is the version that it was decided by.
+func (f *Frontend) account(ctx *fasthttp.RequestCtx, id string, under acts.Stamp) {
+	switch ctx.Response.StatusCode() {
+	case fasthttp.StatusOK:
+		f.noted(ctx, acts.Served, id, under)
+	case fasthttp.StatusServiceUnavailable:
+		f.noted(ctx, acts.Refused, id, under)
+	default:
+		f.noted(ctx, acts.Failed, id, under)
+	}
+}
+
+func (f *Frontend) noted(ctx *fasthttp.RequestCtx, kind acts.Kind, id string, under acts.Stamp) {
+	if f.ledger == nil {
+		return
+	}
+	ref := f.ledger.Add(kind, under, id, strconv.Itoa(ctx.Response.StatusCode()))
+	ctx.Response.Header.SetBytesV(acts.Header, ref.Append(nil))
+}
+
+// Rest closes connections of clients that are idle.
+func (f *Frontend) Rest() { f.closeIdle(graceIdle, true) }
+
 // emptying tells whether each connection is to carry no further request.
 func (f *Frontend) emptying() bool {
 	stage := f.life.Stage()
@@ -447,7 +502,7 @@
 }
 
 func (f *Frontend) ready(ctx *fasthttp.RequestCtx) {
-	if f.side.Ready() && !f.emptying() {
+	if leave := f.leave(); f.side.Ready() && !f.emptying() && (leave == nil || leave.Valid()) {
 		ctx.SetStatusCode(fasthttp.StatusOK)
 		return
 	}
--- a/internal/frontend/keep.go
+++ b/internal/frontend/keep.go
@@ -25,6 +25,7 @@
 	Do(w custody.Work, gone <-chan struct{}, run func(custody.Leave) custody.Result) custody.Outcome
 	Custody(class string, e custody.Effect) options.Custody
 	Longest() time.Duration // that a request may be in custody
+	Needed() custody.Lease  // without which nothing at all is taken or sent; nil: none is
 }
 
 // Join has the work with an effect kept from the next request on.
@@ -66,8 +67,9 @@
 	case broken != nil && o.Word != custody.Answered:
 		bad := b.fault(broken)
 		ctx.Error(bad.text, bad.status)
+		f.account(ctx, w.ID, f.side.Under())
 	default:
-		f.tell(ctx, c, &o)
+		f.tell(ctx, c, w.ID, &o)
 	}
 	if broken != nil || o.Word == custody.Gone {
 		ctx.SetConnectionClose()
@@ -156,15 +158,17 @@
 }
 
 // tell answers as custody has it. A member that has lost its leave answers nothing: another one does.
-func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, o *custody.Outcome) {
+func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, id string, o *custody.Outcome) {
 	if o.Word == custody.Answered && o.Lease != nil && !o.Lease.Valid() {
 		f.Unheard(o.Live)
 		o.Word = custody.Nothing
 	}
+	under := f.side.Under()
 	switch o.Word {
 	case custody.Nothing:
 		ctx.SetConnectionClose()
 		c.Close()
+		return
 	case custody.Gone:
 		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Late})
 	case custody.Taken:
@@ -173,11 +177,13 @@
 		ctx.Error("the id is that of another request", fasthttp.StatusConflict)
 	default:
 		if a, ok := o.Live.(sidecar.Answer); ok {
+			under = a.Under
 			f.answer(ctx, c, a)
-			return
+		} else {
+			f.recorded(ctx, c, &o.Answer)
 		}
-		f.recorded(ctx, c, &o.Answer)
 	}
+	f.account(ctx, id, under)
 }
 
 // recorded gives an answer that was kept.
--- a/internal/frontend/parse.go
+++ b/internal/frontend/parse.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
+	"damsonscale/internal/acts"
 	"damsonscale/internal/sidecar"
 	"damsonscale/internal/upstream"
 )
@@ -154,13 +155,13 @@
 	return ""
 }
 
-// endsHere tells of the headers that are for one hop alone, and of the two that the sidecar writes itself.
+// endsHere tells of the headers that are for one hop alone, and of those that the sidecar writes itself.
 func endsHere(header string) bool {
 	switch header {
 	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "expect":
 		return true
 	}
-	return header == "content-length" || strings.EqualFold(header, upstream.DeadlineHeader)
+	return header == "content-length" || strings.EqualFold(header, upstream.DeadlineHeader) || strings.EqualFold(header, acts.Header)
 }
 
 // head makes the bytes that go on: request line and headers as they came, but for those that end here. The target goes on
--- a/internal/options/options.go
+++ b/internal/options/options.go
@@ -28,6 +28,7 @@
 type Options struct {
 	Fleet    Fleet
 	Takeover Takeover
+	Audit    Audit
 }
 
 // Fleet tells who belongs together.
@@ -64,6 +65,16 @@
 	Classes     map[string]Custody // by the name of the class; others go by what a repeat does
 }
 
+// Audit is what a member keeps account of, and by which version it may act.
+type Audit struct {
+	Enabled   bool
+	Holders   int    // of each segment of the account, beside the member itself
+	Bytes     int    // of segments held here, for this member and for others
+	Dir       string // where segments are kept too; empty: in memory alone
+	DiskBytes int    // of them there
+	MostOut   int    // thousandths of all members that may be without a lease for a fence or a name shut out
+}
+
 // file is the layout of the file.
 type file struct {
 	Fleet struct {
@@ -81,6 +92,14 @@
 		Bytes         *int64             `toml:"bytes"`
 		Custody       map[string]Custody `toml:"custody"`
 	} `toml:"takeover"`
+	Audit struct {
+		Enabled   bool     `toml:"enabled"`
+		Holders   *int64   `toml:"holders"`
+		Bytes     *int64   `toml:"bytes"`
+		Dir       string   `toml:"dir"`
+		DiskBytes *int64   `toml:"disk_bytes"`
+		MostOut   *float64 `toml:"most_out"`
+	} `toml:"audit"`
 }
 
 // Load reads the file that the environment names; nil where it names none.
@@ -107,7 +126,7 @@
 	return o, nil
 }
 
-// Parse reads options for the member of that name. All faults found are told, each with its line and key.
+// Parse reads options for the member of that name, or for an operator where it is empty. All faults found are told, each with its line and key.
 func Parse(text []byte, name string) (*Options, error) {
 	var f file
 	in := toml.NewDecoder(bytes.NewReader(text))
@@ -130,9 +149,20 @@
 			Bytes:       int(r.number("takeover.bytes", f.Takeover.Bytes, 32<<20, 1<<10, 1<<34)),
 			Classes:     f.Takeover.Custody,
 		},
+		Audit: Audit{
+			Enabled:   f.Audit.Enabled,
+			Holders:   int(r.number("audit.holders", f.Audit.Holders, 2, 0, 6)),
+			Bytes:     int(r.number("audit.bytes", f.Audit.Bytes, 16<<20, 64<<10, 1<<34)),
+			Dir:       f.Audit.Dir,
+			DiskBytes: int(r.number("audit.disk_bytes", f.Audit.DiskBytes, 256<<20, 1<<20, 1<<40)),
+			MostOut:   int(1000 * r.part("audit.most_out", f.Audit.MostOut, 0.34)),
+		},
 	}
 	r.fleet(&o.Fleet, name)
 	r.takeover(o)
+	if o.Audit.Enabled && !o.Takeover.Enabled {
+		r.wrong("audit.enabled", "needs takeover.enabled: what a member that is shut out had in hand is taken over")
+	}
 	return o, errors.Join(r.faults...)
 }
 
@@ -184,6 +214,16 @@
 	return *v
 }
 
+func (r *reading) part(key string, v *float64, standard float64) float64 {
+	if v == nil {
+		return standard
+	}
+	if !(*v >= 0 && *v <= 1) {
+		r.wrong(key, "%v is not within 0 to 1", *v)
+	}
+	return *v
+}
+
 func (r *reading) ms(key string, v *int64, standard, least, most int64) time.Duration {
 	return time.Duration(r.number(key, v, standard, least, most)) * time.Millisecond
 }
@@ -215,7 +255,7 @@
 		r.wrong("fleet.address", "%q is no address:port", f.Address)
 	case len(f.Members) > maxMembers:
 		r.wrong("fleet.members", "%d members, at most %d", len(f.Members), maxMembers)
-	case !here:
+	case name != "" && !here: // operators have none
 		r.wrong("fleet.members", "this sidecar's name, %q, is not among them", name)
 	case f.StateDir == "":
 		r.wrong("fleet.state_dir", "needed for a fleet")
--- /dev/null
+++ b/internal/rig/auditor.go
@@ -0,0 +1,268 @@
+package rig
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"damsonscale/internal/acts"
+	"damsonscale/internal/audit"
+	"damsonscale/internal/custody"
+	"damsonscale/internal/fleet"
+	"damsonscale/internal/rollout"
+)
+
+const (
+	fenceSlack  = 300 * time.Millisecond // for a request on its way and a machine that is full
+	watchStep   = 20 * time.Millisecond
+	auditWithin = 20 * time.Second
+)
+
+func (p *play) names() (out []string) {
+	for i := range p.members {
+		out = append(out, name(i))
+	}
+	return out
+}
+
+// step gives an operator's order, to who leads if it is told of one.
+func (p *play) step(ctx context.Context, start time.Time, n int, s *Step) {
+	sleep(ctx, time.Until(start.Add(ms(s.AtMs))))
+	o := &rollout.Order{
+		Kind: orders[s.Do], ID: uint64(n + 1), Who: "rig", Why: fmt.Sprintf("step %d", n), Number: s.Number, Share: s.Share, SettleMs: s.SettleMs, GraceMs: s.GraceMs,
+	}
+	switch o.Kind {
+	case rollout.RollOut:
+		set := p.settings(0, s.File)
+		set["TickUs"] = 5001 + n // no two versions have the same bytes
+		o.Text, _ = json.Marshal(map[string]any{"settings": set})
+	case rollout.BarName, rollout.Readmit:
+		o.Name = name(s.Who)
+	}
+	via, said := s.Via, ""
+	for range 3 {
+		r, err := fleet.Call(ctx, p.members[via], p.names(), fleet.Ask{Do: fleet.AskOrder, Order: o})
+		if err != nil {
+			said = err.Error()
+			break
+		}
+		if said = r.Err; !r.NotLeading || r.Leader == "" {
+			break
+		}
+		fmt.Sscanf(r.Leader, "n%d", &via)
+		via--
+	}
+	p.mu.Lock()
+	p.target = append(p.target, fmt.Sprintf("%s via n%d after %d ms: %s", s.Do, s.Via+1, time.Since(start).Milliseconds(), said))
+	p.mu.Unlock()
+}
+
+// watch notes when each fence is first seen by anybody.
+func (p *play) watch(ctx context.Context) {
+	if !p.line.Audit {
+		return
+	}
+	p.mu.Lock()
+	p.fences = map[uint64]time.Time{}
+	p.mu.Unlock()
+	done := make(chan bool)
+	for _, addr := range p.members {
+		go func() {
+			defer func() { done <- true }()
+			for ; ctx.Err() == nil; sleep(ctx, watchStep) {
+				r, err := fleet.Call(ctx, addr, p.names(), fleet.Ask{Do: fleet.AskStanding})
+				if err != nil || r.Standing == nil {
+					continue
+				}
+				p.mu.Lock()
+				if f := r.Standing.Plan.Fence; f > 0 && p.fences[f].IsZero() {
+					p.fences[f] = time.Now()
+				}
+				p.mu.Unlock()
+			}
+		}()
+	}
+	for range p.members {
+		<-done
+	}
+}
+
+// audit compares the fleet's account with the servers' and clients' own tallies, act by act.
+func (p *play) audit(ctx context.Context, rec *record, r *Report) error {
+	ctx, cancel := context.WithTimeout(ctx, auditWithin)
+	defer cancel()
+	codec, err := audit.NewCodec()
+	if err != nil {
+		return err
+	}
+	var all []audit.Sealed
+	living := map[custody.Member]bool{}
+	heard := 0
+	for _, addr := range p.members {
+		s, err := fleet.Call(ctx, addr, p.names(), fleet.Ask{Do: fleet.AskSegments})
+		if err != nil {
+			continue // it is down
+		}
+		heard++
+		all = append(all, s.Segments...)
+		if st, err := fleet.Call(ctx, addr, p.names(), fleet.Ask{Do: fleet.AskStanding}); err == nil && st.Standing != nil {
+			living[st.Standing.Me] = true
+			if st.Standing.Leads {
+				r.Waits = st.Standing.Waits
+				for _, n := range st.Standing.Names {
+					if st.Standing.Reports[n].Report.Acts < st.Standing.Plan.Target {
+						r.Unagreed++
+					}
+				}
+			}
+		}
+	}
+	if heard == 0 {
+		return errors.New("no member tells the account")
+	}
+	p.mu.Lock()
+	a := &auditor{r: r, accounts: map[custody.Member]*told{}, living: living, fences: p.fences, lease: ms(p.line.LeaseMs)}
+	r.Steps = p.target
+	p.mu.Unlock()
+	if a.lease == 0 {
+		a.lease = 600 * time.Millisecond // the program's own
+	}
+	for _, one := range codec.Assemble(fleet.ID(p.names()), all, &audit.Query{}) {
+		for _, f := range one.Faults {
+			a.broke(&r.Misstated, "account", fmt.Sprintf("%s/%x: %s", one.Member.Name, one.Member.Incarnation, f))
+		}
+		a.add(&one)
+	}
+	a.compare(rec)
+	return nil
+}
+
+// auditor compares.
+type auditor struct {
+	r        *Report
+	accounts map[custody.Member]*told
+	living   map[custody.Member]bool
+	fences   map[uint64]time.Time
+	lease    time.Duration
+}
+
+// told is an account with its acts by number.
+type told struct {
+	*audit.Account
+	by   map[uint64]acts.Act
+	sent map[string]int // by request and server: sent, less unsent
+}
+
+func (a *auditor) add(one *audit.Account) {
+	t := &told{Account: one, by: map[uint64]acts.Act{}, sent: map[string]int{}}
+	for _, act := range one.Acts {
+		t.by[act.N] = act
+		switch act.Kind {
+		case acts.Sent:
+			t.sent[act.ID+" "+act.Note]++
+		case acts.Unsent:
+			t.sent[act.ID+" "+act.Note]--
+		}
+	}
+	a.r.Acts += len(one.Acts)
+	a.accounts[one.Member] = t
+}
+
+func (a *auditor) broke(count *int, kind, why string) {
+	if *count++; *count <= most {
+		a.r.Breaks = append(a.r.Breaks, kind+": "+why)
+	}
+}
+
+// see compares one thing that was seen with the act that it names.
+func (a *auditor) see(what, actor, id, note string, kinds ...acts.Kind) (acts.Ref, bool) {
+	wrong := func(format string, args ...any) {
+		a.broke(&a.r.Misstated, "misstated", fmt.Sprintf("%s of %s, by %q: %s", what, id, actor, fmt.Sprintf(format, args...)))
+	}
+	ref, err := acts.ParseRef(actor)
+	if err != nil {
+		wrong("%v", err)
+		return ref, false
+	}
+	t := a.accounts[ref.Member]
+	switch {
+	case t == nil && a.living[ref.Member]:
+		wrong("its member tells nothing")
+		return ref, true
+	case t == nil:
+		a.r.InGaps++ // nobody knows of that incarnation: it tells so
+		return ref, true
+	}
+	act, ok := t.by[ref.N]
+	switch {
+	case !ok && ref.N > t.Last && (t.Ended || a.living[ref.Member]):
+		wrong("the account ends with act %d", t.Last)
+	case !ok:
+		for _, k := range t.Known {
+			if ref.N >= k.First && ref.N <= k.Last {
+				wrong("no such act, and no gap")
+			}
+		}
+		a.r.InGaps++
+	case act.ID != id || act.Note != note || !slices.Contains(kinds, act.Kind) || act.Version.Settings != ref.Version.Settings ||
+		act.Version.Digest != ref.Version.Digest || act.Version.List != ref.Version.List:
+		wrong("the account has %+v", act)
+	default:
+		a.r.Matched++
+	}
+	return ref, true
+}
+
+func (a *auditor) compare(rec *record) {
+	seen := map[custody.Member]map[string]int{}
+	for id, runs := range rec.runs {
+		for _, run := range runs {
+			ref, ok := a.see("a run at "+run.Server, run.Actor, id, run.Server, acts.Sent)
+			if !ok {
+				continue
+			}
+			if seen[ref.Member] == nil {
+				seen[ref.Member] = map[string]int{}
+			}
+			seen[ref.Member][id+" "+run.Server]++
+			for fence, at := range a.fences {
+				if ref.Version.Settings < fence && run.At.After(at.Add(a.lease+fenceSlack)) {
+					a.broke(&a.r.BelowFence, "below the fence", fmt.Sprintf("%s ran under %d, %d ms after fence %d was seen, by %s", id, ref.Version.Settings,
+						run.At.Sub(at).Milliseconds(), fence, run.Actor))
+				}
+			}
+		}
+	}
+	for m, runs := range seen { // what was not written can't have run
+		t := a.accounts[m]
+		if t == nil || len(t.Gaps()) > 0 || !t.Ended && !a.living[m] {
+			continue
+		}
+		for key, n := range runs {
+			if n > t.sent[key] {
+				a.broke(&a.r.Misstated, "misstated", fmt.Sprintf("%s: %d runs, %d sendings told of %s/%x", key, n, t.sent[key], m.Name, m.Incarnation))
+			}
+		}
+	}
+	for _, q := range rec.requests {
+		for i := range q.Asks {
+			ask := &q.Asks[i]
+			if ask.Status == 0 || ask.Actor == "" && strings.HasPrefix(ask.Err, "EOF") {
+				continue
+			}
+			kinds := []acts.Kind{acts.Failed}
+			switch ask.Status {
+			case http.StatusOK:
+				kinds = []acts.Kind{acts.Served}
+			case http.StatusServiceUnavailable:
+				kinds = []acts.Kind{acts.Refused, acts.Turned}
+			}
+			a.see("an answer", ask.Actor, q.ID, fmt.Sprint(ask.Status), kinds...)
+		}
+	}
+}
--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"damsonscale/internal/acts"
 )
 
 const (
@@ -26,6 +28,7 @@
 	Status int // 0: no whole answer
 	Body   string
 	Err    string
+	Actor  string // whose act the answer was, as it says
 }
 
 // final tells whether the client is done with it.
@@ -177,7 +180,7 @@
 		a.Err = err.Error()
 		return a
 	}
-	a.Status, a.Body = resp.StatusCode, string(text)
+	a.Status, a.Body, a.Actor = resp.StatusCode, string(text), resp.Header.Get(acts.Header)
 	return a
 }
 
--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -29,6 +29,58 @@
 	return []Work{{Class: "look", Share: 4}, {Class: "make", Share: 3}, {Class: "once", Share: 3}}
 }
 
+// Rollouts is the experiment of issue 33's figures: one version after the other, with a member that is cut off or stopped meanwhile.
+func Rollouts(seed uint64, broken string) *Timeline {
+	t := &Timeline{
+		Seed: seed, Note: "rollouts, " + broken, Processes: 3, Fleet: true, Audit: true, LengthMs: 12_000, PerSecond: 200, DeadlineMs: 2000, SilenceMs: 700,
+		Servers: usual(), Work: mixed(),
+		Steps: []Step{
+			{AtMs: 1500, Do: "rollout", Via: 0, Share: 340, SettleMs: 500, GraceMs: 1500},
+			{AtMs: 7000, Do: "rollout", Via: 1, Share: 340, SettleMs: 500, GraceMs: 1500},
+		},
+	}
+	switch broken {
+	case "stopped":
+		t.Faults = []Fault{{AtMs: 1400, ForMs: 6000, Kind: Stop, Who: 2}}
+	case "cut":
+		for to := range 2 {
+			t.Faults = append(t.Faults, Fault{AtMs: 1400, ForMs: 6000, Kind: Cut, Who: 2, To: to, Both: true})
+		}
+	}
+	return t
+}
+
+// Audited adds to a timeline what operators do, drawn from its seed.
+func Audited(t *Timeline) *Timeline {
+	steps := rapid.Custom(func(r *rapid.T) []Step {
+		var out []Step
+		for n := rapid.IntRange(1, 4).Draw(r, "steps"); n > 0; n-- {
+			s := Step{
+				AtMs: rapid.Int64Range(0, t.LengthMs*7/10).Draw(r, "at"), Via: rapid.IntRange(0, t.Processes-1).Draw(r, "via"),
+				Do: rapid.SampledFrom([]string{"rollout", "rollout", "rollout", "rollout", "hold", "back", "out", "readmit"}).Draw(r, "do"),
+			}
+			switch s.Do {
+			case "rollout":
+				s.Share, s.SettleMs = rapid.IntRange(1, 1000).Draw(r, "share"), rapid.Int64Range(0, 1000).Draw(r, "settle")
+				s.GraceMs = rapid.Int64Range(0, 2000).Draw(r, "grace")
+				s.File = rapid.SampledFrom([]File{Good, Good, Good, Falls, Unknown}).Draw(r, "file")
+				if rapid.IntRange(0, 3).Draw(r, "refuse") == 0 {
+					s.Refusers = []int{rapid.IntRange(0, t.Processes-1).Draw(r, "who refuses")}
+				}
+			case "back":
+				s.Number, s.GraceMs = rapid.Uint64Range(1, 2).Draw(r, "number"), 500
+			case "out", "readmit":
+				s.Who = rapid.IntRange(0, t.Processes-1).Draw(r, "who")
+			}
+			out = append(out, s)
+		}
+		slices.SortStableFunc(out, func(a, b Step) int { return int(a.AtMs - b.AtMs) })
+		return out
+	})
+	t.Audit, t.Steps = true, steps.Example(int(t.Seed&(1<<31-1)))
+	return t
+}
+
 // Draw draws a timeline from a seed: faults of processes and links that may overlap. The same seed draws the same.
 func Draw(seed uint64, processes int, lengthMs int64, perSecond int, fleet bool) *Timeline {
 	t := drawn(processes, lengthMs, perSecond, fleet).Example(int(seed & (1<<31 - 1)))
@@ -127,6 +179,9 @@
 	if len(t.Disks) > 0 {
 		with(func(c *Timeline) { c.Disks = nil })
 	}
+	for i := range t.Steps {
+		with(func(c *Timeline) { c.Steps = slices.Delete(slices.Clone(t.Steps), i, i+1) })
+	}
 	if t.KeepOpen {
 		with(func(c *Timeline) { c.KeepOpen = false })
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,6 +15,9 @@
 	"time"
 )
 
+// slots bounds how many timelines are played at a time.
+var slots = make(chan bool, 3)
+
 // programs is where the program was built, once for all tests.
 var programs string
 
@@ -77,7 +82,6 @@
 		}
 		lines = append(lines, line)
 	}
-	slots := make(chan bool, 3)
 	for _, line := range lines {
 		t.Run(line.Note, func(t *testing.T) {
 			t.Parallel()
@@ -91,6 +95,117 @@
 	}
 }
 
+// The fleet's account tells what servers and clients saw, act by act, and nobody acts below the fence, whatever breaks meanwhile.
+func TestAudit(t *testing.T) {
+	good := Step{AtMs: 600, Do: "rollout", Share: 340, SettleMs: 200, GraceMs: 600}
+	with := func(name string, steps []Step, faults ...Fault) *Timeline {
+		line := short(name, faults...)
+		line.Audit, line.Steps = true, steps
+		return line
+	}
+	via := func(s Step, at int64, member int) Step { s.AtMs, s.Via = at, member; return s }
+	refused, falls := good, good
+	refused.Refusers, falls.File = []int{1}, Falls
+	falls.Share = 1000
+	for _, c := range []struct {
+		line *Timeline
+		want func(*Report) bool
+	}{
+		{with("a rollout, the leader or another killed", []Step{good}, Fault{AtMs: 900, ForMs: 700, Kind: Kill, Who: 0}, Fault{AtMs: 2500, ForMs: 700, Kind: Kill, Who: 1}), nil},
+		{with("a straggler, stopped before the change and across the fence", []Step{via(good, 800, 1)}, Fault{AtMs: 600, ForMs: 3000, Kind: Stop, Who: 2}), nil},
+		{with("a straggler, cut off from all after the change", []Step{good}, Fault{AtMs: 650, ForMs: 2500, Kind: Cut, Who: 2, To: 0, Both: true}, Fault{AtMs: 650, ForMs: 2500, Kind: Cut, Who: 2, To: 1, Both: true}), nil},
+		{with("a straggler that hears, and nobody hears it", []Step{good}, Fault{AtMs: 500, ForMs: 3000, Kind: Cut, Who: 1, To: 0}, Fault{AtMs: 500, ForMs: 3000, Kind: Cut, Who: 1, To: 2}), nil},
+		{with("two targets at once through two members, then back, then another", []Step{good, via(good, 601, 1), {AtMs: 900, Do: "back", Number: 1}, via(good, 1000, 2)}),
+			func(r *Report) bool { return r.Unagreed == 0 }},
+		{with("a version that one of three refuses", []Step{refused}), func(r *Report) bool { return r.Unagreed == 1 }},
+		{with("a version that all accept, under which service falls", []Step{falls, {AtMs: 3000, Do: "rollout", Share: 1000}}), nil},
+		{with("a version with a key that no build knows", []Step{{AtMs: 600, Do: "rollout", Share: 1000, File: Unknown}}),
+			func(r *Report) bool {
+				return r.Unagreed == 0 && len(r.Steps) == 1 && strings.Contains(r.Steps[0], "Sideways: unknown key")
+			}},
+		{with("shut out and readmitted, and a second one at once", []Step{{AtMs: 600, Do: "out", Who: 1}, {AtMs: 700, Do: "out", Who: 2}, {AtMs: 2500, Do: "readmit", Who: 1}}),
+			func(r *Report) bool { return strings.Contains(r.Steps[1], "without a lease would be") }},
+		{with("an upgrade beside the running process in a rollout; a restart loop", []Step{good, via(good, 2500, 1)}, Fault{AtMs: 700, Kind: Upgrade, Who: 1}, Fault{AtMs: 2200, ForMs: 1500, Kind: Loop, Who: 2, EveryMs: 500}), nil},
+	} {
+		t.Run(c.line.Note, func(t *testing.T) {
+			t.Parallel()
+			slots <- true
+			defer func() { <-slots }()
+			r := played(t, c.line)
+			if !r.Kept() || r.Served == 0 || r.Matched == 0 || c.want != nil && !c.want(r) {
+				t.Errorf("%s\n%s\n%s\n%s", r.Line(), strings.Join(r.Breaks, "\n"), strings.Join(r.Steps, "\n"), r.Waits)
+			}
+		})
+	}
+}
+
+// Operators are told in words and by the exit code; what is refused changes nothing.
+func TestOperators(t *testing.T) {
+	line := short("")
+	line.Audit, line.LeaseMs = true, 2000
+	dir := t.TempDir()
+	p := &play{set: Setup{Binary: filepath.Join(programs, "damsonscale"), Dir: dir}, line: line}
+	defer p.close()
+	if err := p.begin(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	file := func(name string, v any) string {
+		text, err := json.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	good, bad := file("good.json", map[string]any{"settings": p.settings(0, Good)}), file("bad.json", map[string]any{"settings": p.settings(0, Unknown)})
+	opts, other := filepath.Join(dir, "n2", "options.toml"), filepath.Join(dir, "other.toml")
+	text, err := os.ReadFile(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(other, []byte(strings.Replace(string(text), `"n1"`, `"m1"`, 1)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run := func(opts string, args ...string) (int, string) {
+		cmd := exec.Command(filepath.Join(programs, "damsonscale"), append([]string{"fleet", "--options", opts}, args...)...)
+		out, err := cmd.CombinedOutput()
+		var exit *exec.ExitError
+		if err != nil && !errors.As(err, &exit) {
+			t.Fatal(err)
+		}
+		return cmd.ProcessState.ExitCode(), string(out)
+	}
+	for _, c := range []struct {
+		opts string
+		args []string
+		code int
+		want string
+	}{
+		{opts, []string{"status"}, 0, "target 0"},
+		{opts, []string{"hold"}, 1, "nothing to do"},
+		{opts, []string{"back", "3"}, 1, "no such version"},
+		{opts, []string{"rollout", bad}, 1, "settings.Sideways: unknown key"},
+		{opts, []string{"rollout", good, "--share", "2"}, 2, "--share"},
+		{opts, []string{"rollout", filepath.Join(dir, "none")}, 2, "none"},
+		{opts, []string{"rollout", good, "--share", "1", "--grace", "0s", "--why", "a test"}, 0, "a test"},
+		{opts, []string{"out", "n7"}, 1, "no member of this fleet"},
+		{opts, []string{"audit", "--member", "n7"}, 2, "no member of this fleet"},
+		{opts, []string{"audit", "--id", "nothing"}, 0, ""},
+		{opts, []string{"verify", dir}, 2, "no segments"},
+		{opts, []string{"dance"}, 2, "dance"},
+		{other, []string{"status"}, 1, "of another fleet"},
+		{other, []string{"audit"}, 3, "of another fleet"},
+		{filepath.Join(dir, "none"), []string{"status"}, 2, "none"},
+	} {
+		if code, out := run(c.opts, c.args...); code != c.code || !strings.Contains(out, c.want) {
+			t.Errorf("%v: exit %d, not %d, and %q not in %s", c.args, code, c.code, c.want, out)
+		}
+	}
+}
+
 // Without a fleet the same loss runs unsafe work twice. Guards against a rig that can find nothing.
 func TestWithoutAFleetWorkRunsTwice(t *testing.T) {
 	line := short("without a fleet", Fault{AtMs: 1000, ForMs: 700, Kind: Kill, Who: 0}, Fault{AtMs: 2500, ForMs: 1500, Kind: Stop, Who: 1})
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -9,6 +9,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -45,8 +46,12 @@
 	processes []*process
 	links     map[[2]int]*link
 
+	members []string // addresses of the fleet, as nothing between stands
+
 	mu      sync.Mutex
 	crashes []string
+	fences  map[uint64]time.Time // when each was first seen by anybody
+	target  []string             // what became of operators' steps
 }
 
 func (p *play) begin(ctx context.Context) (err error) {
@@ -62,6 +67,7 @@
 		return err
 	}
 	listens, members := fleet[:p.line.Processes], fleet[p.line.Processes:]
+	p.members = members
 	for i := range listens {
 		one, err := p.prepare(i, listens[i], members)
 		if err != nil {
@@ -118,11 +124,30 @@
 
 // config is the platform's configuration of one process.
 func (p *play) config(i int, listen string) map[string]any {
+	settings := p.settings(i, Good)
+	for _, s := range p.line.Steps {
+		if slices.Contains(s.Refusers, i) {
+			settings["Aside"] = true
+		}
+	}
+	return map[string]any{
+		"name": name(i), "listen": listen, "discovery": p.registry.addr, "seed": fmt.Sprintf("%016x", p.line.Seed+uint64(i)),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
+		"known":    &p.servers.list,
+		"settings": settings,
+	}
+}
+
+// settings are those of one process, or a version for all.
+func (p *play) settings(i int, f File) map[string]any {
 	var services []map[string]any
 	for _, c := range classes {
+		deadline := p.line.DeadlineMs * 1000
+		if f == Falls {
+			deadline = 1000
+		}
 		s := map[string]any{
-			"Name": c.name, "Semantics": c.semantics, "AimUs": p.line.DeadlineMs * 500, "DeadlineUs": p.line.DeadlineMs * 1000,
-			"LateShare": 0.3, "Worth": 1,
+			"Name": c.name, "Semantics": c.semantics, "AimUs": deadline / 2, "DeadlineUs": deadline, "LateShare": 0.3, "Worth": 1,
 		}
 		if c.key {
 			s["Group"], s["WindowUs"] = "all", p.line.DeadlineMs*4000
@@ -143,12 +168,10 @@
 			"OverloadFactor": 3, "FallUs": 3_000_000,
 		},
 	}
-	return map[string]any{
-		"name": name(i), "listen": listen, "discovery": p.registry.addr, "seed": fmt.Sprintf("%016x", p.line.Seed+uint64(i)),
-		"limits":   map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024},
-		"known":    &p.servers.list,
-		"settings": settings,
+	if f == Unknown {
+		settings["Sideways"] = true
 	}
+	return settings
 }
 
 // options writes the fleet's options of one process: it reaches each other member over a link of its own.
@@ -177,6 +200,9 @@
 	if len(members) < 3 {
 		fmt.Fprint(&b, "holders = 1\n")
 	}
+	if p.line.Audit {
+		b.WriteString("[audit]\nenabled = true\n")
+	}
 	fmt.Fprint(&b, "[takeover.custody]\n")
 	for _, c := range p.line.Strict {
 		fmt.Fprintf(&b, "%s = \"strict\"\n", c)
@@ -227,6 +253,14 @@
 	for i, one := range p.processes {
 		addrs[i] = one.listen
 	}
+	for i := range p.line.Steps {
+		s := &p.line.Steps[i]
+		faults.Go(func() { p.step(ctx, start, i, s) })
+	}
+	watched := make(chan struct{})
+	watching, unwatch := context.WithCancel(ctx)
+	go func() { defer close(watched); p.watch(watching) }()
+	defer unwatch()
 	requests := newClients(p.line, addrs).run(ctx, start)
 	faults.Wait()
 	if err := ctx.Err(); err != nil {
@@ -245,7 +279,14 @@
 		rec.ups = append(rec.ups, append([]span(nil), one.ups...))
 		one.mu.Unlock()
 	}
-	return judge(rec), nil
+	r := judge(rec)
+	unwatch()
+	<-watched
+	if p.line.Audit {
+		err := p.audit(ctx, rec, r)
+		return r, err
+	}
+	return r, nil
 }
 
 // look notes processes that ended by themselves.
--- a/internal/rig/servers.go
+++ b/internal/rig/servers.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"damsonscale/internal/acts"
 	"damsonscale/internal/discovery"
 )
 
@@ -33,6 +34,7 @@
 	At     time.Time
 	Repeat bool   // its key was known: no effect
 	Answer string // what the server answers to it
+	Actor  string // whose act its sending was, as the request says
 }
 
 // servers is the group of stand-ins, with what they did. Those of keyed work know each other's keys.
@@ -96,7 +98,7 @@
 	c := strings.SplitN(strings.TrimPrefix(r.URL.Path, "/"), "/", 2)[0]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	run := Execution{Server: name, At: time.Now()}
+	run := Execution{Server: name, At: time.Now(), Actor: r.Header.Get(acts.Header)}
 	switch answer, known := s.keys[key]; {
 	case r.Method == http.MethodGet:
 		run.Answer = fmt.Sprintf("%s %s", c, id)
--- a/internal/rig/timeline.go
+++ b/internal/rig/timeline.go
@@ -12,6 +12,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"damsonscale/internal/rollout"
 )
 
 // Kind is what a fault does.
@@ -90,6 +92,35 @@
 	Disks      []Disk   `json:"disks,omitempty"`    // by process
 	Strict     []string `json:"strict,omitempty"`   // classes that are refused where no record can be kept
 	Faults     []Fault  `json:"faults"`
+	Audit      bool     `json:"audit,omitempty"` // the fleet keeps account of its acts, and goes from version to version
+	Steps      []Step   `json:"steps,omitempty"` // of operators, with Audit
+}
+
+// Step is one order of an operator.
+type Step struct {
+	AtMs     int64  `json:"at_ms"`
+	Do       string `json:"do"`  // rollout, hold, back, out, readmit
+	Via      int    `json:"via"` // the member that is asked first
+	File     File   `json:"file,omitempty"`
+	Number   uint64 `json:"number,omitempty"` // with back
+	Who      int    `json:"who,omitempty"`    // with out and readmit
+	Share    int    `json:"share,omitempty"`  // thousandths, with rollout
+	SettleMs int64  `json:"settle_ms,omitempty"`
+	GraceMs  int64  `json:"grace_ms,omitempty"`
+	Refusers []int  `json:"refusers,omitempty"` // members whose own file has a key that this version lacks
+}
+
+// File is what a version's settings are like.
+type File string
+
+const (
+	Good    File = ""        // as those before, but for an aim
+	Falls   File = "falls"   // all requests time out
+	Unknown File = "unknown" // a key that no build knows
+)
+
+var orders = map[string]rollout.Kind{
+	"rollout": rollout.RollOut, "hold": rollout.Hold, "back": rollout.Back, "out": rollout.BarName, "readmit": rollout.Readmit,
 }
 
 // Bounds of a timeline.
@@ -129,6 +160,17 @@
 	for i, d := range t.Disks {
 		check(d == Writable || d == ReadOnly || d == Full, "disks[%d]: %q is none of read_only, full", i, d)
 	}
+	check(t.Fleet || !t.Audit, "audit: needs a fleet")
+	check(t.Audit || len(t.Steps) == 0, "steps: need audit")
+	for i, s := range t.Steps {
+		check(orders[s.Do] != 0, "steps[%d].do: %q is none of rollout, hold, back, out, readmit", i, s.Do)
+		check(s.AtMs >= 0 && s.Via >= 0 && s.Via < t.Processes && s.Who >= 0 && s.Who < t.Processes, "steps[%d]: no such time or member", i)
+		check(s.Do != "rollout" || s.Share >= 1 && s.Share <= rollout.Whole, "steps[%d].share: %d is not within 1 to %d", i, s.Share, rollout.Whole)
+		check(s.File == Good || s.File == Falls || s.File == Unknown, "steps[%d].file: %q is none of falls, unknown", i, s.File)
+		for _, who := range s.Refusers {
+			check(who >= 0 && who < t.Processes, "steps[%d].refusers: %d is no member", i, who)
+		}
+	}
 	check(len(t.Faults) <= mostFaults, "faults: %d, at most %d", len(t.Faults), mostFaults)
 	for i, f := range t.Faults {
 		if err := f.validate(t.Processes); err != nil {
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -93,8 +93,8 @@
 	return nil
 }
 
-// Step returns the order that is due, or nil. now is the leader's own clock, heard the reports of this term.
-func (d *Driver) Step(now time.Time, p *Plan, names []string, heard map[string]Heard) *Order {
+// Step returns the order that is due, or nil. living are the names that have a member; now is the leader's own clock, heard the reports of this term.
+func (d *Driver) Step(now time.Time, p *Plan, names, living []string, heard map[string]Heard) *Order {
 	if d.plan == nil || d.plan.Target != p.Target || d.plan.Share != p.Share {
 		d.since, d.asked = time.Time{}, time.Time{}
 	}
@@ -107,12 +107,12 @@
 	}
 	cohort := names
 	if p.Share < Whole {
-		cohort = p.Cohort(names)
+		cohort = slices.DeleteFunc(slices.Clone(p.First), func(n string) bool { return !slices.Contains(living, n) })
 	}
 	behind := Lacking(p.Target, nil, cohort, heard, now)
 	if p.Share < Whole {
-		if len(behind) > 0 {
-			d.since, d.Waits = time.Time{}, "for the first members: "+strings.Join(behind, ", ")
+		if len(behind) > 0 || len(cohort) == 0 {
+			d.since, d.Waits = time.Time{}, "for the first members: "+strings.Join(p.First, ", ")
 			return nil
 		}
 		if d.since.IsZero() {
@@ -162,7 +162,7 @@
 		}
 	}
 	switch {
-	case len(refused) > 0 && (!d.Guard.Allows(len(refused), len(names)) || len(refused) == len(p.Cohort(names))):
+	case len(refused) > 0 && (!d.Guard.Allows(len(refused), len(names)) || p.Share < Whole && len(refused) == len(p.First)):
 		return cut("refused by " + strings.Join(refused, ", ") + ": " + why)
 	case under.Ended >= fewest && before.Ended >= fewest && before.share()-under.share() > fallShare:
 		return fmt.Sprintf("service fell: %.1f%% of %d served, %.1f%% of %d before", 100*under.share(), under.Ended, 100*before.share(), before.Ended)
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -79,6 +79,7 @@
 	Target   uint64   // 0: members go by their own files
 	Base     uint64   // what those outside the share go by
 	Share    int      // thousandths
+	First    []string // the names that adopt it first, while Share is not Whole
 	SettleMs int64
 	GraceMs  int64
 	Fence    uint64 // below it no lease is given
@@ -131,8 +132,9 @@
 	return Version{}, false
 }
 
-// Apply returns the plan after an order, the same one with an error where it changes nothing.
-func (p *Plan) Apply(o *Order) (*Plan, error) {
+// Apply returns the plan after an order, the same one with an error where it changes nothing. Of all names those living may be
+// the first to adopt a version: guards against a rollout that waits for a member which is down.
+func (p *Plan) Apply(o *Order, names, living []string) (*Plan, error) {
 	if err := o.Check(); err != nil {
 		return p, err
 	}
@@ -147,6 +149,7 @@
 	err := error(nil)
 	switch o.Kind {
 	case RollOut:
+		n.First = first(p.Last+1, living, max(1, len(names)*o.Share/Whole))
 		n.target(Version{Digest: DigestOf(o.Text), Size: len(o.Text), Who: o.Who, Why: o.Why}, o)
 	case Back:
 		old, ok := p.Find(o.Number)
@@ -188,7 +191,7 @@
 		if o.Kind == Fence {
 			n.Fence = o.Number
 		}
-		n.Share = Whole
+		n.Share, n.First = Whole, nil
 	}
 	if err != nil {
 		return p, err
@@ -205,7 +208,7 @@
 	v.Number = n.Last
 	n.Target, n.Share, n.SettleMs, n.GraceMs, n.Held = v.Number, o.Share, o.SettleMs, o.GraceMs, ""
 	if o.Share == Whole {
-		n.Base = v.Number
+		n.Base, n.First = v.Number, nil
 	}
 	n.Versions = append(n.Versions, v)
 	for i := 0; len(n.Versions) > keptVersions && i < len(n.Versions); {
@@ -218,19 +221,20 @@
 }
 
 // Wanted is the version that a name is to act on; 0: its own file. No member goes below the fence.
-func (p *Plan) Wanted(name string, names []string) uint64 {
-	if p.Target == 0 || p.Share == Whole || slices.Contains(p.Cohort(names), name) {
+func (p *Plan) Wanted(name string) uint64 {
+	if p.Target == 0 || p.Share == Whole || slices.Contains(p.First, name) {
 		return p.Target
 	}
 	return max(p.Base, p.Fence)
 }
 
-// Cohort lists the names that adopt the target first: a share of all, at least one, another choice for each target.
-func (p *Plan) Cohort(names []string) []string {
+// first chooses some names, others for each version.
+func first(number uint64, names []string, n int) []string {
 	all := slices.Clone(names)
-	rank := func(name string) uint64 { return xxhash.Sum64String(fmt.Sprintf("%d/%s", p.Target, name)) }
+	rank := func(name string) uint64 { return xxhash.Sum64String(fmt.Sprintf("%d/%s", number, name)) }
 	slices.SortFunc(all, func(a, b string) int { return cmp.Or(cmp.Compare(rank(a), rank(b)), cmp.Compare(a, b)) })
-	return all[:min(len(all), max(1, len(all)*p.Share/Whole))]
+	all = slices.Compact(all) // of an upgrade there are two
+	return all[:min(len(all), n)]
 }
 
 // May tells whether a name that acts on a version may have a lease.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -21,7 +21,7 @@
 func applied(t *testing.T, p *Plan, all ...*Order) *Plan {
 	t.Helper()
 	for _, o := range all {
-		next, err := p.Apply(o)
+		next, err := p.Apply(o, names(10), names(10))
 		if err != nil {
 			t.Fatalf("%v: %v", o.Kind, err)
 		}
@@ -46,19 +46,22 @@
 	all := names(10)
 	first := order(RollOut, text("one", Whole))
 	p := applied(t, &Plan{}, first, order(RollOut, text("two", 200)))
-	if n := p.Cohort(all); len(n) != 2 || p.Wanted(n[0], all) != 2 || p.Base != 1 {
+	if n := p.First; len(n) != 2 || p.Wanted(n[0]) != 2 || p.Base != 1 {
 		t.Fatalf("%v %+v", n, p)
 	}
+	if one, err := p.Apply(order(RollOut, text("three", 900)), all, all[:1]); err != nil || len(one.First) != 1 || one.First[0] != all[0] || one.Base != 1 {
+		t.Errorf("%+v %v", one, err)
+	}
 	adopt := 0
 	for _, n := range all {
-		if p.Wanted(n, all) == 2 {
+		if p.Wanted(n) == 2 {
 			adopt++
 		}
 	}
 	if adopt != 2 {
 		t.Error(adopt)
 	}
-	if _, err := p.Apply(first); !errors.Is(err, ErrDone) {
+	if _, err := p.Apply(first, all, all); !errors.Is(err, ErrDone) {
 		t.Error(err)
 	}
 	held := applied(t, p, order(Hold, Order{Why: "wait"}))
@@ -68,7 +71,7 @@
 		"nobody": {Kind: Hold, ID: 1e6}, "no id": {Kind: Hold, Who: "me"}, "unknown": order(99, Order{}), "no text": order(RollOut, Order{Share: 1}),
 		"no share": order(RollOut, text("x", 0)), "fenced before it is whole": order(Fence, Order{Number: 2}),
 	} {
-		if next, err := held.Apply(o); err == nil || next != held {
+		if next, err := held.Apply(o, all, all); err == nil || next != held {
 			t.Errorf("%s: %v", name, err)
 		}
 	}
@@ -87,7 +90,7 @@
 	for i := range 30 {
 		fenced = applied(t, fenced, order(RollOut, text(fmt.Sprint(i), 100)))
 	}
-	if len(fenced.Versions) != keptVersions || fenced.Wanted("nobody", all) != 3 || fenced.Valid() != nil {
+	if len(fenced.Versions) != keptVersions || fenced.Wanted("nobody") != 3 || fenced.Valid() != nil {
 		t.Errorf("%+v", fenced)
 	}
 	if (&Plan{Last: 1, Target: 2}).Valid() == nil || (&Plan{Target: 1, Last: 1}).Valid() == nil {
@@ -113,7 +116,7 @@
 	at := func(ms int) time.Time { return time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond) }
 	base := applied(t, &Plan{}, order(RollOut, text("one", Whole)))
 	canary := applied(t, base, order(RollOut, text("two", 300)))
-	cohort := canary.Cohort(all)
+	cohort := canary.First
 	onTwo := map[string]Report{}
 	for _, n := range cohort {
 		onTwo[n] = Report{Acts: 2}
@@ -163,16 +166,16 @@
 		var o *Order
 		ms := 0
 		for ; ms <= 5000 && o == nil; ms += 10 {
-			o = d.Step(at(ms), c.plan, all, c.heard(ms))
+			o = d.Step(at(ms), c.plan, all, all, c.heard(ms))
 		}
 		switch {
 		case o == nil && c.want != 0, o != nil && (o.Kind != c.want || ms-10 < c.ms):
 			t.Errorf("%s: %+v after %d ms", name, o, ms-10)
 		case o != nil:
-			if next, err := c.plan.Apply(o); err != nil || next == c.plan {
+			if next, err := c.plan.Apply(o, all, all); err != nil || next == c.plan {
 				t.Errorf("%s: %v", name, err)
 			}
-			if again := d.Step(at(ms), c.plan, all, c.heard(ms)); again != nil {
+			if again := d.Step(at(ms), c.plan, all, all, c.heard(ms)); again != nil {
 				t.Errorf("%s: ordered again at once", name)
 			}
 		}
@@ -201,7 +204,7 @@
 			if o.Kind == RollOut {
 				o.Text, o.Share = []byte{byte(o.ID)}, rapid.IntRange(1, Whole).Draw(r, "share")
 			}
-			next, err := p.Apply(o)
+			next, err := p.Apply(o, all, all)
 			if err != nil && next != p {
 				t.Fatal("an order with an error changed the plan")
 			}
@@ -209,7 +212,7 @@
 				t.Fatalf("%+v after %+v by %+v", next, p, o)
 			}
 			for _, n := range all {
-				w := next.Wanted(n, all)
+				w := next.Wanted(n)
 				if _, kept := next.Find(w); w > 0 && !kept || w < next.Fence {
 					t.Fatalf("%s wants %d of %+v", n, w, next)
 				}
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"damsonscale/decide"
+	"damsonscale/internal/acts"
 	"damsonscale/internal/upstream"
 	"damsonscale/internal/watch"
 )
@@ -37,6 +38,10 @@
 	a.Done = func(a *upstream.Attempt, r upstream.Report) {
 		s.box <- func(now int64) { s.settle(now, c, n, a, r) }
 	}
+	if s.ledger != nil {
+		ref := s.act(acts.Sent, request, server)
+		a.Actor = ref.Append(nil)
+	}
 	c.attempts = append(c.attempts, a)
 	c.out++
 	s.offer(a)
@@ -71,7 +76,7 @@
 
 func (x actions) answer(request string, a Answer) {
 	if c := x.s.calls[request]; c != nil {
-		c.finish(a)
+		x.s.finish(c, a)
 		x.s.forget(c)
 	}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -7,9 +7,11 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"damsonscale/decide"
+	"damsonscale/internal/acts"
 	"damsonscale/internal/config"
 	"damsonscale/internal/discovery"
 	"damsonscale/internal/upstream"
@@ -41,6 +43,11 @@
 	peers     map[string]*peer
 	known     chan struct{} // closed once any server is known
 	first     sync.Once     // closes it
+	ledger    acts.Ledger   // nil: no account is kept
+	seq       int64         // of the list; -1: none yet
+	number    uint64        // of the settings in force, and their digest, where a fleet gives them
+	digest    uint64
+	stamp     atomic.Uint32 // of the version in force
 	ending    chan struct{} // closed by End
 	last      sync.Once     // closes it
 }
@@ -71,6 +78,39 @@
 	return s
 }
 
+// Audit has an account kept of what this sidecar does. It must be called before Run.
+func (s *Sidecar) Audit(l acts.Ledger) {
+	if s.ledger, s.seq = l, -1; s.conf.Known != nil {
+		s.seq = s.conf.Known.Seq
+	}
+	s.number, s.digest = s.conf.Number, s.conf.Digest
+	s.restamp()
+}
+
+// restamp takes the version in force, on the actor.
+func (s *Sidecar) restamp() {
+	if s.ledger != nil {
+		s.stamp.Store(uint32(s.ledger.Under(s.number, s.digest, s.seq)))
+	}
+}
+
+// Under is the version in force.
+func (s *Sidecar) Under() acts.Stamp { return acts.Stamp(s.stamp.Load()) }
+
+// act notes what this sidecar does, when it decides it.
+func (s *Sidecar) act(k acts.Kind, id, note string) (r acts.Ref) {
+	if s.ledger != nil {
+		r = s.ledger.Add(k, s.Under(), id, note)
+	}
+	return r
+}
+
+// finish gives a call its answer, once, under the version by which it was decided.
+func (s *Sidecar) finish(c *Call, a Answer) bool {
+	a.Under = s.Under()
+	return c.finish(a)
+}
+
 // Ready tells whether any server is known.
 func (s *Sidecar) Ready() bool { return s.list.Roster.Known() }
 
@@ -215,14 +255,20 @@
 
 func (s *Sidecar) take(now int64, c *Call) {
 	if s.calls[c.Request.ID] != nil || s.foreign[c.Request.ID] { // Guards against two requests of one id, whose attempts could not be told apart
-		c.finish(Answer{Verdict: Duplicate})
+		s.finish(c, Answer{Verdict: Duplicate})
 		return
 	}
-	if !s.admitted(c) {
-		c.finish(Answer{Verdict: Refused}) // it has gone nowhere: a new try is harmless
+	if !c.gate.May() || !s.admitted(c) {
+		s.finish(c, Answer{Verdict: Refused}) // it has gone nowhere: a new try is harmless
 		return
 	}
 	s.calls[c.Request.ID] = c
+	if kind := acts.Took; s.ledger != nil {
+		if c.Request.Former > 0 {
+			kind = acts.TookOver
+		}
+		s.act(kind, c.Request.ID, c.class.Name)
+	}
 	if c.Request.Left = c.wait().Microseconds(); !c.Request.Once {
 		c.Request.Left = max(0, s.at(c.giveUp)-now)
 	}
@@ -257,6 +303,8 @@
 	s.box <- func(now int64) {
 		defer close(done)
 		s.settings, s.transport = &conf.Settings, conf.Transport
+		s.number, s.digest = conf.Number, conf.Digest
+		s.restamp()
 		s.shared.Retune(conf.Transport.DialTimeout, conf.Transport.ConnIdle)
 		set := conf.Settings
 		e := watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Retune(now, set) }}
@@ -285,7 +333,7 @@
 func (s *Sidecar) began(c *Call, n int) func(*upstream.Attempt, *upstream.Stream) {
 	return func(_ *upstream.Attempt, st *upstream.Stream) {
 		s.box <- func(now int64) {
-			if !c.finish(Answer{Verdict: Served, Stream: st, ContentType: st.ContentType}) {
+			if !s.finish(c, Answer{Verdict: Served, Stream: st, ContentType: st.ContentType}) {
 				st.Close()
 				return
 			}
@@ -308,6 +356,8 @@
 func (s *Sidecar) Listed(l *discovery.List) {
 	s.tellKnown()
 	s.box <- func(now int64) {
+		s.seq = l.Seq
+		s.restamp()
 		list := servers(l)
 		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Listed(now, list, l.Whole) }})
 		for host := range s.peers {
@@ -377,6 +427,15 @@
 	}
 }
 
+// Rest closes all idle connections to servers.
+func (s *Sidecar) Rest() {
+	s.box <- func(int64) {
+		for _, p := range s.peers {
+			p.CloseIdle()
+		}
+	}
+}
+
 // short asks every peer for its longest idle connection: an attempt waits for a socket.
 func (s *Sidecar) short() {
 	s.box <- func(int64) {
@@ -396,7 +455,17 @@
 		c.effectAt = a.Sent
 	}
 	if result == decide.Served {
-		c.finish(Answer{Verdict: Served, Body: r.Body, ContentType: r.ContentType})
+		s.finish(c, Answer{Verdict: Served, Body: r.Body, ContentType: r.ContentType})
+	}
+	if c.out == 0 && !c.gate.May() { // Guards against tries that end unwritten one after the other, and a client that waits for nothing
+		verdict := Failed
+		if c.effectAt.IsZero() {
+			verdict = Refused
+		}
+		s.finish(c, Answer{Verdict: verdict})
+	}
+	if r.End == upstream.Unwritten || r.End == upstream.Unreachable {
+		s.act(acts.Unsent, c.Request.ID, a.Host)
 	}
 	sent := a.Sent
 	if !r.SentAt.IsZero() { // no server could begin before
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"damsonscale/decide"
+	"damsonscale/internal/acts"
 )
 
 // Message is a request as it goes on: its bytes as they came, but for the fields that the sidecar owns.
@@ -24,10 +25,13 @@
 const DeadlineHeader = "Req-Deadline-Ms"
 
 // render makes the bytes of one attempt and tells how many they are. The body is not copied.
-func (m *Message) render(left time.Duration) (parts net.Buffers, size int64) {
-	head := make([]byte, 0, len(m.Head)+48)
+func (m *Message) render(left time.Duration, actor []byte) (parts net.Buffers, size int64) {
+	head := make([]byte, 0, len(m.Head)+len(actor)+64)
 	head = append(append(head, m.Head...), DeadlineHeader+": "...)
 	head = strconv.AppendInt(head, max(1, left.Milliseconds()), 10)
+	if len(actor) > 0 {
+		head = append(append(head, "\r\n"+acts.Header+": "...), actor...)
+	}
 	head = append(head, "\r\n\r\n"...)
 	if m.chunks() && len(m.Body) > 0 {
 		head = append(strconv.AppendInt(head, int64(len(m.Body)), 16), "\r\n"...)
@@ -45,6 +49,9 @@
 	closed bool
 }
 
+// May tells whether this process has leave to send.
+func (g *Gate) May() bool { return g.Leave == nil || g.Leave() }
+
 // Close waits for a write under way and lets no other begin.
 func (g *Gate) Close() {
 	g.mu.Lock()
@@ -56,7 +63,7 @@
 func (g *Gate) pass(write func()) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.closed || g.Leave != nil && !g.Leave() {
+	if g.closed || !g.May() {
 		return false
 	}
 	write()
@@ -67,6 +74,7 @@
 type Attempt struct {
 	Host     string
 	Message  *Message
+	Actor    []byte // tells the server whose act it is; empty: nothing
 	Gate     *Gate
 	Sent     time.Time // when the decision was made
 	Deadline time.Time // when the wait ends; zero: Wait after the last byte of the body has gone
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -97,7 +97,7 @@
 		if !a.Deadline.IsZero() {
 			left = a.Deadline.Sub(now)
 		}
-		parts, size := a.Message.render(left)
+		parts, size := a.Message.render(left, a.Actor)
 		switch n, err := parts.WriteTo(c.Conn); {
 		case n == size:
 			end = Answered
