Told in a tree; a member without leave answers nothing that another may have begun; the auditor's timings

It now ends the connection, as custody does. Rosters go down a tree of four: 4 rounds for 1,000 members, each tells 4 at most.

--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -64,7 +64,7 @@
 
 type rolloutsCmd struct {
 	Seed uint64 `help:"Of the requests and the servers' times." default:"1"`
-	With string `help:"What is broken: none, stopped, cut." enum:"none,stopped,cut" default:"none"`
+	With string `help:"What is broken: none, stopped, cut, refused, barred." enum:"none,stopped,cut,refused,barred" default:"none"`
 }
 
 func (c *rolloutsCmd) Run(p *player) error { return p.one(rig.Rollouts(c.Seed, c.With), p.dir) }
@@ -233,6 +233,9 @@
 	for _, s := range r.Steps {
 		fmt.Println("step:", s)
 	}
+	for number, ms := range r.TurnMs {
+		fmt.Printf("version %d: %d ms from its order to the last run under an older one\n", number, ms)
+	}
 	if r.Waits != "" {
 		fmt.Println("waits:", r.Waits)
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -62,6 +62,7 @@
 	opts    *options.Options
 	listed  map[string]string // addresses by the options
 	names   []string
+	sorted  []string // the same, by name: those that vote first
 	hooks   Hooks
 	coder   *coder
 	wire    *wire
@@ -108,7 +109,7 @@
 		f.names = append(f.names, m.Name)
 		f.listed[m.Name] = m.Address
 	}
-	f.voters = votersOf(f.names)
+	f.voters, f.sorted = votersOf(f.names), slices.Sorted(slices.Values(f.names))
 	f.roster.Store(&roster{})
 	if err := f.incarnate(); err != nil {
 		return nil, err
@@ -205,7 +206,7 @@
 		if err == nil {
 			e.send, e.names, e.noFence = f.send, f.names, f.plant.noFence
 			e.driver.Guard = rollout.Guard{MostOut: f.opts.Audit.MostOut, Loose: f.plant.looseGuard}
-			e.told = func(r *roster, texts map[string][]byte) { f.learn(r, texts, true) }
+			e.told = func(r *roster, texts map[string][]byte) { f.learn(r, texts) }
 			f.epochs.Store(e)
 			err = e.run(ctx)
 			f.epochs.Store(nil)
@@ -318,11 +319,11 @@
 }
 
 // learn takes a newer roster in, with the bytes of versions as far as they came with it. Only what is agreed comes here.
-func (f *Fleet) learn(r *roster, texts map[string][]byte, tell bool) {
-	f.post(func() { f.learned(r, texts, tell) })
+func (f *Fleet) learn(r *roster, texts map[string][]byte) {
+	f.post(func() { f.learned(r, texts) })
 }
 
-func (f *Fleet) learned(r *roster, texts map[string][]byte, tell bool) {
+func (f *Fleet) learned(r *roster, texts map[string][]byte) {
 	if r.Epoch <= f.roster.Load().Epoch {
 		return
 	}
@@ -334,25 +335,27 @@
 	if me := *f.me.Load(); r.gone(me) && !f.ended.Load() {
 		f.putOut()
 	}
-	if !tell || f.epochs.Load() == nil || !f.firstVoter(r) {
-		return
-	}
-	// One who votes tells those who do not; the voters have it from the log.
-	for _, s := range r.Seats {
-		if !slices.Contains(f.voters, s.Member.Name) {
-			f.tellRoster(s.Member.Name)
-		}
+	for _, name := range told(f.sorted, f.name, len(f.voters)) {
+		f.tellRoster(name)
 	}
 }
 
-// firstVoter tells whether this member is the first living voter: one of them tells the others.
-func (f *Fleet) firstVoter(r *roster) bool {
-	for _, v := range f.voters {
-		if slices.ContainsFunc(r.Seats, func(s seat) bool { return s.Member.Name == v }) {
-			return v == f.name
-		}
+// tells is how many others each member tells of a new epoch.
+const tells = 4
+
+// told lists whom a member tells: its children in a tree over all names, less those that vote, who have it from the log. Where a
+// member is down, those below it see by their leases that there is more to know, and ask who gave them.
+func told(sorted []string, name string, voters int) []string {
+	at := slices.Index(sorted, name)
+	if at < 0 {
+		return nil
 	}
-	return false
+	from := max(tells*at+1, voters)
+	to := min(tells*at+tells+1, len(sorted))
+	if from >= to {
+		return nil
+	}
+	return sorted[from:to]
 }
 
 func (f *Fleet) tellRoster(name string) {
@@ -397,7 +400,7 @@
 		r := new(roster)
 		if err = f.coder.in.Unmarshal(payload, r); err == nil {
 			if err = r.check(); err == nil {
-				f.learn(r, nil, false)
+				f.learn(r, nil)
 			}
 		}
 	case kindWant:
@@ -517,6 +520,17 @@
 	return f.lease.Load()
 }
 
+// MayRefuse tells whether a request that was read just now had not waited.
+func (f *Fleet) MayRefuse() bool {
+	back := make(chan bool, 1)
+	select {
+	case f.keeper.box <- func(now int64) { back <- f.keeper.fresh(now) }:
+		return <-back
+	case <-f.ctx.Done():
+		return false
+	}
+}
+
 // Ledger is the account that this member keeps of itself; nil: none.
 func (f *Fleet) Ledger() acts.Ledger {
 	if f.book == nil {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
+	"math"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -12,6 +15,8 @@
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 
+	"damsonscale/internal/acts"
+	"damsonscale/internal/audit"
 	"damsonscale/internal/custody"
 	"damsonscale/internal/frame"
 )
@@ -265,3 +270,114 @@
 		}
 	}
 }
+
+// A new epoch comes to all in a number of rounds that grows with the logarithm of the members, and each tells a few.
+func TestTellingGrowsWithTheLogarithm(t *testing.T) {
+	for _, n := range []int{1, 2, 3, 9, 300, 1000} {
+		var names []string
+		for i := range n {
+			names = append(names, fmt.Sprintf("n%04d", i))
+		}
+		voters := votersOf(names)
+		know, round := map[string]bool{}, 0
+		for _, v := range voters {
+			know[v] = true
+		}
+		for next := slices.Clone(voters); len(know) < n; round++ {
+			var after []string
+			for _, name := range next {
+				to := told(names, name, len(voters))
+				if len(to) > tells {
+					t.Fatalf("%d members: %s tells %d", n, name, len(to))
+				}
+				for _, o := range to {
+					if know[o] {
+						t.Fatalf("%d members: %s is told twice", n, o)
+					}
+					know[o] = true
+					after = append(after, o)
+				}
+			}
+			if next = after; len(next) == 0 {
+				t.Fatalf("%d members: %d know after %d rounds", n, len(know), round)
+			}
+		}
+		t.Logf("%d members: %d rounds", n, round)
+		if most := 1 + int(math.Log(float64(n))/math.Log(tells)); round > most {
+			t.Errorf("%d members: %d rounds, at most %d", n, round, most)
+		}
+	}
+	if told([]string{"a"}, "b", 1) != nil {
+		t.Error("a stranger tells")
+	}
+}
+
+// A file whose end was cut off is mended and said; an edited byte ends it; what was good before is kept; another process's file is left alone.
+func TestSegmentFiles(t *testing.T) {
+	coder, err := newCoder()
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	d := &disk{dir: dir, most: 1 << 20, coder: coder}
+	if old := d.open(member("a", 1)); len(old) != 0 {
+		t.Fatal(old)
+	}
+	book, err := audit.NewBook(7, member("a", 1), "build", protocol, func() int64 { return 0 }, audit.Sound)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range 5 {
+		book.Add(acts.Took, 0, "id", "look")
+		all, err := book.Cut(0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.append(&all[0])
+	}
+	path := filepath.Join(dir, "a-1"+segmentsEnd)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		change func([]byte) []byte
+		kept   int
+	}{
+		"whole":       {func(b []byte) []byte { return b }, 5},
+		"cut off":     {func(b []byte) []byte { return b[:len(b)-3] }, 4},
+		"edited":      {func(b []byte) []byte { b[len(b)/2] ^= 1; return b }, 2},
+		"only a head": {func(b []byte) []byte { return b[:10] }, 0},
+		"a tail":      {func(b []byte) []byte { return append(b, "nonsense"...) }, 5},
+	} {
+		if err := os.WriteFile(path, c.change(slices.Clone(text)), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again := &disk{dir: dir, most: 1 << 20, coder: coder}
+		if got := again.open(member("a", 2)); len(got) != c.kept {
+			t.Errorf("%s: %d segments, not %d", name, len(got), c.kept)
+		}
+		if all, _, err := ReadSegments(path); err != nil || len(all) != c.kept {
+			t.Errorf("%s: not mended: %d, %v", name, len(all), err)
+		}
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	small := &disk{dir: dir, most: 100, coder: coder}
+	if small.open(member("a", 3)); small.file == nil {
+		t.Fatal("no file")
+	}
+	if _, err := os.Stat(path); !os.IsNotExist(err) {
+		t.Error("old files stay past what is granted")
+	}
+	nowhere := &disk{dir: filepath.Join(dir, "a-3"+segmentsEnd, "x"), most: 100, coder: coder}
+	nowhere.open(member("a", 4))
+	all, _ := book.Cut(0)
+	for i := range all {
+		nowhere.append(&all[i])
+	}
+	if !nowhere.said {
+		t.Error("a place that can't be is not told")
+	}
+}
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -105,7 +105,7 @@
 		return
 	}
 	plan := &f.roster.Load().Plan
-	f.shutOut(!plan.May(f.name, f.tuned.acts))
+	f.shutOut(!plan.May(f.name, f.tuned.acts) && !f.plant.noFence)
 	want := plan.Wanted(f.name)
 	if want <= f.tuned.acts || want == f.tuned.refused || f.tuned.under {
 		return // a number only grows: the lease was asked for under it
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -424,7 +424,7 @@
 	}
 	leave := f.leave()
 	if leave != nil && !leave.Valid() {
-		f.shut(ctx, parsed)
+		f.shut(ctx, c, parsed)
 		return
 	}
 	if f.keeper != nil && f.keep(ctx, c, parsed, body) {
@@ -454,8 +454,15 @@
 	}
 }
 
-// shut refuses a request that this member has no leave to take.
-func (f *Frontend) shut(ctx *fasthttp.RequestCtx, p *parsed) {
+// shut refuses a request that this member has no leave to take. Work with an effect that another member may have begun is
+// not answered: its client asks on. Guards against a refusal of what ran.
+func (f *Frontend) shut(ctx *fasthttp.RequestCtx, c *clientConn, p *parsed) {
+	resumed := string(ctx.Request.Header.Peek(resumeHead)) == "1"
+	if p.now.settings.Classes[p.request.Class].Semantics != decide.Idempotent && (resumed || !f.keeper.MayRefuse()) {
+		ctx.SetConnectionClose()
+		c.Close()
+		return
+	}
 	refuse(ctx, sidecar.Answer{RetryAfter: shutRetry})
 	f.noted(ctx, acts.Turned, p.request.ID, f.side.Under())
 	ctx.SetConnectionClose() // clients have others to go to
--- a/internal/frontend/keep.go
+++ b/internal/frontend/keep.go
@@ -26,6 +26,7 @@
 	Custody(class string, e custody.Effect) options.Custody
 	Longest() time.Duration // that a request may be in custody
 	Needed() custody.Lease  // without which nothing at all is taken or sent; nil: none is
+	MayRefuse() bool        // a request that was read just now had not waited, so that its client may have gone elsewhere
 }
 
 // Join has the work with an effect kept from the next request on.
--- a/internal/rig/auditor.go
+++ b/internal/rig/auditor.go
@@ -45,12 +45,17 @@
 		o.Name = name(s.Who)
 	}
 	via, said := s.Via, ""
+	asked := time.Now()
+	target := uint64(0)
 	for range 3 {
 		r, err := fleet.Call(ctx, p.members[via], p.names(), fleet.Ask{Do: fleet.AskOrder, Order: o})
 		if err != nil {
 			said = err.Error()
 			break
 		}
+		if r.Standing != nil {
+			target = r.Standing.Plan.Target
+		}
 		if said = r.Err; !r.NotLeading || r.Leader == "" {
 			break
 		}
@@ -58,7 +63,13 @@
 		via--
 	}
 	p.mu.Lock()
-	p.target = append(p.target, fmt.Sprintf("%s via n%d after %d ms: %s", s.Do, s.Via+1, time.Since(start).Milliseconds(), said))
+	if said == "" && (o.Kind == rollout.RollOut || o.Kind == rollout.Back) {
+		if p.ordered == nil {
+			p.ordered = map[uint64]time.Time{}
+		}
+		p.ordered[target] = asked
+	}
+	p.steps = append(p.steps, fmt.Sprintf("%s via n%d after %d ms: %s", s.Do, s.Via+1, time.Since(start).Milliseconds(), said))
 	p.mu.Unlock()
 }
 
@@ -83,6 +94,7 @@
 				if f := r.Standing.Plan.Fence; f > 0 && p.fences[f].IsZero() {
 					p.fences[f] = time.Now()
 				}
+				p.over = max(p.over, overGuard(r.Standing))
 				p.mu.Unlock()
 			}
 		}()
@@ -92,6 +104,20 @@
 	}
 }
 
+// guard is the program's own share of members that may be without a lease.
+const guard = 0.34
+
+// overGuard counts the members that the plan shuts out past the guard: barred ones, and those that refused what the fence asks.
+func overGuard(s *fleet.Standing) int {
+	out := len(s.Plan.Barred)
+	for name, t := range s.Reports {
+		if !slices.Contains(s.Plan.Barred, name) && t.Report.Refused >= s.Plan.Fence && t.Report.Acts < s.Plan.Fence {
+			out++
+		}
+	}
+	return max(0, out-int(guard*float64(len(s.Names))))
+}
+
 // audit compares the fleet's account with the servers' and clients' own tallies, act by act.
 func (p *play) audit(ctx context.Context, rec *record, r *Report) error {
 	ctx, cancel := context.WithTimeout(ctx, auditWithin)
@@ -126,8 +152,8 @@
 		return errors.New("no member tells the account")
 	}
 	p.mu.Lock()
-	a := &auditor{r: r, accounts: map[custody.Member]*told{}, living: living, fences: p.fences, lease: ms(p.line.LeaseMs)}
-	r.Steps = p.target
+	a := &auditor{r: r, accounts: map[custody.Member]*told{}, living: living, fences: p.fences, ordered: p.ordered, lease: ms(p.line.LeaseMs)}
+	r.Steps, r.OverGuard = p.steps, p.over
 	p.mu.Unlock()
 	if a.lease == 0 {
 		a.lease = 600 * time.Millisecond // the program's own
@@ -148,6 +174,7 @@
 	accounts map[custody.Member]*told
 	living   map[custody.Member]bool
 	fences   map[uint64]time.Time
+	ordered  map[uint64]time.Time
 	lease    time.Duration
 }
 
@@ -220,6 +247,7 @@
 
 func (a *auditor) compare(rec *record) {
 	seen := map[custody.Member]map[string]int{}
+	a.r.TurnMs = map[uint64]int64{}
 	for id, runs := range rec.runs {
 		for _, run := range runs {
 			ref, ok := a.see("a run at "+run.Server, run.Actor, id, run.Server, acts.Sent)
@@ -230,6 +258,11 @@
 				seen[ref.Member] = map[string]int{}
 			}
 			seen[ref.Member][id+" "+run.Server]++
+			for number, at := range a.ordered {
+				if late := run.At.Sub(at).Milliseconds(); ref.Version.Settings < number && late > a.r.TurnMs[number] {
+					a.r.TurnMs[number] = late
+				}
+			}
 			for fence, at := range a.fences {
 				if ref.Version.Settings < fence && run.At.After(at.Add(a.lease+fenceSlack)) {
 					a.broke(&a.r.BelowFence, "below the fence", fmt.Sprintf("%s ran under %d, %d ms after fence %d was seen, by %s", id, ref.Version.Settings,
--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -29,7 +29,7 @@
 	return []Work{{Class: "look", Share: 4}, {Class: "make", Share: 3}, {Class: "once", Share: 3}}
 }
 
-// Rollouts is the experiment of issue 33's figures: one version after the other, with a member that is cut off or stopped meanwhile.
+// Rollouts is the experiment of issue 33's figures: one version after the other, with a member that is cut off, stopped, refuses or is shut out meanwhile.
 func Rollouts(seed uint64, broken string) *Timeline {
 	t := &Timeline{
 		Seed: seed, Note: "rollouts, " + broken, Processes: 3, Fleet: true, Audit: true, LengthMs: 12_000, PerSecond: 200, DeadlineMs: 2000, SilenceMs: 700,
@@ -42,6 +42,10 @@
 	switch broken {
 	case "stopped":
 		t.Faults = []Fault{{AtMs: 1400, ForMs: 6000, Kind: Stop, Who: 2}}
+	case "refused":
+		t.Steps[0].Refusers = []int{2}
+	case "barred":
+		t.Steps = []Step{{AtMs: 1000, Do: "out", Who: 1}, {AtMs: 2000, Do: "out", Via: 1, Who: 2}}
 	case "cut":
 		for to := range 2 {
 			t.Faults = append(t.Faults, Fault{AtMs: 1400, ForMs: 6000, Kind: Cut, Who: 2, To: to, Both: true})
@@ -56,7 +60,7 @@
 		var out []Step
 		for n := rapid.IntRange(1, 4).Draw(r, "steps"); n > 0; n-- {
 			s := Step{
-				AtMs: rapid.Int64Range(0, t.LengthMs*7/10).Draw(r, "at"), Via: rapid.IntRange(0, t.Processes-1).Draw(r, "via"),
+				AtMs: t.LengthMs * rapid.SampledFrom([]int64{2, 5, 10, 15, 20, 25, 30, 35, 40, 45, 50, 60, 70}).Draw(r, "at") / 100, Via: rapid.IntRange(0, t.Processes-1).Draw(r, "via"),
 				Do: rapid.SampledFrom([]string{"rollout", "rollout", "rollout", "rollout", "hold", "back", "out", "readmit"}).Draw(r, "do"),
 			}
 			switch s.Do {
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -33,14 +33,16 @@
 	Spoilt        int `json:"spoilt"`         // a served answer that no server made for it
 	Crashes       int `json:"crashes"`        // processes that ended by themselves
 
-	Acts       int      `json:"acts,omitempty"`        // told by the fleet's account
-	Matched    int      `json:"matched,omitempty"`     // runs and answers that the account tells as they were seen
-	InGaps     int      `json:"in_gaps,omitempty"`     // runs and answers in gaps that the account states
-	Misstated  int      `json:"misstated,omitempty"`   // told otherwise than seen, or missing where no gap is stated
-	BelowFence int      `json:"below_fence,omitempty"` // runs under a version below the fence, later than a lease after it
-	Unagreed   int      `json:"unagreed,omitempty"`    // members that did not come to the target by the end
-	Steps      []string `json:"steps,omitempty"`       // of operators, with what the fleet said
-	Waits      string   `json:"waits,omitempty"`       // why a rollout had not ended
+	Acts       int              `json:"acts,omitempty"`        // told by the fleet's account
+	Matched    int              `json:"matched,omitempty"`     // runs and answers that the account tells as they were seen
+	InGaps     int              `json:"in_gaps,omitempty"`     // runs and answers in gaps that the account states
+	Misstated  int              `json:"misstated,omitempty"`   // told otherwise than seen, or missing where no gap is stated
+	BelowFence int              `json:"below_fence,omitempty"` // runs under a version below the fence, later than a lease after it
+	OverGuard  int              `json:"over_guard,omitempty"`  // members shut out at once past the guard, at most
+	Unagreed   int              `json:"unagreed,omitempty"`    // members that did not come to the target by the end
+	Steps      []string         `json:"steps,omitempty"`       // of operators, with what the fleet said
+	TurnMs     map[uint64]int64 `json:"turn_ms,omitempty"`     // by version: from its order to the last run under an older one
+	Waits      string           `json:"waits,omitempty"`       // why a rollout had not ended
 
 	P50Ms, P99Ms           float64  // of all that were served
 	AgainP50Ms, AgainP99Ms float64  // of those asked again: from the second ask to the answer
@@ -49,7 +51,7 @@
 
 // Kept tells whether no rule was broken.
 func (r *Report) Kept() bool {
-	return r.Lost+r.Twice+r.FalseRefusals+r.TwoAnswers+r.Spoilt+r.Crashes+r.Misstated+r.BelowFence == 0
+	return r.Lost+r.Twice+r.FalseRefusals+r.TwoAnswers+r.Spoilt+r.Crashes+r.Misstated+r.BelowFence+r.OverGuard == 0
 }
 
 // Why tells what was broken, empty: nothing.
@@ -60,7 +62,7 @@
 		n    int
 	}{
 		{"lost", r.Lost}, {"twice", r.Twice}, {"false refusals", r.FalseRefusals}, {"two answers", r.TwoAnswers},
-		{"spoilt", r.Spoilt}, {"crashes", r.Crashes}, {"misstated", r.Misstated}, {"below the fence", r.BelowFence},
+		{"spoilt", r.Spoilt}, {"crashes", r.Crashes}, {"misstated", r.Misstated}, {"below the fence", r.BelowFence}, {"over the guard", r.OverGuard},
 	} {
 		if b.n > 0 {
 			all = append(all, fmt.Sprintf("%d %s", b.n, b.name))
@@ -206,7 +208,7 @@
 		{&r.Refused, &o.Refused}, {&r.Failed, &o.Failed}, {&r.Excused, &o.Excused}, {&r.Lost, &o.Lost}, {&r.Twice, &o.Twice},
 		{&r.FalseRefusals, &o.FalseRefusals}, {&r.TwoAnswers, &o.TwoAnswers}, {&r.Spoilt, &o.Spoilt}, {&r.Crashes, &o.Crashes},
 		{&r.Acts, &o.Acts}, {&r.Matched, &o.Matched}, {&r.InGaps, &o.InGaps}, {&r.Misstated, &o.Misstated}, {&r.BelowFence, &o.BelowFence},
-		{&r.Unagreed, &o.Unagreed},
+		{&r.OverGuard, &o.OverGuard}, {&r.Unagreed, &o.Unagreed},
 	} {
 		*p.to += *p.from
 	}
@@ -218,7 +220,7 @@
 // Line tells a report in one line.
 func (r *Report) Line() string {
 	return fmt.Sprintf("requests=%d asked_again=%d served=%d again_served=%d refused=%d failed=%d excused=%d lost=%d twice=%d false_refusals=%d "+
-		"two_answers=%d spoilt=%d crashes=%d acts=%d matched=%d in_gaps=%d misstated=%d below_fence=%d unagreed=%d p50_ms=%.1f p99_ms=%.1f again_p50_ms=%.1f again_p99_ms=%.1f",
+		"two_answers=%d spoilt=%d crashes=%d acts=%d matched=%d in_gaps=%d misstated=%d below_fence=%d over_guard=%d unagreed=%d p50_ms=%.1f p99_ms=%.1f again_p50_ms=%.1f again_p99_ms=%.1f",
 		r.Requests, r.AskedAgain, r.Served, r.AgainServed, r.Refused, r.Failed, r.Excused, r.Lost, r.Twice, r.FalseRefusals,
-		r.TwoAnswers, r.Spoilt, r.Crashes, r.Acts, r.Matched, r.InGaps, r.Misstated, r.BelowFence, r.Unagreed, r.P50Ms, r.P99Ms, r.AgainP50Ms, r.AgainP99Ms)
+		r.TwoAnswers, r.Spoilt, r.Crashes, r.Acts, r.Matched, r.InGaps, r.Misstated, r.BelowFence, r.OverGuard, r.Unagreed, r.P50Ms, r.P99Ms, r.AgainP50Ms, r.AgainP99Ms)
 }
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -51,7 +51,9 @@
 	mu      sync.Mutex
 	crashes []string
 	fences  map[uint64]time.Time // when each was first seen by anybody
-	target  []string             // what became of operators' steps
+	steps   []string             // of operators, with what became of them
+	ordered map[uint64]time.Time // when each version was
+	over    int                  // members shut out at once past the guard, at most
 }
 
 func (p *play) begin(ctx context.Context) (err error) {
