--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -18,6 +18,7 @@
 	"damsonscale/internal/custody"
 	"damsonscale/internal/explore"
 	"damsonscale/internal/rig"
+	"damsonscale/internal/rollout"
 )
 
 // errBroken is a rule that was broken: told, and the exit is 1.
@@ -176,9 +177,30 @@
 	Seed  uint64 `help:"Of the first way at random." default:"1"`
 	Count int    `help:"Ways at random, of two requests." default:"10000"`
 	Steps int    `help:"Of each at most." default:"300"`
+	Fence bool   `help:"Look at leases and the fence in a larger world instead: two minutes, 6.5 million states."`
+}
+
+// fences looks at every order of events of leases and versions.
+func (c *exploreCmd) fences(p *player) error {
+	conf := explore.FenceConfig{
+		Members: 1, Orders: []rollout.Kind{rollout.RollOut, rollout.Fence}, Turns: 1, Starts: 1, Ticks: 4, Asks: 2,
+	}
+	f, err := explore.ExhaustFence(p.ctx, conf)
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%v states=%d\n", conf, f.States)
+	if f.Broken != "" {
+		fmt.Printf("%s\n%s\n", f.Broken, strings.Join(f.Trace, "\n"))
+		return errBroken
+	}
+	return nil
 }
 
 func (c *exploreCmd) Run(p *player) error {
+	if c.Fence {
+		return c.fences(p)
+	}
 	broken := func(f explore.Found) bool {
 		if f.Broken == "" {
 			return false
@@ -236,6 +258,9 @@
 	for number, ms := range r.TurnMs {
 		fmt.Printf("version %d: %d ms from its order to the last run under an older one\n", number, ms)
 	}
+	if r.Held != "" {
+		fmt.Println("held:", r.Held)
+	}
 	if r.Waits != "" {
 		fmt.Println("waits:", r.Waits)
 	}
--- a/internal/app/tuning.go
+++ b/internal/app/tuning.go
@@ -38,18 +38,18 @@
 		log.Printf("event=reload_failed err=%q", err)
 		return
 	}
-	of := "file"
+	of := ""
 	if t.number > 0 {
 		if next, err = next.Adopt(t.text, t.env); err != nil {
 			log.Printf("event=reload_failed err=%q", fmt.Errorf("with the fleet's settings %d: %w", t.number, err))
 			return
 		}
-		of = fmt.Sprintf("fleet number=%d", t.number)
+		of = fmt.Sprintf(" settings=fleet number=%d", t.number)
 	}
 	retuned := t.take(next, t.number, t.digest(next))
 	t.side.Discover(next.Discovery)
 	t.version++
-	log.Printf("event=reload version=%d retuned=%t discovery=%s was=%s needs_restart=%q settings=%s", t.version, retuned,
+	log.Printf("event=reload version=%d retuned=%t discovery=%s was=%s needs_restart=%q%s", t.version, retuned,
 		next.Discovery, t.conf.Discovery, strings.Join(restart, ","), of)
 	t.conf = next
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -19,6 +19,7 @@
 	"damsonscale/internal/acts"
 	"damsonscale/internal/audit"
 	"damsonscale/internal/custody"
+	"damsonscale/internal/frame"
 	"damsonscale/internal/options"
 	"damsonscale/internal/rollout"
 )
@@ -45,7 +46,7 @@
 }
 
 // protocol is the version of what members tell each other.
-const protocol = 1
+const protocol = frame.Version
 
 // plants are faults on purpose.
 type plants struct {
@@ -564,14 +565,17 @@
 // Leave ends the membership of a process that has ended its work: others take over what is left at once.
 func (f *Fleet) Leave() {
 	f.ended.Store(true)
-	f.lease.Load().end()
 	text, err := f.coder.out.Marshal(*f.me.Load())
+	if err == nil {
+		err = f.incarnate() // what comes after belongs to nobody: guards against an account that goes on after its end
+	}
 	if err != nil {
 		return
 	}
 	if f.ledger != nil {
 		done := make(chan struct{})
-		f.ledger.post(func() { f.ledger.next(*f.me.Load()); close(done) })
+		me := *f.me.Load()
+		f.ledger.post(func() { f.ledger.next(me); close(done) })
 		select {
 		case <-done:
 		case <-time.After(leaveWait):
--- a/internal/frame/frame.go
+++ b/internal/frame/frame.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	Version = 1
+	Version = 2
 	Head    = 16      // bytes
 	Most    = 4 << 20 // bytes of a payload
 )
--- a/internal/rig/auditor.go
+++ b/internal/rig/auditor.go
@@ -139,7 +139,7 @@
 		if st, err := fleet.Call(ctx, addr, p.names(), fleet.Ask{Do: fleet.AskStanding}); err == nil && st.Standing != nil {
 			living[st.Standing.Me] = true
 			if st.Standing.Leads {
-				r.Waits = st.Standing.Waits
+				r.Waits, r.Held = st.Standing.Waits, st.Standing.Plan.Held
 				for _, n := range st.Standing.Names {
 					if st.Standing.Reports[n].Report.Acts < st.Standing.Plan.Target {
 						r.Unagreed++
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -42,6 +42,7 @@
 	Unagreed   int              `json:"unagreed,omitempty"`    // members that did not come to the target by the end
 	Steps      []string         `json:"steps,omitempty"`       // of operators, with what the fleet said
 	TurnMs     map[uint64]int64 `json:"turn_ms,omitempty"`     // by version: from its order to the last run under an older one
+	Held       string           `json:"held,omitempty"`        // why the last target went no further
 	Waits      string           `json:"waits,omitempty"`       // why a rollout had not ended
 
 	P50Ms, P99Ms           float64  // of all that were served
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -20,7 +20,6 @@
 	Refused uint64   // number that it could not adopt; 0: none
 	Why     string   // it could not
 	Digest  uint64   // of the settings it acts on
-	List    int64    // seq of discovery's list
 	Build   string
 	Now     Service // since it adopted what it acts on
 	Before  Service // under what it acted on before
