--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -331,6 +331,9 @@
 	f.roster.Store(r)
 	f.keepTexts(texts)
 	f.follow()
+	if f.ledger != nil {
+		f.ledger.post(func() { f.ledger.see(r) })
+	}
 	v := r.view()
 	f.keeper.box <- func(now int64) { f.keeper.node.See(now, v) }
 	if me := *f.me.Load(); r.gone(me) && !f.ended.Load() {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -336,6 +336,10 @@
 		d.append(&all[0])
 	}
 	path := filepath.Join(dir, "a-1"+segmentsEnd)
+	if !written(path) {
+		t.Error("a file under way is not told from one that was left")
+	}
+	d.file.Close()
 	text, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"damsonscale/internal/audit"
@@ -38,6 +39,7 @@
 	shelf   *audit.Shelf
 	pushing *audit.Pushing
 	holders []string
+	met     map[string]uint64 // the holders' processes that were sent what there was
 	box     chan func()
 	disk    *disk
 	lost    int
@@ -64,7 +66,32 @@
 // choose finds who holds the segments of an incarnation: the first names by rendezvous.
 func (l *ledger) choose(me custody.Member) {
 	others := slices.DeleteFunc(slices.Clone(l.f.names), func(n string) bool { return n == me.Name })
-	l.holders = custody.Holders(others, fmt.Sprintf("%s/%x", me.Name, me.Incarnation), l.f.opts.Audit.Holders)
+	l.holders, l.met = custody.Holders(others, fmt.Sprintf("%s/%x", me.Name, me.Incarnation), l.f.opts.Audit.Holders), map[string]uint64{}
+}
+
+// see sends all there is of this incarnation to a holder that has started anew: it has forgotten. Guards against an account that
+// only this member holds once its holders were restarted.
+func (l *ledger) see(r *roster) {
+	me := *l.f.me.Load()
+	latest := map[string]uint64{}
+	for _, s := range r.Seats { // in the order of joining
+		latest[s.Member.Name] = s.Member.Incarnation
+	}
+	for _, name := range l.holders {
+		now, ok := latest[name]
+		was, before := l.met[name]
+		if !ok || now == was {
+			continue
+		}
+		if l.met[name] = now; !before {
+			continue
+		}
+		for _, z := range l.shelf.Held(me.Name) {
+			if seg, err := l.codec.Open(l.f.wire.id, &z); err == nil && seg.Member == me {
+				l.pushing.Add(z, seg, []string{name})
+			}
+		}
+	}
 }
 
 // run is the actor.
@@ -174,7 +201,7 @@
 	}
 	for _, path := range files {
 		all, good, err := ReadSegments(path)
-		if err != nil {
+		if err != nil && !written(path) {
 			log.Printf("event=audit_file_cut file=%s kept_bytes=%d err=%q", path, good, err)
 			if err := os.Truncate(path, good); err != nil {
 				d.wrong(err)
@@ -186,6 +213,16 @@
 	return out
 }
 
+// written tells whether another process writes a file: its end is not cut off, it comes.
+func written(path string) bool {
+	f, err := os.Open(path)
+	if err != nil {
+		return false
+	}
+	defer f.Close()
+	return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) != nil
+}
+
 func segmentFiles(dir string) ([]string, error) {
 	all, err := os.ReadDir(dir)
 	if err != nil {
@@ -244,6 +281,11 @@
 	var err error
 	if d.file, err = os.OpenFile(filepath.Join(d.dir, fmt.Sprintf("%s-%x%s", me.Name, me.Incarnation, segmentsEnd)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o640); err != nil {
 		d.wrong(err)
+		return
+	}
+	d.used = 0
+	if err := syscall.Flock(int(d.file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		d.wrong(err)
 	}
 }
 
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -41,6 +41,7 @@
 	graceIdle       = 50 * time.Millisecond  // a connection idle for this long has no request on its way
 	idleSoft        = 300 * time.Millisecond // the same, where there is time to wait for its next request
 
+	lastWord  = 300 * time.Millisecond // of a request's time: nobody else would answer it in less
 	shutRetry = 500 * time.Millisecond // after which a member without a leave may have it again
 
 	// The operators' drain: after 4 s nothing may be left that is idle.
@@ -459,8 +460,7 @@
 func (f *Frontend) shut(ctx *fasthttp.RequestCtx, c *clientConn, p *parsed) {
 	resumed := string(ctx.Request.Header.Peek(resumeHead)) == "1"
 	if p.now.settings.Classes[p.request.Class].Semantics != decide.Idempotent && (resumed || !f.keeper.MayRefuse()) {
-		ctx.SetConnectionClose()
-		c.Close()
+		f.silent(ctx, c, p.request.ID, p.left-time.Since(c.readAt))
 		return
 	}
 	refuse(ctx, sidecar.Answer{RetryAfter: shutRetry})
--- a/internal/frontend/keep.go
+++ b/internal/frontend/keep.go
@@ -70,7 +70,7 @@
 		ctx.Error(bad.text, bad.status)
 		f.account(ctx, w.ID, f.side.Under())
 	default:
-		f.tell(ctx, c, w.ID, &o)
+		f.tell(ctx, c, call, &o)
 	}
 	if broken != nil || o.Word == custody.Gone {
 		ctx.SetConnectionClose()
@@ -159,7 +159,7 @@
 }
 
 // tell answers as custody has it. A member that has lost its leave answers nothing: another one does.
-func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, id string, o *custody.Outcome) {
+func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, call *sidecar.Call, o *custody.Outcome) {
 	if o.Word == custody.Answered && o.Lease != nil && !o.Lease.Valid() {
 		f.Unheard(o.Live)
 		o.Word = custody.Nothing
@@ -167,8 +167,7 @@
 	under := f.side.Under()
 	switch o.Word {
 	case custody.Nothing:
-		ctx.SetConnectionClose()
-		c.Close()
+		f.silent(ctx, c, call.Request.ID, call.Left(time.Now()))
 		return
 	case custody.Gone:
 		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Late})
@@ -184,7 +183,20 @@
 			f.recorded(ctx, c, &o.Answer)
 		}
 	}
-	f.account(ctx, id, under)
+	f.account(ctx, call.Request.ID, under)
+}
+
+// silent ends a connection without an answer: its client asks another member. In the last of its time the request fails, which
+// promises nothing. Guards against one that nobody answers while no member has leave to.
+func (f *Frontend) silent(ctx *fasthttp.RequestCtx, c *clientConn, id string, left time.Duration) {
+	if left > lastWord {
+		ctx.SetConnectionClose()
+		c.Close()
+		return
+	}
+	ctx.Error("takeover: this member may not say", fasthttp.StatusBadGateway)
+	ctx.SetConnectionClose()
+	f.account(ctx, id, f.side.Under())
 }
 
 // recorded gives an answer that was kept.
--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -81,7 +81,7 @@
 		slices.SortStableFunc(out, func(a, b Step) int { return int(a.AtMs - b.AtMs) })
 		return out
 	})
-	t.Audit, t.Steps = true, steps.Example(int(t.Seed&(1<<31-1)))
+	t.Audit, t.InMemory, t.Steps = true, t.Seed%3 == 0, steps.Example(int(t.Seed&(1<<31-1)))
 	return t
 }
 
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -204,6 +204,9 @@
 	}
 	if p.line.Audit {
 		b.WriteString("[audit]\nenabled = true\n")
+		if !p.line.InMemory {
+			fmt.Fprintf(&b, "dir = %q\n", filepath.Join(dir, "audit"))
+		}
 	}
 	fmt.Fprint(&b, "[takeover.custody]\n")
 	for _, c := range p.line.Strict {
--- a/internal/rig/timeline.go
+++ b/internal/rig/timeline.go
@@ -92,8 +92,9 @@
 	Disks      []Disk   `json:"disks,omitempty"`    // by process
 	Strict     []string `json:"strict,omitempty"`   // classes that are refused where no record can be kept
 	Faults     []Fault  `json:"faults"`
-	Audit      bool     `json:"audit,omitempty"` // the fleet keeps account of its acts, and goes from version to version
-	Steps      []Step   `json:"steps,omitempty"` // of operators, with Audit
+	Audit      bool     `json:"audit,omitempty"`     // the fleet keeps account of its acts, and goes from version to version
+	Steps      []Step   `json:"steps,omitempty"`     // of operators, with Audit
+	InMemory   bool     `json:"in_memory,omitempty"` // the account is kept in memory alone
 }
 
 // Step is one order of an operator.
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -181,7 +181,7 @@
 	select {
 	case s.box <- func(now int64) { s.take(now, c) }:
 	case <-last.C: // the module's mailbox is full: nothing was sent, nothing will be
-		return Answer{Verdict: Late}, false
+		return Answer{Verdict: Late, Under: s.Under()}, false
 	}
 	a, left, answered := s.await(c, gone, last)
 	if answered {
@@ -191,7 +191,7 @@
 	// The module calls back what is out; a write under way would hold the gate until its own time ends.
 	go func() { s.box <- func(now int64) { s.left(now, c) } }()
 	c.gate.Close()
-	return Answer{Verdict: Late}, left
+	return Answer{Verdict: Late, Under: s.Under()}, left
 }
 
 // await waits for the module's answer, for the client's end, or for the end of the request's time.
