--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -111,6 +111,7 @@
 	var all rig.Report
 	var kept []string
 	var fault error
+	void := 0
 	var work sync.WaitGroup
 	for range max(1, c.Side) {
 		work.Go(func() {
@@ -122,6 +123,10 @@
 				switch {
 				case err != nil:
 					fault = errors.Join(fault, fmt.Errorf("seed %d: %w", seed, err))
+				case !r.Kept() && r.Void():
+					void++
+					fmt.Printf("seed %d: void: the machine stood still for %d ms; %s\n", seed, r.StallMs, r.Why())
+					r = nil
 				case !r.Kept():
 					to := filepath.Join(c.Keep, fmt.Sprintf("%d-%d", c.Processes, seed))
 					kept = append(kept, to)
@@ -142,7 +147,7 @@
 	}
 	close(seeds)
 	work.Wait()
-	fmt.Println(all.Line())
+	fmt.Printf("%s void=%d\n", all.Line(), void)
 	if fault != nil {
 		return fault
 	}
--- a/internal/rig/draw.go
+++ b/internal/rig/draw.go
@@ -99,6 +99,10 @@
 			SilenceMs: rapid.SampledFrom([]int64{150, 400, 700}).Draw(r, "silence"),
 			KeepOpen:  rapid.Bool().Draw(r, "keep open"),
 		}
+		if fleet {
+			part := rapid.SampledFrom([]float64{0, 0, 0.1, 0.3})
+			t.Doubt, t.Twins, t.Big = part.Draw(r, "doubt"), part.Draw(r, "twins"), part.Draw(r, "big")
+		}
 		if rapid.IntRange(0, 9).Draw(r, "disk") == 0 {
 			t.Disks = make([]Disk, processes)
 			t.Disks[rapid.IntRange(0, processes-1).Draw(r, "bad disk")] = rapid.SampledFrom([]Disk{ReadOnly, Full}).Draw(r, "disk is")
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -262,10 +262,12 @@
 		s := &p.line.Steps[i]
 		faults.Go(func() { p.step(ctx, start, i, s) })
 	}
+	stall := make(chan time.Duration, 1)
 	watched := make(chan struct{})
 	watching, unwatch := context.WithCancel(ctx)
 	go func() { defer close(watched); p.watch(watching) }()
 	defer unwatch()
+	go func() { stall <- longestStall(watching) }()
 	requests := newClients(p.line, addrs).run(ctx, start)
 	faults.Wait()
 	if err := ctx.Err(); err != nil {
@@ -287,6 +289,7 @@
 	r := judge(rec)
 	unwatch()
 	<-watched
+	r.StallMs = (<-stall).Milliseconds()
 	if p.line.Audit {
 		err := p.audit(ctx, rec, r)
 		return r, err
@@ -294,6 +297,22 @@
 	return r, nil
 }
 
+// longestStall tells for how long this process did not run at most, until ctx ends.
+func longestStall(ctx context.Context) (most time.Duration) {
+	const step = 10 * time.Millisecond
+	tick := time.NewTicker(step)
+	defer tick.Stop()
+	for last := time.Now(); ; {
+		select {
+		case <-ctx.Done():
+			return most
+		case <-tick.C:
+			now := time.Now()
+			most, last = max(most, now.Sub(last)-step), now
+		}
+	}
+}
+
 // look notes processes that ended by themselves.
 func (p *play) look() {
 	p.mu.Lock()
--- a/internal/rig/servers.go
+++ b/internal/rig/servers.go
@@ -106,6 +106,9 @@
 		run.Repeat, run.Answer = true, answer
 	default:
 		run.Answer = fmt.Sprintf("%s %s run %d at %s of %d bytes", c, id, s.count.Add(1), name, len(body))
+		if len(body) > long {
+			run.Answer += strings.Repeat(".", long)
+		}
 		if key != "" {
 			s.keys[key] = run.Answer
 		}
--- a/internal/rig/timeline.go
+++ b/internal/rig/timeline.go
@@ -86,6 +86,9 @@
 	DeadlineMs int64    `json:"deadline_ms"`
 	SilenceMs  int64    `json:"silence_ms"`          // without an answer, after which a client asks another member
 	KeepOpen   bool     `json:"keep_open,omitempty"` // it goes on listening to the one that was silent
+	Doubt      float64  `json:"doubt,omitempty"`     // share of requests whose client asks another member again after its answer
+	Twins      float64  `json:"twins,omitempty"`     // share of requests that are asked of two members in the same instant
+	Big        float64  `json:"big,omitempty"`       // share of requests with an effect whose body and answer are long
 	Servers    []Server `json:"servers"`
 	Work       []Work   `json:"work"`
 	LeaseMs    int64    `json:"lease_ms,omitempty"` // 0: the program's own
@@ -146,6 +149,9 @@
 	check(t.DeadlineMs >= 100 && t.DeadlineMs <= 60_000, "deadline_ms: %d is not within 100 to 60000", t.DeadlineMs)
 	check(t.SilenceMs >= 10 && t.SilenceMs <= t.DeadlineMs, "silence_ms: %d is not within 10 to the deadline", t.SilenceMs)
 	check(t.LeaseMs == 0 || t.LeaseMs >= 100 && t.LeaseMs <= 10_000, "lease_ms: %d is not within 100 to 10000", t.LeaseMs)
+	for _, s := range []float64{t.Doubt, t.Twins, t.Big} {
+		check(s >= 0 && s <= 1, "doubt, twins, big: %v is no share", s)
+	}
 	check(len(t.Servers) > 0, "servers: none")
 	for i, s := range t.Servers {
 		check(s.LeastMs >= 0 && s.MostMs >= s.LeastMs, "servers[%d]: %d to %d ms is no range", i, s.LeastMs, s.MostMs)
