--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -31,10 +31,11 @@
 	Err    string
 	Actor  string // whose act the answer was, as it says
 	Spare  bool   // it was asked beside the first, or after the answer
+	Aside  bool   // a refusal that the client passes over: its other ask may be under way
 }
 
 // final tells whether the client is done with it.
-func (a *Ask) final() bool { return a.Status != 0 && a.Status != http.StatusConflict }
+func (a *Ask) final() bool { return a.Status != 0 && !a.Aside && a.Status != http.StatusConflict }
 
 // refused tells whether the answer says that trying again is harmless.
 func (a *Ask) refused() bool {
@@ -141,6 +142,7 @@
 		select {
 		case a := <-answers:
 			open--
+			a.Aside = r.twin && a.refused()
 			r.Asks = append(r.Asks, a)
 			if a.final() {
 				if r.doubts && a.Status == http.StatusOK && left > 0 {
