--- a/internal/acts/acts.go
+++ b/internal/acts/acts.go
@@ -32,10 +32,12 @@
 	Refused                  // answered: a new try is harmless
 	Failed                   // answered otherwise
 	Turned                   // answered as Refused, since this member had no leave to act
+	Doubled                  // answered that its id is under way, was answered, or is that of another request
+	Left                     // its client left before the answer, or had no time left: nobody was answered
 	Kinds    = iota
 )
 
-var kindNames = [Kinds + 1]string{"", "took", "took_over", "sent", "unsent", "served", "refused", "failed", "turned_away"}
+var kindNames = [Kinds + 1]string{"", "took", "took_over", "sent", "unsent", "served", "refused", "failed", "turned_away", "doubled", "left"}
 
 // String names the kind as logs and tables do.
 func (k Kind) String() string {
--- a/internal/fleet/desk.go
+++ b/internal/fleet/desk.go
@@ -112,7 +112,7 @@
 	case AskSegments:
 		return f.segments(ctx, conn, a.Member)
 	case AskOrder:
-		if a.Order == nil || a.Order.Kind == rollout.Widen || a.Order.Kind == rollout.Fence {
+		if a.Order == nil || a.Order.Kind > rollout.Readmit {
 			return Reply{Err: "no order of an operator's"}
 		}
 		if err := f.ordered(ctx, a.Order); errors.Is(err, errNoLead) {
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -19,6 +19,7 @@
 	"damsonscale/internal/audit"
 	"damsonscale/internal/custody"
 	"damsonscale/internal/frame"
+	"damsonscale/internal/options"
 )
 
 func member(name string, n uint64) custody.Member {
@@ -385,3 +386,19 @@
 		t.Error("a place that can't be is not told")
 	}
 }
+
+// What came of a request waits while its owner's lease is just not valid, and no longer than that may last. Guards against an answer
+// that is dropped by an owner which goes on living.
+func TestAnAnswerWaitsForTheLease(t *testing.T) {
+	k := &keeper{f: &Fleet{opts: &options.Options{Fleet: options.Fleet{Lease: time.Hour}}}}
+	late := &Lease{shut: new(atomic.Bool), start: time.Now(), over: make(chan struct{})}
+	time.AfterFunc(20*time.Millisecond, func() { late.extend(0, time.Hour) })
+	if k.await(late); !late.Valid() {
+		t.Error("it did not wait")
+	}
+	over := &Lease{shut: new(atomic.Bool), start: time.Now(), over: make(chan struct{})}
+	time.AfterFunc(20*time.Millisecond, over.end)
+	k.await(over)
+	k.f.opts.Fleet.Lease = time.Millisecond
+	k.await(&Lease{shut: new(atomic.Bool), start: time.Now(), over: make(chan struct{})})
+}
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -276,6 +276,9 @@
 	id := fl.work.ID
 	go func() {
 		r := fl.run(l)
+		if l.Lease != nil {
+			k.await(l.Lease)
+		}
 		k.box <- func(now int64) {
 			if k.flights[id] != fl {
 				k.unheard(r.Live)
@@ -289,6 +292,19 @@
 	}()
 }
 
+// await waits for a lease that is not valid until it is, or is over. Guards against an answer that is dropped by an owner which
+// goes on living: nobody else may take its work over, so nobody would answer.
+func (k *keeper) await(l custody.Lease) {
+	const step = 2 * time.Millisecond
+	for end := time.Now().Add(2 * k.f.opts.Fleet.Lease); !l.Valid() && time.Now().Before(end); {
+		select {
+		case <-l.Over():
+			return
+		case <-time.After(step):
+		}
+	}
+}
+
 // tell answers all that wait for a request. What is live goes to the first.
 func (k *keeper) tell(fl *flight, o custody.Outcome) {
 	delete(k.flights, fl.work.ID)
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -87,6 +87,8 @@
 	before  uint64 // number that it acted on before
 	refused uint64 // that it could not adopt
 	why     string
+	since   time.Time         // when it began to act on it
+	base    *rollout.Service  // answers under it that do not count
 	texts   map[string][]byte // of versions, by digest, as far as they are known here
 	under   bool              // a version is being adopted
 	asked   time.Time         // when a version's bytes were last asked for
@@ -133,6 +135,7 @@
 		log.Printf("event=fleet_version_refused number=%d err=%q", v.Number, err)
 	} else {
 		t.before, t.acts, t.digest = t.acts, v.Number, digest64(v.Digest)
+		t.since, t.base = time.Now(), nil
 	}
 	f.follow()
 	f.ask() // whoever leads should hear it soon
@@ -214,6 +217,18 @@
 		r.Why = r.Why[:mostWhy]
 	}
 	r.Now.Ended, r.Now.Served = f.book.Service(t.acts)
+	if t.base != nil && r.Now.Served < t.base.Served || t.base != nil && r.Now.Ended < t.base.Ended {
+		t.base = nil // the account of another incarnation
+	}
+	if t.base == nil && (t.acts == 0 || time.Since(t.since) >= afterAdopting) {
+		now := r.Now
+		t.base = &now
+	}
+	if t.base == nil {
+		r.Now = rollout.Service{}
+	} else if t.acts > 0 {
+		r.Now = rollout.Service{Ended: r.Now.Ended - t.base.Ended, Served: r.Now.Served - t.base.Served}
+	}
 	r.Before.Ended, r.Before.Served = f.book.Service(t.before)
 	if t.before == t.acts {
 		r.Before = rollout.Service{}
@@ -221,4 +236,8 @@
 	return r
 }
 
+// afterAdopting is for how long answers say nothing of a version that was just adopted: what a member does then had come
+// before. Guards against a version that is held since a member that was stopped adopts it with all that had waited.
+const afterAdopting = time.Second
+
 const mostWhy = 300 // bytes of a reason that a member tells
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -433,7 +433,7 @@
 	}
 	call := parsed.call(h, body, c.readAt)
 	if leave != nil {
-		call.Under(leave.Valid, 0)
+		call.Needs(leave.Valid)
 	}
 	var gone <-chan struct{}
 	if call.Message.Rest == nil {
@@ -449,7 +449,11 @@
 	} else {
 		f.answer(ctx, c, a)
 	}
-	f.account(ctx, parsed.request.ID, a.Under)
+	if left && broken == nil {
+		f.noted(ctx, acts.Left, parsed.request.ID, a.Under)
+	} else {
+		f.account(ctx, parsed.request.ID, a.Under)
+	}
 	if left || broken != nil {
 		ctx.SetConnectionClose()
 	}
@@ -486,6 +490,8 @@
 		f.noted(ctx, acts.Served, id, under)
 	case fasthttp.StatusServiceUnavailable:
 		f.noted(ctx, acts.Refused, id, under)
+	case fasthttp.StatusConflict:
+		f.noted(ctx, acts.Doubled, id, under)
 	default:
 		f.noted(ctx, acts.Failed, id, under)
 	}
--- a/internal/frontend/keep.go
+++ b/internal/frontend/keep.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
+	"damsonscale/internal/acts"
 	"damsonscale/internal/custody"
 	"damsonscale/internal/options"
 	"damsonscale/internal/sidecar"
@@ -171,6 +172,8 @@
 		return
 	case custody.Gone:
 		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Late})
+		f.noted(ctx, acts.Left, call.Request.ID, under)
+		return
 	case custody.Taken:
 		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Duplicate})
 	case custody.Foreign:
--- a/internal/operator/tell.go
+++ b/internal/operator/tell.go
@@ -168,7 +168,7 @@
 			end = "then it ended in good order"
 		}
 		fmt.Fprintf(s.out, "%s/%x: acts 1 to %d, %s; gaps %v\n", a.Member.Name, a.Member.Incarnation, a.Last, end, a.Gaps())
-		counts := s.table("settings", "digest", "list", "build", "took", "took over", "sent", "unsent", "served", "refused", "failed", "turned away")
+		counts := s.table("settings", "digest", "list", "build", "took", "took over", "sent", "unsent", "served", "refused", "failed", "turned away", "doubled", "left")
 		for _, c := range a.Counts {
 			row := table.Row{c.Version.Settings, fmt.Sprintf("%016x", c.Version.Digest), c.Version.List, c.Version.Build}
 			for _, n := range c.Of {
--- a/internal/rig/auditor.go
+++ b/internal/rig/auditor.go
@@ -292,12 +292,14 @@
 			if ask.Status == 0 || ask.Actor == "" && strings.HasPrefix(ask.Err, "EOF") {
 				continue
 			}
-			kinds := []acts.Kind{acts.Failed}
+			kinds := []acts.Kind{acts.Failed, acts.Left}
 			switch ask.Status {
 			case http.StatusOK:
 				kinds = []acts.Kind{acts.Served}
 			case http.StatusServiceUnavailable:
 				kinds = []acts.Kind{acts.Refused, acts.Turned}
+			case http.StatusConflict:
+				kinds = []acts.Kind{acts.Doubled}
 			}
 			a.see("an answer", ask.Actor, q.ID, fmt.Sprint(ask.Status), kinds...)
 		}
--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -30,8 +30,9 @@
 	Body   string
 	Err    string
 	Actor  string // whose act the answer was, as it says
-	Spare  bool   // it was asked beside the first, or after the answer
-	Aside  bool   // a refusal that the client passes over: its other ask may be under way
+	n      int
+	Spare  bool // it was asked beside the first, or after the answer
+	Aside  bool // a refusal that the client passes over: its other ask may be under way
 }
 
 // final tells whether the client is done with it.
@@ -129,34 +130,43 @@
 		one, end := context.WithCancel(ctx)
 		defer end()
 		open++
-		go func(member, n int) { answers <- c.once(one, r, member, n > 0, left) }(member, n)
+		go func(member, n int) {
+			a := c.once(one, r, member, n > 0, left)
+			a.n = n
+			answers <- a
+		}(member, n)
 		if n == 0 && r.twin {
 			open++
 			go func(member int) {
 				a := c.once(one, r, member, true, left)
-				a.Spare = true
+				a.Spare, a.n = true, -1
 				answers <- a
 			}((member + 1) % len(c.members))
 		}
 		silence := time.NewTimer(ms(c.line.SilenceMs))
-		select {
-		case a := <-answers:
-			open--
-			a.Aside = r.twin && a.refused()
-			r.Asks = append(r.Asks, a)
-			if a.final() {
-				if r.doubts && a.Status == http.StatusOK && left > 0 {
-					again := c.once(ctx, r, (a.Member+1)%len(c.members), true, left)
-					again.Spare = true
-					r.Asks = append(r.Asks, again)
+		for waits := true; waits; {
+			select {
+			case a := <-answers:
+				open--
+				a.Aside = r.twin && a.refused()
+				r.Asks = append(r.Asks, a)
+				if a.final() {
+					if r.doubts && a.Status == http.StatusOK && left > 0 {
+						again := c.once(ctx, r, (a.Member+1)%len(c.members), true, left)
+						again.Spare = true
+						r.Asks = append(r.Asks, again)
+					}
+					c.rest(r, &a, answers, open, cancel)
+					return
+				}
+				if a.n == n { // the end of an earlier one says nothing of this one
+					sleep(ctx, askStep)
+					waits = false
+				}
+			case <-silence.C:
+				if waits = false; !c.line.KeepOpen {
+					end()
 				}
-				c.rest(r, &a, answers, open, cancel)
-				return
-			}
-			sleep(ctx, askStep)
-		case <-silence.C:
-			if !c.line.KeepOpen {
-				end()
 			}
 		}
 		silence.Stop()
--- a/internal/rig/judge.go
+++ b/internal/rig/judge.go
@@ -34,7 +34,9 @@
 	Spoilt        int `json:"spoilt"`         // a served answer that no server made for it
 	Crashes       int `json:"crashes"`        // processes that ended by themselves
 
-	StallMs int64 `json:"stall_ms,omitempty"` // longest time for which the rig itself did not run
+	CPUUs   int64   `json:"cpu_us"`             // of all processes that ran at the end, a request
+	RSSMB   float64 `json:"rss_mb"`             // of the largest of them, then
+	StallMs int64   `json:"stall_ms,omitempty"` // longest time for which the rig itself did not run
 
 	Acts       int              `json:"acts,omitempty"`        // told by the fleet's account
 	Matched    int              `json:"matched,omitempty"`     // runs and answers that the account tells as they were seen
@@ -220,7 +222,7 @@
 		*p.to += *p.from
 	}
 	// Of several timelines the worst figures stand.
-	r.StallMs = max(r.StallMs, o.StallMs)
+	r.StallMs, r.CPUUs, r.RSSMB = max(r.StallMs, o.StallMs), max(r.CPUUs, o.CPUUs), max(r.RSSMB, o.RSSMB)
 	r.P50Ms, r.P99Ms = max(r.P50Ms, o.P50Ms), max(r.P99Ms, o.P99Ms)
 	r.AgainP50Ms, r.AgainP99Ms = max(r.AgainP50Ms, o.AgainP50Ms), max(r.AgainP99Ms, o.AgainP99Ms)
 }
@@ -228,7 +230,7 @@
 // Line tells a report in one line.
 func (r *Report) Line() string {
 	return fmt.Sprintf("requests=%d asked_again=%d served=%d again_served=%d refused=%d failed=%d excused=%d lost=%d twice=%d false_refusals=%d "+
-		"two_answers=%d spoilt=%d crashes=%d acts=%d matched=%d in_gaps=%d misstated=%d below_fence=%d over_guard=%d unagreed=%d stall_ms=%d p50_ms=%.1f p99_ms=%.1f again_p50_ms=%.1f again_p99_ms=%.1f",
+		"two_answers=%d spoilt=%d crashes=%d acts=%d matched=%d in_gaps=%d misstated=%d below_fence=%d over_guard=%d unagreed=%d stall_ms=%d cpu_us=%d rss_mb=%.1f p50_ms=%.1f p99_ms=%.1f again_p50_ms=%.1f again_p99_ms=%.1f",
 		r.Requests, r.AskedAgain, r.Served, r.AgainServed, r.Refused, r.Failed, r.Excused, r.Lost, r.Twice, r.FalseRefusals,
-		r.TwoAnswers, r.Spoilt, r.Crashes, r.Acts, r.Matched, r.InGaps, r.Misstated, r.BelowFence, r.OverGuard, r.Unagreed, r.StallMs, r.P50Ms, r.P99Ms, r.AgainP50Ms, r.AgainP99Ms)
+		r.TwoAnswers, r.Spoilt, r.Crashes, r.Acts, r.Matched, r.InGaps, r.Misstated, r.BelowFence, r.OverGuard, r.Unagreed, r.StallMs, r.CPUUs, r.RSSMB, r.P50Ms, r.P99Ms, r.AgainP50Ms, r.AgainP99Ms)
 }
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -11,6 +11,8 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -255,6 +257,29 @@
 	}
 }
 
+// used tells the CPU time that the process has used, and its resident memory in bytes, as far as the system tells them.
+func (p *process) used() (cpu time.Duration, rss int64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.now == nil || p.down > 0 {
+		return 0, 0
+	}
+	const tick = 10 * time.Millisecond // of the kernel's account
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.now.cmd.Process.Pid))
+	if err != nil {
+		return 0, 0
+	}
+	_, after, _ := strings.Cut(string(text), ") ")
+	f := strings.Fields(after)
+	if len(f) < 22 {
+		return 0, 0
+	}
+	user, _ := strconv.ParseInt(f[11], 10, 64)
+	system, _ := strconv.ParseInt(f[12], 10, 64)
+	pages, _ := strconv.ParseInt(f[21], 10, 64)
+	return time.Duration(user+system) * tick, pages * int64(os.Getpagesize())
+}
+
 // ready waits until the process serves.
 func (p *process) ready(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyWithin)
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -279,6 +279,12 @@
 	default:
 	}
 	p.look()
+	var cpu time.Duration
+	var rss int64
+	for _, one := range p.processes {
+		c, m := one.used()
+		cpu, rss = cpu+c, max(rss, m)
+	}
 	sleep(ctx, ms(p.line.DeadlineMs)/2) // what is sent too late still counts
 	rec := &record{requests: requests, runs: p.servers.tally(), deadline: ms(p.line.DeadlineMs), crashes: p.crashes}
 	for _, one := range p.processes {
@@ -287,6 +293,7 @@
 		one.mu.Unlock()
 	}
 	r := judge(rec)
+	r.CPUUs, r.RSSMB = cpu.Microseconds()/int64(max(1, len(requests))), float64(rss)/(1<<20)
 	unwatch()
 	<-watched
 	r.StallMs = (<-stall).Milliseconds()
--- a/internal/rollout/driver.go
+++ b/internal/rollout/driver.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -110,7 +112,10 @@
 	}
 	behind := Lacking(p.Target, nil, cohort, heard, now)
 	if p.Share < Whole {
-		if len(behind) > 0 || len(cohort) == 0 {
+		if len(cohort) == 0 { // guards against a rollout that waits for members which are down
+			return d.order(now, Choose, p.Target, "none lives of "+strings.Join(p.First, ", "))
+		}
+		if len(behind) > 0 {
 			d.since, d.Waits = time.Time{}, "for the first members: "+strings.Join(p.First, ", ")
 			return nil
 		}
@@ -174,5 +179,9 @@
 // order makes an order of the leader. Its id is that of what it does: two leaders in a row do it once.
 func (d *Driver) order(now time.Time, k Kind, number uint64, why string) *Order {
 	d.asked = now
-	return &Order{Kind: k, ID: 1<<63 | uint64(k)<<48 | number&(1<<48-1), Who: "leader " + d.Name, Why: cut(why), Number: number}
+	id := uint64(k)<<48 | number&(1<<48-1)
+	if k == Choose { // it may be due again
+		id ^= xxhash.Sum64String(strings.Join(d.plan.First, "/"))
+	}
+	return &Order{Kind: k, ID: 1<<63 | id, Who: "leader " + d.Name, Why: cut(why), Number: number}
 }
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -49,10 +49,11 @@
 	Readmit                 // it may again
 	Widen                   // a leader's: the target is for all
 	Fence                   // a leader's: no lease below the target
+	Choose                  // a leader's: others adopt it first, since none of the first ones lives
 )
 
 var kindNames = map[Kind]string{
-	RollOut: "rollout", Hold: "hold", Back: "back", BarName: "out", Readmit: "readmit", Widen: "widen", Fence: "fence",
+	RollOut: "rollout", Hold: "hold", Back: "back", BarName: "out", Readmit: "readmit", Widen: "widen", Fence: "fence", Choose: "choose",
 }
 
 // String names the kind as the operators' program does.
@@ -65,7 +66,7 @@
 	ID       uint64 // drawn by who asks; one that was carried out is not again
 	Who, Why string
 	Text     []byte // with RollOut
-	Number   uint64 // with Back, Widen, Fence; with Hold the target meant, 0: any
+	Number   uint64 // with Back, Widen, Fence, Choose; with Hold the target meant, 0: any
 	Name     string // with BarName, Readmit
 	Share    int    // with RollOut, thousandths that adopt first
 	SettleMs int64  // with RollOut: for so long all of the share act on it before it is widened
@@ -182,6 +183,13 @@
 			err = ErrNothing
 		}
 		n.Barred = slices.DeleteFunc(n.Barred, func(s string) bool { return s == o.Name })
+	case Choose:
+		n.First = first(p.Target, living, max(1, len(names)*p.Share/Whole))
+		if o.Number != p.Target || p.Held != "" {
+			err = ErrOld
+		} else if p.Share == Whole || slices.Equal(n.First, p.First) {
+			err = ErrNothing
+		}
 	case Widen, Fence:
 		if o.Number != p.Target || p.Held != "" {
 			err = ErrOld // another target, or a hold, came first
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -139,9 +139,10 @@
 		want  Kind // 0: none within 5 s
 		ms    int  // no sooner
 	}{
-		"not adopted yet": {canary, func(ms int) map[string]Heard { return heard(at(ms), all, 1, nil) }, 0, 0},
-		"settled":         {canary, func(ms int) map[string]Heard { return heard(at(ms), all, 1, onTwo) }, Widen, 500},
-		"all act on it":   {whole, func(ms int) map[string]Heard { return heard(at(ms), all, 2, nil) }, Fence, 0},
+		"not adopted yet":         {canary, func(ms int) map[string]Heard { return heard(at(ms), all, 1, nil) }, 0, 0},
+		"none of the first lives": {canary, func(ms int) map[string]Heard { return heard(at(ms), all, 1, nil) }, Choose, 0},
+		"settled":                 {canary, func(ms int) map[string]Heard { return heard(at(ms), all, 1, onTwo) }, Widen, 500},
+		"all act on it":           {whole, func(ms int) map[string]Heard { return heard(at(ms), all, 2, nil) }, Fence, 0},
 		"three behind": {whole, func(ms int) map[string]Heard {
 			return heard(at(ms), all, 2, map[string]Report{"n1": {Acts: 1}, "n2": {Acts: 1}, "n3": {Acts: 1}})
 		}, Fence, 1000},
@@ -162,20 +163,24 @@
 		"it hardly falls":      {whole, func(ms int) map[string]Heard { return heard(at(ms), all, 2, falls(90)) }, Fence, 0},
 		"held":                 {applied(t, whole, order(Hold, Order{})), func(ms int) map[string]Heard { return heard(at(ms), all, 2, nil) }, 0, 0},
 	} {
+		living := all
+		if c.want == Choose {
+			living = slices.DeleteFunc(slices.Clone(all), func(n string) bool { return slices.Contains(c.plan.First, n) })
+		}
 		d := &Driver{Guard: guard, Name: "n1"}
 		var o *Order
 		ms := 0
 		for ; ms <= 5000 && o == nil; ms += 10 {
-			o = d.Step(at(ms), c.plan, all, all, c.heard(ms))
+			o = d.Step(at(ms), c.plan, all, living, c.heard(ms))
 		}
 		switch {
 		case o == nil && c.want != 0, o != nil && (o.Kind != c.want || ms-10 < c.ms):
 			t.Errorf("%s: %+v after %d ms", name, o, ms-10)
 		case o != nil:
-			if next, err := c.plan.Apply(o, all, all); err != nil || next == c.plan {
+			if next, err := c.plan.Apply(o, all, living); err != nil || next == c.plan {
 				t.Errorf("%s: %v", name, err)
 			}
-			if again := d.Step(at(ms), c.plan, all, all, c.heard(ms)); again != nil {
+			if again := d.Step(at(ms), c.plan, all, living, c.heard(ms)); again != nil {
 				t.Errorf("%s: ordered again at once", name)
 			}
 		}
@@ -198,7 +203,7 @@
 	rapid.Check(t, func(r *rapid.T) {
 		p := &Plan{}
 		for range rapid.IntRange(1, 40).Draw(r, "orders") {
-			o := order(rapid.SampledFrom([]Kind{RollOut, Hold, Back, BarName, Readmit, Widen, Fence}).Draw(r, "kind"), Order{
+			o := order(rapid.SampledFrom([]Kind{RollOut, Hold, Back, BarName, Readmit, Widen, Fence, Choose}).Draw(r, "kind"), Order{
 				Number: rapid.Uint64Range(0, 12).Draw(r, "number"), Name: rapid.SampledFrom(all).Draw(r, "name"),
 			})
 			if o.Kind == RollOut {
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -43,6 +43,7 @@
 	giveUp   time.Time        // when the module's time for it ends; zero: its last byte has not come yet
 	last     time.Time        // when it is answered, whatever the module does
 	gate     upstream.Gate
+	needs    bool        // it is answered at once where the gate has no leave; else it waits for that
 	answer   chan Answer // holds the one answer of the module
 	attempts []*upstream.Attempt
 	out      int       // attempts without their end
@@ -74,6 +75,12 @@
 	return c
 }
 
+// Needs has the call taken and sent only while leave says so, and answered at once where it does not.
+func (c *Call) Needs(leave func() bool) { c.gate.Leave, c.needs = leave, true }
+
+// may tells whether this process has the leave that the call needs.
+func (c *Call) may() bool { return !c.needs || c.gate.May() }
+
 // Under has the call sent only while leave says so. former is the time since another sidecar may have sent it; 0: none has.
 func (c *Call) Under(leave func() bool, former time.Duration) {
 	c.gate.Leave = leave
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -258,7 +258,7 @@
 		s.finish(c, Answer{Verdict: Duplicate})
 		return
 	}
-	if !c.gate.May() || !s.admitted(c) {
+	if !c.may() || !s.admitted(c) {
 		s.finish(c, Answer{Verdict: Refused}) // it has gone nowhere: a new try is harmless
 		return
 	}
@@ -457,7 +457,7 @@
 	if result == decide.Served {
 		s.finish(c, Answer{Verdict: Served, Body: r.Body, ContentType: r.ContentType})
 	}
-	if c.out == 0 && !c.gate.May() { // Guards against tries that end unwritten one after the other, and a client that waits for nothing
+	if c.out == 0 && !c.may() { // Guards against tries that end unwritten one after the other, and a client that waits for nothing
 		verdict := Failed
 		if c.effectAt.IsZero() {
 			verdict = Refused
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -8,12 +8,16 @@
 	"net/http"
 	"net/http/httptest"
 	"runtime"
+	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"damsonscale/decide"
+	"damsonscale/internal/acts"
 	"damsonscale/internal/config"
+	"damsonscale/internal/custody"
 	"damsonscale/internal/discovery"
 	"damsonscale/internal/upstream"
 )
@@ -312,3 +316,70 @@
 	<-done
 	eventually(t, func() bool { return len(s.Open()) == 0 })
 }
+
+// A call that needs a leave is refused at once without it, when it is taken and when it was lost since.
+func TestWithoutLeave(t *testing.T) {
+	var came atomic.Bool
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) { came.Store(true) }))
+	run(t, s)
+	c := call("a", 0, time.Minute)
+	c.Needs(func() bool { return false })
+	if a, _ := s.Do(c, nil); a.Verdict != Refused || came.Load() {
+		t.Fatalf("%+v, sent %t", a, came.Load())
+	}
+	asked := 0
+	c = call("b", 0, time.Minute)
+	c.Needs(func() bool { asked++; return asked == 1 }) // lost before anything is written
+	if a, _ := s.Do(c, nil); a.Verdict != Refused || came.Load() {
+		t.Fatalf("%+v, sent %t", a, came.Load())
+	}
+}
+
+type notes struct{ all []string }
+
+func (n *notes) Under(settings, _ uint64, list int64) acts.Stamp {
+	return acts.Stamp(settings*100 + uint64(list))
+}
+
+func (n *notes) Add(k acts.Kind, under acts.Stamp, id, note string) acts.Ref {
+	n.all = append(n.all, fmt.Sprint(k, " ", under, " ", id, " ", note))
+	return acts.Ref{Member: custody.Member{Name: "n"}, N: uint64(len(n.all))}
+}
+
+// Acts bear the version that they were decided by, servers are told whose act it was, and what was not written is said.
+func TestActsAreNoted(t *testing.T) {
+	actor := make(chan string, 4)
+	s := sidecar(t, toy(t, func(w http.ResponseWriter, r *http.Request) {
+		actor <- r.Header.Get(acts.Header)
+		time.Sleep(50 * time.Millisecond)
+	}))
+	var n notes
+	s.Audit(&n)
+	run(t, s)
+	done := make(chan Answer)
+	go func() {
+		a, _ := s.Do(call("a", 0, time.Minute), nil)
+		done <- a
+	}()
+	told := <-actor
+	next := *s.conf
+	next.Number = 3
+	s.Retune(&next, func(*decide.Settings) {})
+	if a := <-done; a.Under != 301 {
+		t.Errorf("answered under %d", a.Under)
+	}
+	gone := call("b", 0, time.Minute)
+	gone.Under(func() bool { return false }, 0)
+	left := make(chan struct{})
+	time.AfterFunc(20*time.Millisecond, func() { close(left) })
+	s.Do(gone, left)
+	eventually(t, func() bool { return ask(s, func() int { return len(s.calls) }) == 0 })
+	got := ask(s, func() []string { return slices.Clone(n.all) })
+	want := []string{"took 1 a look", "sent 1 a s1", "took 301 b look", "sent 301 b s1", "unsent 301 b s1"}
+	if len(got) < len(want) || !slices.Equal(got[:len(want)], want) {
+		t.Errorf("%q", got)
+	}
+	if !strings.HasPrefix(told, "n/0/2/") {
+		t.Errorf("the server was told %q", told)
+	}
+}
