Work with a long body waits for custody no longer than its time

A body that is not held gave its request 15 minutes in custody: it was asked for, and once sent, 7.5 s after its client had left, and its record kept others waiting; no last word came for it either. It waits as long as any other; one that runs still has until its body has come. The rig's twins take a refusal once no other ask of theirs is under way.

--- a/internal/custody/port.go
+++ b/internal/custody/port.go
@@ -6,10 +6,11 @@
 type Work struct {
 	ID, Class string
 	Effect    Effect
-	Digest    uint64 // of class, key and body
-	Resume    bool   // it was asked of another member before
-	Strict    bool   // it goes out under custody alone
-	Left      time.Duration
+	Digest    uint64        // of class, key and body
+	Resume    bool          // it was asked of another member before
+	Strict    bool          // it goes out under custody alone
+	Left      time.Duration // that it may wait for custody, and that its record lives
+	Longest   time.Duration // that it may be under way; more than Left where its body is still coming
 	Window    time.Duration // for which any server drops a repeat of its key; 0: not everywhere
 	Stored    Stored        // what is needed to send it unasked; no head: it can't be
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -486,12 +486,20 @@
 	case <-end.C:
 		return custody.Outcome{Word: custody.Gone}
 	}
-	select {
-	case o := <-wait:
-		return o
-	case <-gone:
-	case <-end.C:
-	case <-f.ctx.Done():
+	for more := true; more; {
+		select {
+		case o := <-wait:
+			return o
+		case <-gone:
+			more = false
+		case <-end.C: // one that runs has until its body has come and its time after that is up
+			if more = w.Longest > w.Left && f.keeper.runs(w.ID, wait); more {
+				end.Reset(w.Longest - w.Left)
+				w.Longest = 0
+			}
+		case <-f.ctx.Done():
+			more = false
+		}
 	}
 	f.keeper.post(func(int64) { f.keeper.left(w.ID, wait) })
 	select { // it came at the same time
--- a/internal/fleet/keeper.go
+++ b/internal/fleet/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log"
+	"slices"
 	"time"
 
 	"damsonscale/internal/custody"
@@ -193,6 +194,16 @@
 	}
 }
 
+// runs tells whether a request runs here for one who asked.
+func (k *keeper) runs(id string, wait chan custody.Outcome) bool {
+	back := make(chan bool, 1)
+	k.box <- func(int64) {
+		fl := k.flights[id]
+		back <- fl != nil && fl.running && slices.Contains(fl.waits, wait)
+	}
+	return <-back
+}
+
 // does carries out one word of the node.
 func (k *keeper) does(e *custody.Event) {
 	fl := k.flights[e.ID]
--- a/internal/frontend/keep.go
+++ b/internal/frontend/keep.go
@@ -50,7 +50,7 @@
 	call.Whole = c.watch
 	w := custody.Work{
 		ID: p.request.ID, Class: class.Name, Effect: effect, Resume: string(h.Peek(resumeHead)) == "1", Strict: policy == options.Strict,
-		Left: call.Left(time.Now()), Digest: digest(class.Name, h.Peek("Idempotency-Key"), p.request.Key, b.held),
+		Left: min(call.Left(time.Now()), p.left), Longest: call.Left(time.Now()), Digest: digest(class.Name, h.Peek("Idempotency-Key"), p.request.Key, b.held),
 	}
 	var gone <-chan struct{}
 	switch {
@@ -62,6 +62,7 @@
 	if b.rest == nil {
 		gone = c.watch()
 	}
+	began := time.Now()
 	o := f.keeper.Do(w, gone, f.run(call))
 	broken := b.close()
 	c.unwatch()
@@ -71,7 +72,7 @@
 		ctx.Error(bad.text, bad.status)
 		f.account(ctx, w.ID, f.side.Under())
 	default:
-		f.tell(ctx, c, call, &o)
+		f.tell(ctx, c, call, &o, min(call.Left(time.Now()), p.left-time.Since(began))) // a body that is not held counts from its end
 	}
 	if broken != nil || o.Word == custody.Gone {
 		ctx.SetConnectionClose()
@@ -159,8 +160,8 @@
 	}
 }
 
-// tell answers as custody has it. A member that has lost its leave answers nothing: another one does.
-func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, call *sidecar.Call, o *custody.Outcome) {
+// tell answers as custody has it, where so much of the request's time is left. A member that has lost its leave answers nothing: another one does.
+func (f *Frontend) tell(ctx *fasthttp.RequestCtx, c *clientConn, call *sidecar.Call, o *custody.Outcome, left time.Duration) {
 	if o.Word == custody.Answered && o.Lease != nil && !o.Lease.Valid() {
 		f.Unheard(o.Live)
 		o.Word = custody.Nothing
@@ -168,7 +169,7 @@
 	under := f.side.Under()
 	switch o.Word {
 	case custody.Nothing:
-		f.silent(ctx, c, call.Request.ID, call.Left(time.Now()))
+		f.silent(ctx, c, call.Request.ID, left)
 		return
 	case custody.Gone:
 		f.answer(ctx, c, sidecar.Answer{Verdict: sidecar.Late})
--- a/internal/rig/client.go
+++ b/internal/rig/client.go
@@ -148,7 +148,7 @@
 			select {
 			case a := <-answers:
 				open--
-				a.Aside = r.twin && a.refused()
+				a.Aside = r.twin && a.refused() && (open > 0 || a.n == 0)
 				r.Asks = append(r.Asks, a)
 				if a.final() {
 					if r.doubts && a.Status == http.StatusOK && left > 0 {
