--- a/decide/state.go
+++ b/decide/state.go
@@ -26,6 +26,12 @@
 	calmShare   = 0.9         // of the answers come before the calm mark, whose lowest value is kept as uncrowded
 	calmStep    = 0.05        // of the calm mark: one burst of late answers must not move it far
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
+	rateStep    = 0.3         // of the rate of answers, each second
+	quickShare  = 0.15        // of the answers are quicker than the quick mark
+	quickLeast  = 0.03        // of its steps
+	quickMost   = 0.6         // the same
+	quickSecond = 5.0         // steps of all answers of a second together
+	easeFactor  = 1.5         // of its lowest, up to which the quick mark tells of no crowd
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	workStep    = 0.02        // of the mean work hinted, for each request
 	workPart    = 0.5         // of a request's time, that goes by its work
@@ -152,6 +158,9 @@
 	taken, served float64 // of late: requests, and those answered within the aim
 	work          float64 // hinted, on average; 0: no hints
 	calm          float64 // one answer in 10 takes longer
+	quick, ease   float64 // one answer in 7 is quicker, and the lowest that this was: with nothing before them
+	samples       float64
+	rate, fresh   float64 // answers a second, and in this one
 	base          float64 // the same when servers are not crowded
 }
 
@@ -501,8 +510,29 @@
 	c.half = step(c.half, latency, 0.5, halfStep)
 	c.calm = step(c.calm, latency, calmShare, calmStep)
 	c.base = min(c.base, c.calm)
+	c.sampleQuick(latency)
 }
 
+// sampleQuick moves the mark of the quickest answers: within about a second where there are many, by each one where there are
+// few. It never goes past a sample: guards against an ease that no answer had.
+func (c *classState) sampleQuick(latency float64) {
+	if c.samples++; c.samples == 1 {
+		c.quick, c.ease = latency, float64(c.Aim)
+	}
+	c.fresh++
+	next := step(c.quick, latency, quickShare, min(quickMost, max(quickLeast, quickSecond/max(1, c.rate), quickSecond/c.samples)))
+	if latency > c.quick {
+		c.quick = min(next, latency)
+	} else {
+		c.quick = max(next, latency)
+	}
+	c.ease = min(c.ease, c.quick)
+}
+
+// eased tells whether the quickest answers are as quick as ever: then what is slow is slow by nature, and holding less out would
+// not speed it. A crowd delays all.
+func (c *classState) eased() bool { return c.quick <= easeFactor*c.ease }
+
 // load is what s holds for its size; where balancers tell one another, as it would be with one attempt more.
 func (b *Balancer) load(now int64, s *server) float64 {
 	if b.talks() {
@@ -581,6 +611,9 @@
 	if b.heard {
 		share = earlyShare
 	}
+	if o.Result == Served && c.eased() {
+		return true
+	}
 	late := min(share*float64(c.Aim), crowdedBase*c.base)
 	return o.Result != Errored && o.Result != TimedOut && float64(o.Latency) <= late
 }
@@ -598,7 +631,8 @@
 func (b *Balancer) forgetService() {
 	b.forgetClasses()
 	for _, c := range b.classes {
-		c.taken, c.served, c.base = c.taken*keepService, c.served*keepService, c.base*baseRise
+		c.taken, c.served, c.base, c.ease = c.taken*keepService, c.served*keepService, c.base*baseRise, c.ease*baseRise
+		c.rate, c.fresh = c.rate+rateStep*(c.fresh-c.rate), 0
 	}
 	b.judged.answers, b.judged.bad = b.judged.answers*keepBad, b.judged.bad*keepBad
 	for i := range b.keys {
--- /dev/null
+++ b/decide/tails_test.go
@@ -0,0 +1,253 @@
+package decide
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// tails plays some balancers before servers whose times are drawn: how slow an answer is has nothing to do with what is
+// held, unless the servers have places. It counts what becomes of requests.
+type tails struct {
+	now    int64
+	rng    *rand.Rand
+	bs     []*Balancer
+	names  map[string]int
+	set    []tailServer
+	open   map[string]*tailRequest
+	queue  []tailEvent // by time
+	asked  int
+	how    map[string]int
+	points float64 // earned of worth 1 each: whole within the aim, LateShare after
+}
+
+// tailServer draws its times from a list, each as likely; places 0: any number at once.
+type tailServer struct {
+	times  []int64 // µs
+	places int
+	busy   []int64 // when each place is free
+	then   []int64 // the times from changeAt on; nil: the same
+	fewer  int     // places from then on; 0: as many
+	jam    int64   // of work that it holds at the start, µs for each place
+}
+
+const changeAt = 10 // s
+
+type tailRequest struct {
+	in    Request
+	at    int64
+	tries int
+	over  bool
+}
+
+type tailEvent struct {
+	at int64
+	do func()
+}
+
+// tailMouth carries out what one balancer does.
+type tailMouth struct {
+	silent
+	t *tails
+	i int
+}
+
+func (t *tails) after(in int64, do func()) {
+	e := tailEvent{t.now + in, do}
+	at, _ := slices.BinarySearchFunc(t.queue, e, func(a, b tailEvent) int { return cmp.Or(cmp.Compare(a.at, b.at), -1) })
+	t.queue = slices.Insert(t.queue, at, e)
+}
+
+func (m *tailMouth) Wake(in, token int64) {
+	m.t.after(max(in, 1), func() { m.t.bs[m.i].Timer(m.t.now, token) })
+}
+
+func (m *tailMouth) Send(id, server string, timeout int64) {
+	t := m.t
+	r, s := t.open[id], &t.set[t.names[server]]
+	n, sent := r.tries, t.now
+	r.tries++
+	times, places := s.times, s.places
+	if t.now >= (1000+changeAt)*second {
+		if s.then != nil {
+			times = s.then
+		}
+		if s.fewer > 0 {
+			places = s.fewer
+		}
+	}
+	takes := times[t.rng.IntN(len(times))]
+	begins := t.now
+	if places > 0 {
+		for len(s.busy) < s.places {
+			s.busy = append(s.busy, 1000*second+s.jam)
+		}
+		at := 0
+		for i := range s.busy[:places] {
+			if s.busy[i] < s.busy[at] {
+				at = i
+			}
+		}
+		begins = max(begins, s.busy[at])
+		s.busy[at] = begins + takes
+	}
+	done, result := begins+takes-sent, Served
+	if timeout > 0 && done > timeout {
+		done, result = timeout, TimedOut
+	}
+	t.after(done, func() {
+		if result == Served && !r.over {
+			t.ends(id, "served")
+		}
+		t.bs[m.i].Outcome(t.now, Outcome{Request: id, Attempt: n, Server: server, Result: result, Latency: t.now - sent, Closed: r.over})
+	})
+}
+
+func (m *tailMouth) Refuse(id string, _ int64) { m.t.ends(id, "refused") }
+func (m *tailMouth) Fail(id string)            { m.t.ends(id, "failed") }
+
+func (t *tails) ends(id, how string) {
+	r := t.open[id]
+	if r.over {
+		return
+	}
+	r.over = true
+	t.how[how]++
+	class := t.bs[0].set.Classes[r.in.Class]
+	switch late := t.now-r.at > class.Aim; {
+	case how == "served" && late:
+		t.points += class.LateShare
+	case how == "served":
+		t.points++
+	}
+}
+
+// tailSettings are the two classes of the newcomer's run: aims of 200 and 400 ms, deadlines of 2 s, 0.3 for late answers.
+func tailSettings() Settings {
+	set := testSettings()
+	set.Classes = []Class{
+		{Name: "quick", Aim: 200_000, Deadline: 2 * second, Worth: 1, LateShare: 0.3, Semantics: Idempotent},
+		{Name: "slow", Aim: 400_000, Deadline: 2 * second, Worth: 1, LateShare: 0.3, Semantics: Idempotent},
+	}
+	return set
+}
+
+// play has n balancers take so many requests a second together, for some seconds.
+func playTails(n int, perSecond, seconds float64, seed uint64, set ...tailServer) *tails {
+	t := &tails{now: 1000 * second, rng: rand.New(rand.NewPCG(seed, 5)), names: map[string]int{}, set: set, open: map[string]*tailRequest{}, how: map[string]int{}}
+	var list []Server
+	for i := range set {
+		id := fmt.Sprint("s", i)
+		t.names[id] = i
+		list = append(list, Server{ID: id, Size: 1, Zone: "a"})
+	}
+	for i := range n {
+		s := tailSettings()
+		s.Me, s.Balancers = i, n
+		b := New(s, seed+uint64(i), &tailMouth{t: t, i: i})
+		t.bs = append(t.bs, b)
+		b.Begin(t.now)
+		b.Listed(t.now, list, true)
+	}
+	var next func()
+	next = func() {
+		t.asked++
+		id, i := fmt.Sprint("r", t.asked), t.rng.IntN(n)
+		r := &tailRequest{in: Request{ID: id, Class: t.asked % 2, Tenant: -1, Left: 2 * second}, at: t.now}
+		t.open[id] = r
+		t.bs[i].Request(t.now, r.in)
+		t.after(1+int64(t.rng.ExpFloat64()*float64(second)/perSecond), next)
+	}
+	t.after(1, next)
+	for end := t.now + int64(seconds*float64(second)); t.now < end; {
+		e := t.queue[0]
+		t.queue = t.queue[1:]
+		t.now = e.at
+		e.do()
+	}
+	return t
+}
+
+func slowTimes(all ...[]int64) (out []tailServer) {
+	for _, times := range all {
+		out = append(out, tailServer{times: times})
+	}
+	return out
+}
+
+func same(times ...int64) []tailServer { return slowTimes(times, times, times, times) }
+
+var tailRows = []struct {
+	name      string
+	perSecond float64
+	set       func() []tailServer
+}{
+	{"20 50 100 100", 200, func() []tailServer { return same(20_000, 50_000, 100_000, 100_000) }},
+	{"50 nine in ten, 400", 200, func() []tailServer {
+		return same(50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 400_000)
+	}},
+	{"50 50 250 250", 200, func() []tailServer { return same(50_000, 50_000, 250_000, 250_000) }},
+	{"50 four in five, 400", 200, func() []tailServer { return same(50_000, 50_000, 50_000, 50_000, 400_000) }},
+	{"250 always", 200, func() []tailServer { return same(250_000) }},
+	{"20 50 100 400", 200, func() []tailServer { return same(20_000, 50_000, 100_000, 400_000) }},
+	{"10 50 600", 200, func() []tailServer { return same(10_000, 50_000, 600_000) }},
+	{"one server of four 400", 200, func() []tailServer {
+		return slowTimes([]int64{50_000}, []int64{50_000}, []int64{50_000}, []int64{400_000})
+	}},
+	{"a tail that comes", 200, func() []tailServer {
+		return change(same(50_000), func(s *tailServer) { s.then = []int64{50_000, 50_000, 400_000} })
+	}},
+	{"a tail that goes", 200, func() []tailServer {
+		return change(same(50_000, 50_000, 400_000), func(s *tailServer) { s.then = []int64{50_000} })
+	}},
+	{"two places of 50, offered 140", 140, func() []tailServer { return placed(2, 50_000) }},
+	{"two places of 50, offered 200", 200, func() []tailServer { return placed(2, 50_000) }},
+	{"two places of 50, offered 400", 400, func() []tailServer { return placed(2, 50_000) }},
+	{"the same, a jam at the start", 200, func() []tailServer { return change(placed(2, 50_000), func(s *tailServer) { s.jam = second }) }},
+	{"six of 50 and 400, offered 100", 100, func() []tailServer { return placed(6, 50_000, 50_000, 50_000, 50_000, 400_000) }},
+	{"six of 50 and 400, offered 300", 300, func() []tailServer { return placed(6, 50_000, 50_000, 50_000, 50_000, 400_000) }},
+	{"six, then two of 50 and 400", 120, func() []tailServer {
+		return change(placed(6, 50_000, 50_000, 50_000, 50_000, 400_000), func(s *tailServer) { s.fewer = 2 })
+	}},
+}
+
+// placed are four servers that hold so many at once.
+func placed(places int, times ...int64) []tailServer {
+	out := same(times...)
+	for i := range out {
+		out[i].places = places
+	}
+	return out
+}
+
+func change(set []tailServer, how func(*tailServer)) []tailServer {
+	for i := range set {
+		how(&set[i])
+	}
+	return set
+}
+
+// BenchmarkTails measures how much is refused, and earned, where answers are slow by nature and where room is short: three
+// balancers and sixty, four servers, 30 s. docs/limits.md has its figures.
+func BenchmarkTails(b *testing.B) {
+	for _, row := range tailRows {
+		for _, n := range []int{3, 60} {
+			benchmarkTails(b, fmt.Sprint(row.name, ", ", n), func() *tails { return playTails(n, row.perSecond, 30, 1, row.set()...) })
+		}
+	}
+}
+
+func benchmarkTails(b *testing.B, name string, play func() *tails) {
+	b.Run(name, func(b *testing.B) {
+		var t *tails
+		for b.Loop() {
+			t = play()
+		}
+		all := float64(t.how["served"] + t.how["refused"] + t.how["failed"])
+		b.ReportMetric(100*float64(t.how["refused"])/all, "%refused")
+		b.ReportMetric(100*t.points/all, "%earned")
+		b.ReportMetric(t.bs[0].density, "density")
+	})
+}
