--- a/decide/state.go
+++ b/decide/state.go
@@ -611,7 +611,7 @@
 	if b.heard {
 		share = earlyShare
 	}
-	if o.Result == Served && c.eased() {
+	if o.Result == Served && !b.heard && !b.talks() && c.eased() {
 		return true
 	}
 	late := min(share*float64(c.Aim), crowdedBase*c.base)
