--- a/decide/decide.go
+++ b/decide/decide.go
@@ -647,6 +647,7 @@
 // adapt moves the limit of the server that answered.
 func (b *Balancer) adapt(now int64, c *classState, a *attempt, o Outcome) {
 	s, early := a.server, o.Result == Served && b.early(c, o)
+	s.sampleQuick(c, o)
 	if !early {
 		b.tally.late++
 	}
@@ -654,7 +655,9 @@
 	if b.talks() { // the density is of what all hold there, and moves by little
 		early = o.Result == Served && float64(o.Latency) <= earlyTold*float64(c.Aim)
 	}
-	b.crowding(now, s, early, o.Result)
+	tail := b.tail(c, o)
+	b.crowding(now, s, early || tail, o.Result)
+	early = early || tail && s.quick <= easeFactor
 	gaveUp := o.Result == TimedOut && o.Latency >= c.Aim
 	switch {
 	case b.talks() || o.Result != Served && o.Result != TimedOut && o.Result != Full:
--- a/decide/state.go
+++ b/decide/state.go
@@ -129,6 +129,7 @@
 	base       float64 // its size before its pace counts
 	told       float64 // requests that it holds, as it tells
 	pace       float64 // ms that work takes it without waiting, as it tells; 0: not told
+	quick      float64 // one answer in 7 is quicker, as a part of its class's ease
 }
 
 // keyBooks are the requests of the keys of one slot, of late.
@@ -529,6 +530,22 @@
 	c.ease = min(c.ease, c.quick)
 }
 
+// sampleQuick moves the mark of a server's quickest answers, as a part of what its classes' were at ease.
+func (s *server) sampleQuick(c *classState, o Outcome) {
+	if o.Result != Served {
+		return
+	}
+	part := float64(o.Latency) / max(1, c.ease)
+	if s.quick == 0 {
+		s.quick = part
+	}
+	if part > s.quick {
+		s.quick = min(s.quick*math.Exp(quickMost*quickShare), part)
+	} else {
+		s.quick = max(s.quick*math.Exp(-quickMost*(1-quickShare)), part)
+	}
+}
+
 // eased tells whether the quickest answers are as quick as ever: then what is slow is slow by nature, and holding less out would
 // not speed it. A crowd delays all.
 func (c *classState) eased() bool { return c.quick <= easeFactor*c.ease }
@@ -611,13 +628,16 @@
 	if b.heard {
 		share = earlyShare
 	}
-	if o.Result == Served && !b.heard && !b.talks() && c.eased() {
-		return true
-	}
 	late := min(share*float64(c.Aim), crowdedBase*c.base)
 	return o.Result != Errored && o.Result != TimedOut && float64(o.Latency) <= late
 }
 
+// tail tells whether a late answer is slow by nature: the quickest of its class are as quick as ever. Where servers or balancers
+// tell what is held, that tells of a crowd by itself.
+func (b *Balancer) tail(c *classState, o Outcome) bool {
+	return o.Result == Served && !b.heard && !b.talks() && c.eased()
+}
+
 func (r *request) tried(s *server) bool {
 	return slices.ContainsFunc(r.tries, func(a attempt) bool { return a.server == s })
 }
