--- a/decide/state.go
+++ b/decide/state.go
@@ -32,6 +32,7 @@
 	quickMost   = 0.6         // the same
 	quickSecond = 5.0         // steps of all answers of a second together
 	easeFactor  = 1.5         // of its lowest, up to which the quick mark tells of no crowd
+	tailAnswers = 4.0         // of a class each second, from which on its quickest tell of a crowd in time
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	workStep    = 0.02        // of the mean work hinted, for each request
 	workPart    = 0.5         // of a request's time, that goes by its work
@@ -635,7 +636,7 @@
 // tail tells whether a late answer is slow by nature: the quickest of its class are as quick as ever. Where servers or balancers
 // tell what is held, that tells of a crowd by itself.
 func (b *Balancer) tail(c *classState, o Outcome) bool {
-	return o.Result == Served && !b.heard && !b.talks() && c.eased()
+	return o.Result == Served && !b.heard && !b.talks() && c.rate >= tailAnswers && c.eased()
 }
 
 func (r *request) tried(s *server) bool {
