--- a/decide/state.go
+++ b/decide/state.go
@@ -30,6 +30,7 @@
 	quickShare  = 0.15        // of the answers are quicker than the quick mark
 	quickLeast  = 0.03        // of its steps
 	quickMost   = 0.6         // the same
+	quickOne    = 0.3         // of the steps of one server
 	quickSecond = 5.0         // steps of all answers of a second together
 	easeFactor  = 1.5         // of its lowest, up to which the quick mark tells of no crowd
 	tailAnswers = 4.0         // of a class each second, from which on its quickest tell of a crowd in time
@@ -541,9 +542,9 @@
 		s.quick = part
 	}
 	if part > s.quick {
-		s.quick = min(s.quick*math.Exp(quickMost*quickShare), part)
+		s.quick = min(s.quick*math.Exp(quickOne*quickShare), part)
 	} else {
-		s.quick = max(s.quick*math.Exp(-quickMost*(1-quickShare)), part)
+		s.quick = max(s.quick*math.Exp(-quickOne*(1-quickShare)), part)
 	}
 }
 
@@ -636,7 +637,7 @@
 // tail tells whether a late answer is slow by nature: the quickest of its class are as quick as ever. Where servers or balancers
 // tell what is held, that tells of a crowd by itself.
 func (b *Balancer) tail(c *classState, o Outcome) bool {
-	return o.Result == Served && !b.heard && !b.talks() && c.rate >= tailAnswers && c.eased()
+	return o.Result == Served && !b.heard && !b.talks() && max(c.rate, c.fresh) >= tailAnswers && c.eased()
 }
 
 func (r *request) tried(s *server) bool {
