--- a/decide/tails_test.go
+++ b/decide/tails_test.go
@@ -188,7 +188,7 @@
 	{"20 50 100 100", 200, func() []tailServer { return same(20_000, 50_000, 100_000, 100_000) }, 0},
 	{"50 nine in ten, 400", 200, func() []tailServer {
 		return same(50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 50_000, 400_000)
-	}},
+	}, 0},
 	{"50 50 250 250", 200, func() []tailServer { return same(50_000, 50_000, 250_000, 250_000) }, 0},
 	{"50 four in five, 400", 200, func() []tailServer { return same(50_000, 50_000, 50_000, 50_000, 400_000) }, 0},
 	{"250 always", 200, func() []tailServer { return same(250_000) }, 0},
@@ -199,7 +199,7 @@
 	}, 0},
 	{"a tail that comes", 200, func() []tailServer {
 		return change(same(50_000), func(s *tailServer) { s.then = []int64{50_000, 50_000, 400_000} })
-	}},
+	}, 0},
 	{"a tail that goes", 200, func() []tailServer {
 		return change(same(50_000, 50_000, 400_000), func(s *tailServer) { s.then = []int64{50_000} })
 	}, 0},
