--- a/decide/state.go
+++ b/decide/state.go
@@ -26,6 +26,14 @@
 	calmShare   = 0.9         // of the answers come before the calm mark, whose lowest value is kept as uncrowded
 	calmStep    = 0.05        // of the calm mark: one burst of late answers must not move it far
 	baseRise    = 1.01        // of the uncrowded mark each second: doubled in 70 s, longer than a jam should last
+	rateStep    = 0.3         // of the rate of answers, each second
+	quickShare  = 0.15        // of the answers are quicker than the quick mark
+	quickLeast  = 0.03        // of its steps
+	quickMost   = 0.6         // the same
+	quickOne    = 0.3         // of the steps of one server
+	quickSecond = 5.0         // steps of all answers of a second together
+	easeFactor  = 1.5         // of its lowest, up to which the quick mark tells of no crowd
+	tailAnswers = 4.0         // of a class each second, from which on its quickest tell of a crowd in time
 	crowdedBase = 1.6         // uncrowded calm marks: servers that slow down when crowded lose work before the aim
 	workStep    = 0.02        // of the mean work hinted, for each request
 	workPart    = 0.5         // of a request's time, that goes by its work
@@ -123,6 +131,7 @@
 	base       float64 // its size before its pace counts
 	told       float64 // requests that it holds, as it tells
 	pace       float64 // ms that work takes it without waiting, as it tells; 0: not told
+	quick      float64 // one answer in 7 is quicker, as a part of its class's ease
 }
 
 // keyBooks are the requests of the keys of one slot, of late.
@@ -152,6 +161,9 @@
 	taken, served float64 // of late: requests, and those answered within the aim
 	work          float64 // hinted, on average; 0: no hints
 	calm          float64 // one answer in 10 takes longer
+	quick, ease   float64 // one answer in 7 is quicker, and the lowest that this was: with nothing before them
+	samples       float64
+	rate, fresh   float64 // answers a second, and in this one
 	base          float64 // the same when servers are not crowded
 }
 
@@ -501,6 +513,25 @@
 	c.half = step(c.half, latency, 0.5, halfStep)
 	c.calm = step(c.calm, latency, calmShare, calmStep)
 	c.base = min(c.base, c.calm)
+	c.sampleQuick(latency)
+}
+
+// sampleQuick moves the mark of the quickest answers: within about a second where there are many, by each one where there are few.
+func (c *classState) sampleQuick(latency float64) {
+	if c.samples++; c.samples == 1 {
+		c.quick, c.ease = latency, float64(c.Aim)
+	}
+	c.fresh++
+	c.quick = towards(c.quick, latency, min(quickMost, max(quickLeast, quickSecond/max(1, c.rate), quickSecond/c.samples)))
+	c.ease = min(c.ease, c.quick)
+}
+
+// towards moves a mark of quickest answers by a sample, and never past it: guards against an ease that no answer had.
+func towards(mark, sample, size float64) float64 {
+	if sample > mark {
+		return min(sample, mark*math.Exp(size*quickShare))
+	}
+	return max(sample, mark*math.Exp(-size*(1-quickShare)))
 }
 
 // load is what s holds for its size; where balancers tell one another, as it would be with one attempt more.
@@ -585,6 +616,22 @@
 	return o.Result != Errored && o.Result != TimedOut && float64(o.Latency) <= late
 }
 
+// atEase takes in how quick an answer of s was, and tells whether a late one is slow by nature: calm, as the quickest of its class
+// are as quick as ever; well, as those of s are too. Guards against refusals for a slow tail, which no refusal makes quicker.
+// Where servers or balancers tell what is held, that tells of a crowd, and where answers are few they tell of one too late.
+func (b *Balancer) atEase(c *classState, s *server, o Outcome) (calm, well bool) {
+	if o.Result != Served {
+		return false, false
+	}
+	part := float64(o.Latency) / max(1, c.ease)
+	if s.quick == 0 {
+		s.quick = part
+	}
+	s.quick = towards(s.quick, part, quickOne)
+	calm = !b.heard && !b.talks() && max(c.rate, c.fresh) >= tailAnswers && c.quick <= easeFactor*c.ease
+	return calm, calm && s.quick <= easeFactor
+}
+
 func (r *request) tried(s *server) bool {
 	return slices.ContainsFunc(r.tries, func(a attempt) bool { return a.server == s })
 }
@@ -598,7 +645,8 @@
 func (b *Balancer) forgetService() {
 	b.forgetClasses()
 	for _, c := range b.classes {
-		c.taken, c.served, c.base = c.taken*keepService, c.served*keepService, c.base*baseRise
+		c.taken, c.served, c.base, c.ease = c.taken*keepService, c.served*keepService, c.base*baseRise, c.ease*baseRise
+		c.rate, c.fresh = c.rate+rateStep*(c.fresh-c.rate), 0
 	}
 	b.judged.answers, b.judged.bad = b.judged.answers*keepBad, b.judged.bad*keepBad
 	for i := range b.keys {
