A server with nothing out is not asked how long it has been silent

Of a request's time before 250 servers 79% went into adding up the room: for each server the patience of all classes, and words of others where none are told. The results are the same to the bit.

--- a/decide/peers.go
+++ b/decide/peers.go
@@ -168,6 +168,9 @@
 
 // held is what all balancers that draw from s have out there, as far as this one was told.
 func (b *Balancer) held(now int64, s *server) float64 {
+	if len(s.sharers) == 0 && !b.talks() {
+		return float64(s.inFlight)
+	}
 	n := 0
 	if b.deaf(now) { // words are lost: the others are taken to do as this one does
 		return float64(s.inFlight) * b.sharersOf()
--- a/decide/state.go
+++ b/decide/state.go
@@ -560,11 +560,14 @@
 
 // silent tells whether attempts at s have gone without an answer for longer than answers take.
 func (b *Balancer) silent(now int64, s *server) bool {
+	if s.inFlight == 0 { // most, where each request asks it of all
+		return false
+	}
 	patience := 0.0
 	for _, c := range b.classes {
 		patience = max(patience, c.mark)
 	}
-	return s.inFlight > 0 && float64(now-s.heardAt) > patience
+	return float64(now-s.heardAt) > patience
 }
 
 // weigh sums the weights and sizes of servers, as the odds of a draw among them need.
