--- a/internal/audit/account.go
+++ b/internal/audit/account.go
@@ -55,7 +55,7 @@
 
 // Assemble makes accounts of segments, which may be doubled, spoilt, or of several members, in any order.
 func (c *Codec) Assemble(fleet uint64, all []Sealed, q *Query) []Account {
-	chains, faults := map[custody.Member][]*link{}, map[custody.Member][]string{}
+	chains := map[custody.Member][]*link{}
 	var unread []string
 	for i := range all {
 		seg, err := c.Open(fleet, &all[i])
@@ -70,7 +70,7 @@
 		if q.Member != "" && q.Member != m.Name {
 			continue
 		}
-		out = append(out, account(m, chain, faults[m], q))
+		out = append(out, account(m, chain, q))
 	}
 	slices.SortFunc(out, func(a, b Account) int {
 		return cmp.Or(cmp.Compare(a.Member.Name, b.Member.Name), cmp.Compare(a.Wall, b.Wall), cmp.Compare(a.Member.Incarnation, b.Member.Incarnation))
@@ -86,8 +86,8 @@
 	hash Hash
 }
 
-func account(m custody.Member, chain []*link, faults []string, q *Query) Account {
-	a := Account{Member: m, Faults: faults}
+func account(m custody.Member, chain []*link, q *Query) Account {
+	a := Account{Member: m}
 	slices.SortStableFunc(chain, func(x, y *link) int { return cmp.Compare(x.Index, y.Index) })
 	var last *link
 	fault := func(format string, args ...any) { a.Faults = append(a.Faults, fmt.Sprintf(format, args...)) }
