--- a/decide/decide.go
+++ b/decide/decide.go
@@ -667,7 +667,7 @@
 		s.limit *= limitUp
 	case early || well:
 	default:
-		if (o.Result == TimedOut && o.Latency >= c.Aim || o.Result == Full) && a.sentAt > s.cutAt { // once a cut
+		if (o.Result == TimedOut && o.Latency >= c.Aim || o.Result == Full) && a.sentAt > s.cutAt {
 			s.limit, s.cutAt = min(s.limit, float64(s.inFlight+1))*failCut, now
 		}
 		s.limit = max(limitLeast, s.limit*limitDown)
