Clients: none leaves unseen, and no request that came is thrown away with its connection

The choice now ends the read, and the connection's own goroutine closes it only where nothing more lies in the system; else the request is served and the connection ends with its answer. - While it waited for the mailbox a request saw neither its client leave nor the process end; one answered there was still told to the module. - A body that is still coming is watched too until an attempt reads it on; a cut that came just before such a read was lost. With the mends taken out TestARequestThatCrossesTheChoiceOfItsConnection (both), TestWhoLeavesIsNotSentOn (all cases of bytes sent in advance), TestLeavingAFullMailbox (both) and TestAnsweredInTheMailbox fail.

--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -42,6 +42,7 @@
 	read   int64     // of src so far
 	held   []byte
 	rest   *upstream.Rest // nil: held is all of it
+	cut    atomic.Bool    // nothing more is to be read
 }
 
 // body makes the body of a request whose head was read.
@@ -90,7 +91,10 @@
 	if int64(len(b.held)) == b.length {
 		return nil
 	}
-	b.rest = upstream.NewRest(b, b.length, func() { b.c.Conn.SetReadDeadline(past) })
+	b.rest = upstream.NewRest(b, b.length, func() {
+		b.cut.Store(true)
+		b.c.Conn.SetReadDeadline(past)
+	})
 	return nil
 }
 
@@ -101,7 +105,11 @@
 
 // Read reads on as the body comes; a client that sends nothing for a while has left.
 func (b *body) Read(p []byte) (n int, err error) {
+	b.c.unwatch()
 	b.c.Conn.SetReadDeadline(time.Now().Add(bodyStall))
+	if b.cut.Load() { // the cut may have come before that deadline
+		b.c.Conn.SetReadDeadline(past)
+	}
 	n, err = b.src.Read(p)
 	b.read += int64(n)
 	switch {
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"damsonscale/internal/upstream"
@@ -20,9 +21,10 @@
 	idleSince atomic.Int64  // Unix µs; negative while its first request comes in pieces, the last one then; or busy or taken
 	between   bool          // the next byte begins a request
 	served    atomic.Bool   // it has carried a request
-	done      chan struct{} // closed when the background read has ended
-	ahead     [1]byte       // what the background read got
-	has       bool
+	done      chan struct{} // closed when the background read has ended; nil: there is none
+	ahead     []byte        // what the background read got, that Read has not returned yet
+	aheadAt   time.Time     // when the last of it came
+	last      bool          // chosen to be closed, with a request that had come: it ends with the answer
 	failed    error
 	closed    atomic.Bool
 	stream    atomic.Pointer[upstream.Stream] // the long answer that is being written to it, until it is to end soon
@@ -31,33 +33,53 @@
 // past is a deadline that ends a read under way.
 var past = time.Unix(1, 0)
 
+const (
+	aheadMost  = 16 << 10 // bytes read in the background: a client that has sent more in advance is not seen to leave
+	aheadPiece = 512      // of one background read
+)
+
 // What idleSince holds besides a time.
 const (
 	busy  = 0  // a request is being read or served, or its answer is not written yet
-	taken = -1 // chosen to be closed
+	taken = -1 // chosen to be closed: by its own goroutine, once a read has found nothing more
 )
 
 // since is the time in what idleSince holds.
 func since(held int64) int64 { return max(held, -held) }
 
 // Read returns what the background read got first. A connection is idle only while it waits here for the
-// first byte of a request. Guards against closing one that carries a request which has been read.
+// first byte of a request. Guards against closing one that carries a request which has been read: whoever chooses it ends
+// this read, and what that finds is served.
 func (c *clientConn) Read(p []byte) (n int, err error) {
-	if c.has && len(p) > 0 {
-		p[0], c.has, c.between = c.ahead[0], false, false
-		return 1, nil
+	if len(c.ahead) > 0 && len(p) > 0 {
+		n = copy(p, c.ahead)
+		if c.ahead, c.between = c.ahead[n:], false; len(c.ahead) == 0 {
+			c.ahead = nil
+		}
+		return n, nil
 	}
 	if c.failed != nil {
 		return 0, c.failed
 	}
 	if c.between {
-		c.idleSince.Store(time.Now().UnixMicro())
+		if at := c.idleSince.Load(); at != taken {
+			c.idleSince.CompareAndSwap(at, time.Now().UnixMicro())
+		}
 	}
 	n, err = c.Conn.Read(p)
+	late := n == 0 && errors.Is(err, os.ErrDeadlineExceeded)
+	if late && c.idleSince.Load() == taken {
+		if n = c.arrived(p); n == 0 {
+			c.Close() // without the 408 of fasthttp
+			return 0, net.ErrClosed
+		}
+		err, late = nil, false
+	}
 	if c.between && c.idleSince.Swap(busy) == taken {
-		return 0, net.ErrClosed
+		c.last = true
+		c.Conn.SetReadDeadline(time.Now().Add(readTimeout))
 	}
-	if c.between && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if c.between && late {
 		return 0, io.EOF // Guards against the 408 of fasthttp on a new connection: the next request would read it
 	}
 	now := time.Now()
@@ -73,14 +95,52 @@
 	return n, err
 }
 
-// takeIdle claims an idle connection that has been so since before, to be closed.
+// arrived takes what lies in the system without waiting. Guards against a close that crosses a request which had come
+// before the read was ended.
+func (c *clientConn) arrived(p []byte) (n int) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT) })
+	return max(n, 0)
+}
+
+// SetReadDeadline sets it, but for a connection that is chosen to be closed: that waits no more.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	err := c.Conn.SetReadDeadline(t)
+	if c.idleSince.Load() == taken {
+		return c.Conn.SetReadDeadline(past)
+	}
+	return err
+}
+
+// take chooses the connection to be closed where it still holds that in its idleSince. Its own goroutine closes it, or
+// serves what has come meanwhile first.
+func (c *clientConn) take(held int64) bool {
+	if !c.idleSince.CompareAndSwap(held, taken) {
+		return false
+	}
+	c.Conn.SetReadDeadline(past)
+	return true
+}
+
+// takeIdle chooses an idle connection that has been so since before, to be closed.
 func (c *clientConn) takeIdle(before int64) bool {
 	at := c.idleSince.Load()
-	return at > busy && at <= before && c.idleSince.CompareAndSwap(at, taken)
+	return at > busy && at <= before && c.take(at)
 }
 
-// begin tells that a whole request has come; false: the connection has been chosen to be closed before.
-func (c *clientConn) begin() bool { return c.idleSince.Swap(busy) != taken }
+// begin tells that a whole request has come.
+func (c *clientConn) begin() {
+	if c.idleSince.Swap(busy) == taken {
+		c.last = true
+	}
+}
 
 // finished tells that the request read last has been handled.
 func (c *clientConn) finished() {
@@ -88,22 +148,32 @@
 	c.served.Store(true)
 }
 
-// watch begins the background read; the channel is closed when the client has left.
+// watch begins the background read; the channel is closed when the client has left. It reads past what a client sends in
+// advance, up to aheadMost. Guards against one that leaves unseen behind that, whose request would be sent on.
 func (c *clientConn) watch() <-chan struct{} {
 	gone, done := make(chan struct{}), make(chan struct{})
 	c.done = done
-	if c.has || c.failed != nil {
+	if c.failed != nil { // it has left already
+		close(gone)
 		close(done)
 		return gone
 	}
 	c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		n, err := c.Conn.Read(c.ahead[:])
-		c.has = n > 0
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			c.failed = err
-			close(gone)
+		var first [1]byte
+		for to := first[:]; len(c.ahead) < aheadMost; to = make([]byte, aheadPiece) {
+			n, err := c.Conn.Read(to)
+			if n > 0 {
+				c.ahead, c.aheadAt = append(c.ahead, to[:n]...), time.Now()
+			}
+			if err != nil {
+				if !errors.Is(err, os.ErrDeadlineExceeded) {
+					c.failed = err
+					close(gone)
+				}
+				return
+			}
 		}
 	}()
 	return gone
@@ -118,8 +188,8 @@
 	<-c.done
 	c.done = nil
 	c.Conn.SetReadDeadline(time.Time{})
-	if c.has {
-		c.readAt = time.Now()
+	if len(c.ahead) > 0 {
+		c.readAt = c.aheadAt
 	}
 }
 
--- /dev/null
+++ b/internal/frontend/crossings_test.go
@@ -0,0 +1,341 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"damsonscale/decide"
+	"damsonscale/internal/config"
+	"damsonscale/internal/discovery"
+	"damsonscale/internal/lifecycle"
+	"damsonscale/internal/sidecar"
+	"damsonscale/internal/standin"
+)
+
+// before starts a frontend before a server, with so many connections to servers.
+func before(t *testing.T, addr string, servers int, change func(*config.Config, *Frontend)) (*Frontend, *sidecar.Sidecar, net.Listener) {
+	t.Helper()
+	conf := &config.Config{
+		Discovery: "127.0.0.1:1",
+		Known:     &discovery.List{Seq: 1, Hosts: []discovery.Entry{{Host: "s1", Dial: addr, Health: discovery.Ready}}},
+		Transport: config.Transport{ConnIdle: time.Minute, DialTimeout: time.Minute},
+		Settings: decide.Settings{
+			Classes: []decide.Class{
+				{Name: "look", Worth: 1},
+				{Name: "make", Worth: 1, Semantics: decide.Deduplicated, Window: 60_000_000},
+				{Name: "once", Worth: 1, Semantics: decide.AtMostOnce},
+			},
+			Limits: decide.Limits{Cancel: true, MaxAttempts: 4},
+		},
+	}
+	if change != nil {
+		change(conf, nil)
+	}
+	side := sidecar.New(conf, servers)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	f := New(side, &lifecycle.Owner{}, &conf.Settings, 64, 1<<20)
+	if change != nil {
+		change(conf, f)
+	}
+	go side.Run(ctx)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go f.Serve(ln)
+	return f, side, ln
+}
+
+// text is a request of a class of before, with so many bytes of body.
+func text(class, id string, body int) string {
+	method, key := "POST", ""
+	switch class {
+	case "look":
+		method = "GET"
+	case "make":
+		key = "Idempotency-Key: k-" + id + "\r\n"
+	}
+	return fmt.Sprintf("%s /%s HTTP/1.1\r\nHost: h\r\nReq-Id: %s\r\nReq-Deadline-Ms: 60000\r\n%sContent-Length: %d\r\n\r\n%s",
+		method, class, id, key, body, strings.Repeat("b", body))
+}
+
+// A request whose bytes were read, or had come, when its connection was chosen to be closed as idle is answered, and the
+// connection ends with that. The failure: they were thrown away, and their client had them taken and lost.
+func TestARequestThatCrossesTheChoiceOfItsConnection(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reads func(sent, chosen chan bool) func(*net.TCPConn, []byte) (int, error)
+	}{
+		{"read, and not yet returned", func(sent, chosen chan bool) func(*net.TCPConn, []byte) (int, error) {
+			return func(c *net.TCPConn, p []byte) (int, error) {
+				n, err := c.Read(p)
+				if n > 0 {
+					sent <- true
+					<-chosen
+				}
+				return n, err
+			}
+		}},
+		{"come, and its read ended", func(sent, chosen chan bool) func(*net.TCPConn, []byte) (int, error) {
+			return func(c *net.TCPConn, p []byte) (int, error) {
+				sent <- true
+				<-chosen
+				return c.Read(p)
+			}
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f, _ := serving(t, nil)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			sent, chosen := make(chan bool, 1), make(chan bool)
+			go f.Serve(&standin.Hook{Listener: ln, Read: c.reads(sent, chosen)})
+			client := dial(t, ln)
+			io.WriteString(client, look)
+			<-sent
+			eventually(t, "one idle connection", func() bool { return f.idle() == 1 })
+			f.closeIdle(-time.Hour, true)
+			close(chosen)
+			br := bufio.NewReader(client)
+			resp, err := http.ReadResponse(br, nil)
+			if err != nil || resp.StatusCode != 503 {
+				t.Fatalf("%v %v", resp, err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			if _, err := br.ReadByte(); err != io.EOF {
+				t.Fatalf("the connection goes on: %v", err)
+			}
+		})
+	}
+}
+
+// A connection that is chosen while it is about to set its own patience, or before its first read, does not wait on.
+func TestAChosenConnectionEnds(t *testing.T) {
+	f, _ := serving(t, func(f *Frontend) { f.server.ReadTimeout = time.Hour })
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	reads, on := make(chan bool, 1), make(chan bool)
+	go f.Serve(&standin.Hook{Listener: ln, Read: func(c *net.TCPConn, p []byte) (int, error) {
+		reads <- true
+		<-on
+		return c.Read(p)
+	}})
+	client := dial(t, ln)
+	<-reads
+	f.closeIdle(-time.Hour, true)
+	f.mu.Lock()
+	for c := range f.conns {
+		c.SetReadDeadline(time.Now().Add(time.Hour)) // as fasthttp does before each request
+	}
+	f.mu.Unlock()
+	close(on)
+	if b, err := io.ReadAll(client); err != nil || len(b) != 0 {
+		t.Fatalf("%q %v", b, err)
+	}
+}
+
+// leaves ends a client's connection.
+func leaves(c net.Conn, reset bool) {
+	if reset {
+		c.(*net.TCPConn).SetLinger(0)
+	}
+	c.Close()
+}
+
+// A request whose client leaves while it waits is not sent on, wherever it waits, and is not sent again.
+func TestWhoLeavesIsNotSentOn(t *testing.T) {
+	type place struct {
+		name string
+		// begin has the request wait and returns what ends its waiting.
+		begin func(t *testing.T, class string) (s *standin.Server, f *Frontend, side *sidecar.Sidecar, ln net.Listener, ahead int, on func())
+		body  int
+	}
+	// held fills all connections, or all room, of a server with requests that it answers once on is called.
+	held := func(t *testing.T, most, fill int, change func(*config.Config, *Frontend)) (s *standin.Server, f *Frontend, side *sidecar.Sidecar, ln net.Listener, on func()) {
+		stay := make(chan bool)
+		s = standin.NewServer(t, func(c *net.TCPConn, r *http.Request) bool {
+			if strings.HasPrefix(r.Header.Get("Req-Id"), "fill") {
+				<-stay
+			}
+			return standin.Yes(c, r)
+		})
+		f, side, ln = before(t, s.Addr, most, change)
+		for i := range fill {
+			id := fmt.Sprint("fill", i)
+			io.WriteString(dial(t, ln), text("look", id, 0))
+			eventually(t, id+" at the server", func() bool { return s.Got(id) == 1 })
+		}
+		var ended atomic.Bool
+		on = func() {
+			if ended.CompareAndSwap(false, true) {
+				close(stay)
+			}
+		}
+		t.Cleanup(on)
+		return s, f, side, ln, on
+	}
+	for _, p := range []place{
+		{"for a socket", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
+			s, f, side, ln, on := held(t, 1, 1, nil)
+			return s, f, side, ln, 0, on
+		}, 0},
+		{"in the module, behind a cold server's ration", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
+			s, room := standin.NewServer(t, standin.Yes), make(chan bool)
+			list := standin.NewDiscovery(t, func(w *standin.Watch) {
+				w.Begin()
+				<-room
+				w.Tell(`{"seq":2,"hosts":[{"host":"s2","dial":"` + s.Addr + `","health":"Ready"}]}` + "\n")
+				w.Left()
+			})
+			f, side, ln := before(t, s.Addr, 8, func(c *config.Config, f *Frontend) {
+				c.Discovery, c.Known.Hosts[0].BornMs = list, time.Now().UnixMilli()
+				c.Settings.Rules.ColdFor, c.Settings.Rules.ColdFrom = 3_600_000_000, 0.1
+			})
+			return s, f, side, ln, 0, func() { close(room) }
+		}, 0},
+		{"for a dial", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
+			s := standin.NewServer(t, standin.Yes)
+			addr, accept := crowded(t, s.Addr)
+			f, side, ln := before(t, addr, 8, nil)
+			return s, f, side, ln, 0, accept
+		}, 0},
+		{"between two tries", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
+			stay := make(chan bool)
+			s := standin.NewServer(t, func(c *net.TCPConn, r *http.Request) bool {
+				if r.Header.Get("Req-Id") != "leaver" {
+					return standin.Yes(c, r)
+				}
+				<-stay
+				return standin.Say(c, 503, standin.Declined, "")
+			})
+			f, side, ln := before(t, s.Addr, 8, nil)
+			return s, f, side, ln, 1, func() { close(stay) }
+		}, 0},
+		{"for the rest of its body", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
+			s, f, side, ln, on := held(t, 1, 1, func(_ *config.Config, f *Frontend) {
+				if f != nil {
+					f.held.take(1 << 20) // none of it is left
+				}
+			})
+			return s, f, side, ln, 0, on
+		}, 40 << 10},
+	} {
+		for _, class := range []string{"look", "make", "once"} {
+			for _, how := range []string{"closing", "resetting", "closing behind bytes sent in advance"} {
+				t.Run(p.name+"/"+class+"/"+how, func(t *testing.T) {
+					if p.body > 0 && (class == "look" || how == "closing behind bytes sent in advance") {
+						return // has no body; its body is what comes next
+					}
+					s, f, side, ln, ahead, on := p.begin(t, class)
+					client := dial(t, ln)
+					request := text(class, "leaver", p.body)
+					if p.body > 0 {
+						request = request[:len(request)-p.body/2]
+					}
+					io.WriteString(client, request)
+					eventually(t, "the leaver with the module", func() bool {
+						for _, id := range side.Open() {
+							if id == "leaver" {
+								return true
+							}
+						}
+						return false
+					})
+					eventually(t, "the leaver at its place", func() bool { return s.Got("leaver") == ahead })
+					if strings.Contains(how, "advance") {
+						io.WriteString(client, "GET ")
+						eventually(t, "the bytes sent in advance read", func() bool { return f.aheadOf("leaver") })
+					}
+					others := f.count() - 1
+					leaves(client, how == "resetting")
+					eventually(t, "the leaver's end", func() bool { return f.count() == others })
+					on()
+					usual := dial(t, ln)
+					exchange(t, usual, bufio.NewReader(usual), text("look", "usual", 0), 200) // after all that waited before it
+					eventually(t, "nothing under way", func() bool { return len(side.Open()) == 0 })
+					if n := s.Got("leaver"); n != ahead {
+						t.Fatalf("sent %d times, want %d", n, ahead)
+					}
+				})
+			}
+		}
+	}
+}
+
+// aheadOf tells whether any connection's background read has taken the bytes that came in advance: nothing is unread.
+func (f *Frontend) aheadOf(string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		raw, err := c.Conn.(syscall.Conn).SyscallConn()
+		if err != nil {
+			continue
+		}
+		n := 0
+		raw.Control(func(fd uintptr) {
+			var b [1]byte
+			n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		})
+		if n > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// crowded is an address at which connections come up only once accept was called; they lead to another.
+func crowded(t *testing.T, to string) (addr string, accept func()) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "crowded")
+	ln, err := net.FileListener(file)
+	file.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	fill := dial(t, ln) // the one that the system takes of its own accord
+	return ln.Addr().String(), func() {
+		fill.Close()
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				s, err := net.Dial("tcp", to)
+				if err != nil {
+					c.Close()
+					continue
+				}
+				go func() { io.Copy(s, c); s.Close() }()
+				go func() { io.Copy(c, s); c.Close() }()
+			}
+		}()
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -245,8 +245,7 @@
 	}
 	f.mu.Unlock()
 	for kind, c := range of {
-		if c != nil && c.idleSince.CompareAndSwap(held[kind], taken) {
-			c.Close()
+		if c != nil && c.take(held[kind]) {
 			return
 		}
 	}
@@ -254,18 +253,14 @@
 
 // closeIdle closes connections idle for at least that long; unused ones only where all is true.
 func (f *Frontend) closeIdle(idle time.Duration, all bool) {
-	var old []*clientConn
 	before := time.Now().Add(-idle).UnixMicro()
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	for c := range f.conns {
-		if (all || c.served.Load()) && c.takeIdle(before) {
-			old = append(old, c)
+		if all || c.served.Load() {
+			c.takeIdle(before)
 		}
 	}
-	f.mu.Unlock()
-	for _, c := range old {
-		c.Close()
-	}
 }
 
 func (f *Frontend) open() (conns int, sinceAccept time.Duration) {
@@ -394,17 +389,14 @@
 		ctx.Error("not a connection of this server", fasthttp.StatusInternalServerError)
 		return
 	}
-	if !c.begin() {
-		ctx.SetConnectionClose()
-		return
-	}
+	c.begin()
 	defer c.finished()
 	if path, _, _ := bytes.Cut(target(&ctx.Request.Header), []byte{'?'}); string(path) == "/health/ready" {
 		f.ready(ctx)
 	} else {
 		f.serve(ctx, c)
 	}
-	if f.emptying() {
+	if c.last || f.emptying() {
 		ctx.SetConnectionClose()
 	}
 }
@@ -435,12 +427,8 @@
 	if leave != nil {
 		call.Needs(leave.Valid)
 	}
-	var gone <-chan struct{}
-	if call.Message.Rest == nil {
-		gone = c.watch()
-	}
 	call.Whole = c.watch
-	a, left := f.side.Do(call, gone)
+	a, left := f.side.Do(call, c.watch()) // reading a body on ends that watch
 	broken := body.close()
 	c.unwatch()
 	if left && broken != nil {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -182,6 +182,10 @@
 	case s.box <- func(now int64) { s.take(now, c) }:
 	case <-last.C: // the module's mailbox is full: nothing was sent, nothing will be
 		return Answer{Verdict: Late, Under: s.Under()}, false
+	case <-s.ending:
+		return Answer{Verdict: Late, Under: s.Under()}, false
+	case <-gone:
+		return Answer{Verdict: Late, Under: s.Under()}, true
 	}
 	a, left, answered := s.await(c, gone, last)
 	if answered {
@@ -254,6 +258,9 @@
 }
 
 func (s *Sidecar) take(now int64, c *Call) {
+	if c.gate.Closed() { // it was answered while it waited here
+		return
+	}
 	if s.calls[c.Request.ID] != nil || s.foreign[c.Request.ID] { // Guards against two requests of one id, whose attempts could not be told apart
 		s.finish(c, Answer{Verdict: Duplicate})
 		return
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -140,6 +140,53 @@
 	}
 }
 
+// A request that waits for room in the mailbox ends there when its client leaves, or the process does: it is never taken.
+func TestLeavingAFullMailbox(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		end  func(s *Sidecar, gone chan struct{})
+		left bool
+	}{
+		{"the client leaves", func(_ *Sidecar, gone chan struct{}) { close(gone) }, true},
+		{"the process ends", func(s *Sidecar, _ chan struct{}) { s.End() }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, gone, done := sidecar(t, "127.0.0.1:1"), make(chan struct{}), make(chan bool)
+			for range mailbox {
+				s.box <- func(int64) {}
+			}
+			go func() {
+				a, left := s.Do(call("a", 0, time.Hour), gone)
+				done <- left == c.left && a.Verdict == Late
+			}()
+			c.end(s, gone)
+			select {
+			case ok := <-done:
+				if !ok {
+					t.Fatal("another end")
+				}
+			case <-time.After(10 * time.Second):
+				t.Fatal("held until its time ends")
+			}
+			run(t, s)
+			if n := ask(s, func() int { return len(s.calls) }); n != 0 {
+				t.Fatalf("%d calls taken", n)
+			}
+		})
+	}
+}
+
+// A request that was answered while it waited in the mailbox is not told to the module.
+func TestAnsweredInTheMailbox(t *testing.T) {
+	s := sidecar(t, toy(t, func(http.ResponseWriter, *http.Request) {}))
+	run(t, s)
+	c := call("a", 0, time.Hour)
+	c.gate.Close()
+	if ask(s, func() bool { s.take(s.now(), c); return s.balancer.Open("a") }) {
+		t.Fatal("taken")
+	}
+}
+
 // Rule 2 holds at the moment of writing: a repeat of what may have run carries the end of the window with it.
 func TestRepeatCarriesItsWindow(t *testing.T) {
 	came := make(chan bool, 1)
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -59,6 +59,13 @@
 	g.mu.Unlock()
 }
 
+// Closed tells whether nothing more is written.
+func (g *Gate) Closed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.closed
+}
+
 // pass runs write unless the gate is closed or the leave is over.
 func (g *Gate) pass(write func()) bool {
 	g.mu.Lock()
