Sockets: a connection that falls idle gives way to an attempt that waits

An attempt without a socket asks all peers for idle connections once. One that fell idle after that was kept, and the attempt waited for it until its dial's time was up: found when TestWhoLeavesIsNotSentOn hung for a socket. TestAConnectionThatFallsIdleGivesWay hangs with the mend taken out.

--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -19,8 +19,9 @@
 
 // Budget counts the sockets that all peers may hold.
 type Budget struct {
-	limit atomic.Int64
-	used  atomic.Int64
+	limit   atomic.Int64
+	used    atomic.Int64
+	waiting atomic.Int64 // attempts that have found none
 }
 
 // NewBudget makes a budget of that many sockets.
@@ -48,6 +49,8 @@
 func (b *Budget) await(ctx context.Context, short func()) bool {
 	for n := 0; !b.take(); n++ {
 		if n == 0 {
+			b.waiting.Add(1)
+			defer b.waiting.Add(-1)
 			short()
 		}
 		select {
@@ -162,7 +165,11 @@
 	case *Attempt:
 		go p.attempt(m, p.takeIdle())
 	case ended:
-		if m.c != nil {
+		switch {
+		case m.c == nil:
+		case p.shared.Budget.waiting.Load() > 0: // Guards against one that falls idle after the ask for idle ones, and is kept
+			m.c.shut()
+		default:
 			m.c.idleSince = time.Now()
 			p.idle = append(p.idle, m.c)
 		}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -344,6 +344,37 @@
 	}
 }
 
+// A connection that falls idle while an attempt waits for its socket, after idle ones were asked for, gives way. The
+// failure: it stayed, idle, and the attempt waited for it until its time was up.
+func TestAConnectionThatFallsIdleGivesWay(t *testing.T) {
+	came, on := make(chan bool, 2), make(chan bool)
+	s := listen(t, func(c net.Conn, br *bufio.Reader) {
+		for {
+			if _, ok := take(br); !ok {
+				return
+			}
+			came <- true
+			<-on
+			io.WriteString(c, yes)
+		}
+	})
+	sh, asked := &Shared{Budget: NewBudget(1), Find: at(s.Addr().String())}, make(chan bool, 1)
+	sh.Retune(time.Minute, time.Hour)
+	p := NewPeer("s1", sh)
+	defer p.Stop()
+	sh.Short = func() { p.Shed(); asked <- true }
+	_, first := offer(t, p, nil)
+	<-came
+	_, second := offer(t, p, nil)
+	<-asked
+	close(on)
+	for _, done := range []chan Report{first, second} {
+		if r := <-done; r.End != Answered {
+			t.Fatal(r.End)
+		}
+	}
+}
+
 // A full mailbox turns an attempt down and never makes the module wait.
 func TestFullMailboxTurnsDown(t *testing.T) {
 	p := &Peer{box: make(chan any, 1)}
