Lists: pushed ones are watched from the start, and may stand on several lines

The list's actor now holds that watch itself, asks again each 0.2 s, and goes by what was known only where the agent says nothing for 0.3 s: what the agent has counts from a process's first moment. A list over several lines was garbage line by line. It is read by encoding/json's decoder now; begun, it has to come whole within the time for silence. TestWatchEnds: "hal" was half of a list that breaks off and is now noise, which asks for the whole list; the case stays with the half of a list beside it, both checked. With the watch not opened TestAPushedListIsWatched and TestAnAgentThatIsAway fail; with lines read one by one the new cases of TestWatchEnds.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -20,8 +21,14 @@
 	dialTimeout = time.Second
 	callTimeout = 2500 * time.Millisecond // a call that has not begun its answer by then has failed
 	silence     = 4500 * time.Millisecond // a watch sends a line each 2 s at least: one that misses two is broken
-	maxLine     = 4 << 20                 // bytes of one list
+	maxList     = 4 << 20                 // bytes of one list
 	mailbox     = 64
+
+	// A list that is pushed comes from an agent beside this process: it answers at once or not at all, and what it has
+	// counts as told from the first moment. It is asked anew soon, and what was known before serves only where it is silent.
+	agentTimeout = 600 * time.Millisecond
+	agentEvery   = 200 * time.Millisecond
+	agentFirst   = 300 * time.Millisecond
 )
 
 // Listener is told of the list. Its methods may block; the list's actor then waits.
@@ -42,6 +49,10 @@
 	seq  int64
 	now  *subscription // the watch at addr; nil: none
 	left *subscription // one at the address before, until the new one speaks; nil: none
+
+	pushed bool  // the watch is held open by this actor, not asked for
+	known  *List // to go by while the agent says nothing; nil: none
+	failed bool  // the latest watch
 }
 
 // subscription is one watch; a word of one that has been stopped is not taken.
@@ -56,13 +67,18 @@
 	return s
 }
 
-// New makes the actor with the list as last known, which may be nil.
-func New(addr string, known *List, to Listener) *Client {
+// New makes the actor with the list as last known, which may be nil. Where lists are pushed that one is put off until the
+// agent was asked, and told like any other then: what the agent has goes before it.
+func New(addr string, known *List, pushed bool, to Listener) *Client {
 	c := &Client{
-		Roster: &Roster{}, addr: addr, to: to, seq: -1,
+		Roster: &Roster{}, addr: addr, to: to, seq: -1, pushed: pushed,
 		box: make(chan func(), mailbox), asks: make(chan bool, 1),
 	}
-	if known != nil && len(known.Hosts) > 0 {
+	switch {
+	case known == nil || len(known.Hosts) == 0:
+	case pushed:
+		c.known = known
+	default:
 		c.seq = known.Seq
 		c.Roster.Replace(known)
 	}
@@ -71,6 +87,9 @@
 
 // Run serves the mailbox until ctx ends.
 func (c *Client) Run(ctx context.Context) {
+	c.hold()
+	first := time.NewTimer(agentFirst)
+	defer first.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -80,10 +99,36 @@
 			f()
 		case on := <-c.asks:
 			c.ask(on)
+		case <-first.C:
+			c.goBy()
 		}
 	}
 }
 
+// Push tells whether lists are pushed from now on.
+func (c *Client) Push(on bool) {
+	c.box <- func() {
+		c.pushed = on
+		c.hold()
+	}
+}
+
+// hold opens the watch of a list that is pushed, where there is none.
+func (c *Client) hold() {
+	if c.pushed && c.now == nil {
+		c.start()
+	}
+}
+
+// goBy goes by what was known before: the agent says nothing.
+func (c *Client) goBy() {
+	if l := c.known; l != nil {
+		c.known = nil
+		c.Roster.Replace(l)
+		c.to.Listed(&List{Seq: l.Seq, Whole: true, Hosts: l.Hosts})
+	}
+}
+
 // ask begins a watch where none is held, or stops. Guards against an ask that was due when the address changed.
 func (c *Client) ask(on bool) {
 	if !on {
@@ -134,10 +179,13 @@
 func (c *Client) start() {
 	s := newSubscription()
 	c.now = s
-	addr, from := c.addr, c.seq
+	addr, from, dial, call := c.addr, c.seq, dialTimeout, callTimeout
+	if c.pushed {
+		dial, call = agentTimeout, agentTimeout
+	}
 	go func() {
-		err := watch(s.ctx, addr, from, func(l *List) { c.post(s, func() { c.take(s, l) }) })
-		c.post(s, func() { c.failed(s, err) })
+		err := watch(s.ctx, addr, from, dial, call, func(l *List) { c.post(s, func() { c.take(s, l) }) })
+		c.post(s, func() { c.fail(s, err) })
 	}()
 }
 
@@ -158,21 +206,29 @@
 	default:
 		return
 	}
+	c.known, c.failed = nil, false
 	c.Roster.apply(l)
 	c.to.Listed(l)
 }
 
-func (c *Client) failed(s *subscription, err error) {
+func (c *Client) fail(s *subscription, err error) {
 	s.end()
 	switch s {
 	case c.left:
 		c.left = nil
 	case c.now:
-		log.Printf("event=watch_ended discovery=%s err=%q", c.addr, err)
-		c.now = nil
+		if !c.pushed || !c.failed { // an agent that is away is asked several times a second
+			log.Printf("event=watch_ended discovery=%s err=%q", c.addr, err)
+		}
+		c.now, c.failed = nil, true
 		if errors.Is(err, errGarbage) {
 			c.seq = -1 // what it meant to say is lost: ask for the whole list
 		}
+		if c.pushed {
+			c.goBy()
+			time.AfterFunc(agentEvery, func() { c.box <- c.hold })
+			return
+		}
 		c.to.ListFailed()
 	}
 }
@@ -180,15 +236,15 @@
 var errGarbage = errors.New("discovery sent what is no list")
 
 // watch holds one watch open, handing each list to take, and returns why it ended.
-func watch(ctx context.Context, addr string, from int64, take func(*List)) error {
-	dialer := net.Dialer{Timeout: dialTimeout}
+func watch(ctx context.Context, addr string, from int64, dial, call time.Duration, take func(*List)) error {
+	dialer := net.Dialer{Timeout: dial}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	conn.SetDeadline(time.Now().Add(callTimeout))
+	conn.SetDeadline(time.Now().Add(call))
 	target := "/registry/instances?watch=1"
 	if from >= 0 {
 		target += "&from=" + strconv.FormatInt(from, 10)
@@ -208,33 +264,51 @@
 	if head.ContentLength() == -1 {
 		body = httputil.NewChunkedReader(br)
 	}
-	return lines(conn, bufio.NewReaderSize(body, 16<<10), take)
+	return lists(&beats{conn: conn, from: body}, take)
 }
 
-// lines reads the lists of a watch, one a line, until it ends or falls silent.
-func lines(conn net.Conn, r *bufio.Reader, take func(*List)) error {
-	var long []byte
-	for {
-		conn.SetReadDeadline(time.Now().Add(silence))
-		part, err := r.ReadSlice('\n')
-		if err == bufio.ErrBufferFull || err == nil {
-			long = append(long, part...)
-		}
-		switch {
-		case len(long) > maxLine:
-			return fmt.Errorf("%w: a line over %d bytes", errGarbage, maxLine)
-		case err == bufio.ErrBufferFull:
-			continue
+// lists hands on the lists of a watch until it ends or falls silent. A list may stand on one line or on several.
+func lists(b *beats, take func(*List)) error {
+	for dec := json.NewDecoder(b); ; {
+		var text json.RawMessage
+		var wrong *json.SyntaxError
+		switch err := dec.Decode(&text); {
+		case errors.As(err, &wrong):
+			return fmt.Errorf("%w: %v", errGarbage, err)
 		case err != nil:
 			return err
 		}
-		if line := bytes.TrimSpace(long); len(line) > 0 {
-			l, err := parseList(line)
-			if err != nil {
-				return fmt.Errorf("%w: %v", errGarbage, err)
-			}
-			take(l)
+		l, err := parseList(text)
+		if err != nil {
+			return fmt.Errorf("%w: %v", errGarbage, err)
 		}
-		long = long[:0]
+		take(l)
+		b.within, b.size = false, 0
+	}
+}
+
+// beats reads a watch, as long as something comes now and then. Guards against a list that stops in its middle while its
+// connection, and perhaps the empty lines, go on: once begun it has to come whole within the time for silence.
+type beats struct {
+	conn   net.Conn
+	from   io.Reader
+	within bool // a list has begun
+	size   int  // of what has come of it
+}
+
+func (b *beats) Read(p []byte) (n int, err error) {
+	if !b.within {
+		b.conn.SetReadDeadline(time.Now().Add(silence))
+	}
+	n, err = b.from.Read(p)
+	if len(bytes.TrimSpace(p[:n])) > 0 {
+		b.within = true
+	}
+	if b.within {
+		b.size += n
+	}
+	if b.size > maxList {
+		return n, fmt.Errorf("%w: one over %d bytes", errGarbage, maxList)
 	}
+	return n, err
 }
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -82,6 +82,7 @@
 // whole before counts.
 func TestWatchEnds(t *testing.T) {
 	list := `{"seq":7,"whole":false,"hosts":[{"host":"s","dial":"d","health":"Ready"}]}` + "\n"
+	indented := "{\n  \"seq\": 7,\n  \"whole\": false,\n  \"hosts\": [\n    {\n      \"host\": \"s\",\n      \"dial\": \"d\"\n    }\n  ]\n}\n"
 	for _, c := range []struct {
 		name, text string
 		lists      int
@@ -91,7 +92,13 @@
 		{"busy", "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", 0, false},
 		{"no HTTP", "\x00\x01\r\n\r\n", 0, false},
 		{"a list, then the end", ok + chunk(list) + "0\r\n\r\n", 1, false},
-		{"a list, then a break", ok + chunk(list) + "5\r\nhal", 1, false},
+		{"a list, then a break", ok + chunk(list) + "5\r\n{\"s", 1, false},
+		{"a list, then a break within noise", ok + chunk(list) + "5\r\nhal", 1, true},
+		{"an indented list", ok + chunk(indented[:40]) + chunk(indented[40:]) + chunk(list) + "0\r\n\r\n", 2, false},
+		{"an indented list with empty lines", ok + chunk("\n") + chunk(strings.ReplaceAll(indented, "\n", "\n\n")) + chunk("\n") + "0\r\n\r\n", 1, false},
+		{"two lists on a line", ok + chunk(strings.TrimSpace(list)+list) + "0\r\n\r\n", 2, false},
+		{"a list without its line's end", ok + chunk(strings.TrimSpace(list)) + "0\r\n\r\n", 1, false},
+		{"a list cut by another", ok + chunk(list[:20]+"\n") + chunk(list) + "0\r\n\r\n", 0, true},
 		{"a list in two chunks", ok + chunk(list[:20]) + chunk(list[20:]) + chunk("\n") + chunk(list) + "0\r\n\r\n", 2, false},
 		{"half a list", ok + chunk(list[:20]) + "0\r\n\r\n", 0, false},
 		{"no list", ok + chunk("[1]\n"), 0, true},
@@ -101,7 +108,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			addr, _ := talk(t, c.text, false)
 			lists := 0
-			err := watch(context.Background(), addr, 3, func(l *List) {
+			err := watch(context.Background(), addr, 3, dialTimeout, callTimeout, func(l *List) {
 				if l.Seq == 7 && len(l.Hosts) == 1 {
 					lists++
 				}
@@ -119,7 +126,7 @@
 		41: "GET /registry/instances?watch=1&from=41 HTTP/1.1",
 	} {
 		addr, asked := talk(t, "", false)
-		watch(context.Background(), addr, from, nil)
+		watch(context.Background(), addr, from, dialTimeout, callTimeout, nil)
 		if got := <-asked; got != want {
 			t.Errorf("asked %q", got)
 		}
@@ -134,7 +141,7 @@
 	go func() {
 		io.WriteString(server, "\n") // one beat, then nothing
 	}()
-	err := lines(hurried{client}, bufio.NewReader(client), nil)
+	err := lists(&beats{conn: hurried{client}, from: client}, nil)
 	var timeout net.Error
 	if !errors.As(err, &timeout) || !timeout.Timeout() {
 		t.Fatal(err)
@@ -158,7 +165,7 @@
 func TestNewerAskCounts(t *testing.T) {
 	to := make(told, 16)
 	addr, asked := talk(t, ok, false)
-	c := New(addr, &List{Seq: 5, Hosts: []Entry{entry("a", "1", Ready)}}, to)
+	c := New(addr, &List{Seq: 5, Hosts: []Entry{entry("a", "1", Ready)}}, false, to)
 	c.Watch(false)
 	c.Watch(false)
 	c.Watch(true)
@@ -176,7 +183,7 @@
 // The old address is listened to until the new one speaks, and no longer; an ask that was due does not begin
 // the new watch again.
 func TestMoveKeepsTheOldListUntilTheNewOneSpeaks(t *testing.T) {
-	c := New("old", nil, make(told, 16))
+	c := New("old", nil, false, make(told, 16))
 	c.now = newSubscription()
 	old := c.now
 	addr, asked := talk(t, ok, true)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -65,7 +65,7 @@
 		calls: map[string]*Call{}, peers: map[string]*peer{},
 		known: make(chan struct{}), ending: make(chan struct{}),
 	}
-	s.list = discovery.New(conf.Discovery, conf.Known, s)
+	s.list = discovery.New(conf.Discovery, conf.Known, conf.Settings.ListPushed, s)
 	s.shared = upstream.Shared{
 		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address, Short: s.short,
 	}
@@ -137,7 +137,7 @@
 		go s.watch.Run(s.now(), s.conf.Watch.Settings, s.conf.Seed, s.conf.Watch.Every, ctx.Done())
 	}
 	s.balancer.Begin(s.now())
-	if k := s.conf.Known; k != nil && len(k.Hosts) > 0 {
+	if k := s.conf.Known; k != nil && len(k.Hosts) > 0 && !s.settings.ListPushed {
 		now, known := s.now(), servers(k)
 		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Listed(now, known, true) }})
 	}
@@ -323,6 +323,7 @@
 		tell(s.settings)
 	}
 	<-done
+	s.list.Push(conf.Settings.ListPushed)
 }
 
 func (s *Sidecar) left(now int64, c *Call) {
