Servers' connections rest 8 ms after an answer: a second one is nobody's

A second answer to one request would be read as the answer to the next, served and made by no server for it; the look at the socket comes before. A connection now rests 8 ms; the attempt looks again right before it writes. TestASecondAnswerIsNobodys and TestClosedBetweenLookAndWrite fail with either taken out.

--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -21,6 +21,7 @@
 const (
 	mailbox      = 1024
 	probeTimeout = 300 * time.Millisecond
+	settle       = 8 * time.Millisecond // a second answer to one request came 1.2 to 5 ms after the first
 )
 
 // Sidecar is the module's actor: one goroutine owns the balancer and all calls.
@@ -67,7 +68,7 @@
 	}
 	s.list = discovery.New(conf.Discovery, conf.Known, conf.Settings.ListPushed, s)
 	s.shared = upstream.Shared{
-		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address, Short: s.short,
+		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address, Short: s.short, Settle: settle,
 	}
 	s.shared.Retune(conf.Transport.DialTimeout, conf.Transport.ConnIdle)
 	s.tellKnown()
--- /dev/null
+++ b/internal/upstream/crossings_test.go
@@ -0,0 +1,68 @@
+package upstream
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// A second answer that comes some milliseconds after the first is no answer to the next request: a connection rests before
+// it is used again, and one on which anything came meanwhile is closed.
+func TestASecondAnswerIsNobodys(t *testing.T) {
+	s := listen(t, func(c net.Conn, br *bufio.Reader) {
+		take(br)
+		io.WriteString(c, yes)
+		br.Peek(1) // it crosses the next request, if that comes here
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong")
+	})
+	p, sh := peerOf(t, at(s.Addr().String()))
+	sh.Settle = time.Hour
+	first := send(t, p, nil)
+	if r := send(t, p, nil); r.End != Answered || string(r.Body) != string(first.Body) || !r.Fresh {
+		t.Fatalf("%v %q, fresh %v", r.End, r.Body, r.Fresh)
+	}
+}
+
+// A connection that its server closes, or answers on, between the peer's look and the attempt's is not written to.
+func TestClosedBetweenLookAndWrite(t *testing.T) {
+	for _, what := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong"} {
+		s := listen(t, always(yes, false))
+		p, sh := peerOf(t, at(s.Addr().String()))
+		there, here := net.Conn(nil), net.Conn(nil)
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if here, err = net.Dial("tcp", ln.Addr().String()); err != nil {
+			t.Fatal(err)
+		}
+		if there, err = ln.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		ln.Close()
+		sh.Budget.take()
+		looked := &conn{Conn: here, br: bufio.NewReader(here), addr: s.Addr().String(), budget: sh.Budget, idleSince: time.Now()}
+		if !looked.quiet() {
+			t.Fatal("not quiet at the look")
+		}
+		io.WriteString(there, what)
+		there.Close()
+		for looked.quiet() {
+			time.Sleep(time.Millisecond)
+		}
+		done := make(chan Report, 1)
+		now := time.Now()
+		a := &Attempt{
+			Host: "s1", Gate: &Gate{}, Sent: now, Deadline: now.Add(time.Minute),
+			Message: &Message{Head: []byte("POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"), Body: []byte("hi")},
+			Done:    func(_ *Attempt, r Report) { done <- r },
+		}
+		a.arm()
+		p.attempt(a, looked)
+		if r := <-done; r.End != Answered || string(r.Body) == "wrong" || sh.Budget.used.Load() != 1 {
+			t.Fatalf("after %q: %v %q, %d sockets", what, r.End, r.Body, sh.Budget.used.Load())
+		}
+	}
+}
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -71,6 +71,7 @@
 	Budget *Budget
 	Find   func(host string) (dial string, ready bool) // as listed at this moment
 	Short  func()                                      // asks all peers to shed; it may block
+	Settle time.Duration                               // that a connection rests after an answer, before its next request
 
 	dialTimeout atomic.Int64
 	connIdle    atomic.Int64 // the servers' idle limit
@@ -188,6 +189,9 @@
 	addr, _ := p.shared.Find(p.Host)
 	for len(p.idle) > 0 {
 		c := p.idle[0]
+		if time.Since(c.idleSince) < p.shared.Settle { // Guards against a second answer some ms late: it would be read as the next one's
+			return nil
+		}
 		p.idle = slices.Delete(p.idle, 0, 1)
 		if c.addr == addr && p.young(c) && c.quiet() {
 			return c
@@ -224,6 +228,10 @@
 // attempt runs one attempt to its end and reports it to the actor.
 func (p *Peer) attempt(a *Attempt, c *conn) {
 	r := Report{}
+	if c != nil && !c.quiet() { // Guards against what came since the peer looked
+		c.shut()
+		c = nil
+	}
 	fresh := c == nil
 	if fresh {
 		c, r.End = p.dial(a)
