Drain: it ends after the last accepted connection, and closes its listener in time

Between accept and the count of connections a drain saw none open and ended, with a request taken. With deadlines of 200 ms all of it lasts 0.8 s, and it could end with the listener open (0.7 to 1 s of accepting). The count now waits for the accept loop's own end, and accepting ends 0.35 s before the drain does; with longest deadlines from 0.75 s on as before. TestAcceptedWhileTheDrainEnds and TestAShortDrainClosesItsListener fail with the mends taken out.

--- a/internal/frontend/crossings_test.go
+++ b/internal/frontend/crossings_test.go
@@ -339,3 +339,96 @@
 		}()
 	}
 }
+
+// late is a listener that has taken a connection and does not say so yet.
+type late struct {
+	net.Listener
+	got, on, closed chan bool
+}
+
+func (l *late) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		l.got <- true
+		<-l.on
+	}
+	return c, err
+}
+
+func (l *late) Close() error {
+	err := l.Listener.Close()
+	select {
+	case l.closed <- true:
+	default:
+	}
+	return err
+}
+
+// A connection that the system has given and that is not counted yet keeps a drain from ending: its request is answered.
+func TestAcceptedWhileTheDrainEnds(t *testing.T) {
+	f, _ := serving(t, nil)
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln := &late{inner, make(chan bool, 1), make(chan bool), make(chan bool, 1)}
+	go f.Serve(ln)
+	client := dial(t, inner)
+	io.WriteString(client, look)
+	<-ln.got
+	drained := make(chan bool)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	go func() {
+		f.Drain(ctx, ln, nil)
+		close(drained)
+	}()
+	<-ln.closed
+	select {
+	case <-drained:
+		t.Fatal("the drain ended before the connection's request")
+	case <-time.After(10 * drainStep): // what is tested holds however long this is
+	}
+	close(ln.on)
+	resp, err := http.ReadResponse(bufio.NewReader(client), nil)
+	if err != nil || resp.StatusCode != 503 {
+		t.Fatal(resp, err)
+	}
+	<-drained
+}
+
+// A drain as short as that of deadlines of 200 ms closes its listener before its end, and leaves time for what came last.
+func TestAShortDrainClosesItsListener(t *testing.T) {
+	for _, total := range []time.Duration{lastAnswers, lastAnswers + acceptLeft, 800 * time.Millisecond} {
+		f, _ := serving(t, nil)
+		inner, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		ln := &late{inner, make(chan bool, 99), make(chan bool), make(chan bool, 1)}
+		close(ln.on)
+		go f.Serve(ln)
+		stop := make(chan bool)
+		go func() { // one that polls
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(drainStep):
+					if c, err := net.Dial("tcp", inner.Addr().String()); err == nil {
+						c.Close()
+					}
+				}
+			}
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), total)
+		f.Drain(ctx, ln, nil)
+		cancel()
+		close(stop)
+		select {
+		case <-ln.closed:
+		default:
+			t.Errorf("a drain of %v ends with its listener open", total)
+		}
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -34,6 +34,7 @@
 
 	acceptAfterTerm = 700 * time.Millisecond  // clients go on coming for a while after SIGTERM
 	acceptMost      = 1000 * time.Millisecond // whatever comes
+	acceptLeft      = 200 * time.Millisecond  // of the drain, before the last answers, for what came last
 	quietBefore     = 300 * time.Millisecond  // without a new connection, before the listener is closed
 	drainStep       = 10 * time.Millisecond
 	lastAnswers     = 150 * time.Millisecond // before the end of the time for it, what is still open is answered
@@ -63,6 +64,8 @@
 	ledger  acts.Ledger   // nil: no account is kept
 	room    chan struct{} // a token for each connection that may still be accepted
 
+	deaf atomic.Bool // the listener has taken its last connection, and that is among conns
+
 	mu         sync.Mutex
 	conns      map[*clientConn]bool
 	withheld   int // tokens of room that nobody may have
@@ -177,6 +180,7 @@
 	}
 	if err != nil {
 		<-f.room
+		f.deaf.Store(true)
 		return nil, err
 	}
 	now := time.Now()
@@ -328,20 +332,25 @@
 		ln.Close()
 		listening = false
 	}
+	end, bounded := ctx.Deadline()
+	accepting := acceptMost
+	if bounded {
+		accepting = min(accepting, max(0, time.Until(end)-lastAnswers-acceptLeft))
+	}
 	for ctx.Err() == nil {
-		if end, ok := ctx.Deadline(); ok && time.Until(end) < lastAnswers {
+		if bounded && time.Until(end) < lastAnswers {
 			f.side.End()
 			f.stopReading()
 		}
 		f.hurry(followed)
 		conns, quiet := f.open()
 		switch {
-		case listening && stopsAccepting(time.Since(began), quiet):
+		case listening && stopsAccepting(time.Since(began), quiet, accepting):
 			ln.Close()
 			listening = false
 		case listening:
 			f.closeIdle(graceIdle, false)
-		case conns == 0 && f.resumed.Load() == 0:
+		case conns == 0 && f.resumed.Load() == 0 && (ln == nil || f.deaf.Load()):
 			log.Printf("event=drained after_ms=%d", time.Since(began).Milliseconds())
 			return
 		case followed: // clients have another to come to
@@ -377,9 +386,10 @@
 }
 
 // stopsAccepting tells when the listener is closed: after a while, once clients have stopped coming, and soon
-// after in any case. Guards against one that polls and so keeps the program until it is killed.
-func stopsAccepting(sinceTerm, quiet time.Duration) bool {
-	return sinceTerm > acceptAfterTerm && quiet > quietBefore || sinceTerm > acceptMost
+// after in any case. Guards against one that polls and so keeps the program until it is killed, and, by most, against a
+// drain so short, as deadlines are, that it ends with the listener open.
+func stopsAccepting(sinceTerm, quiet, most time.Duration) bool {
+	return sinceTerm > acceptAfterTerm && quiet > quietBefore || sinceTerm > most
 }
 
 // handle answers one request.
