Lists: a silent watch is opened anew within 1.5 s, not in the module's slots

Silence is 4.2 s now, two beats and a little, and the list's actor asks anew by itself within 1.5 s; the module is told of that ask's end alone. TestASilentWatchIsOpenedAnew fails with the mend taken out.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -9,8 +9,10 @@
 	"fmt"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http/httputil"
+	"os"
 	"strconv"
 	"time"
 
@@ -20,7 +22,8 @@
 const (
 	dialTimeout = time.Second
 	callTimeout = 2500 * time.Millisecond // a call that has not begun its answer by then has failed
-	silence     = 4500 * time.Millisecond // a watch sends a line each 2 s at least: one that misses two is broken
+	silence     = 4200 * time.Millisecond // a watch sends a line each 2 s at least: one that misses two is broken
+	anew        = 1500 * time.Millisecond // within which one that fell silent is opened anew: what it misses counts soon
 	maxList     = 4 << 20                 // bytes of one list
 	mailbox     = 64
 
@@ -53,6 +56,8 @@
 	pushed bool  // the watch is held open by this actor, not asked for
 	known  *List // to go by while the agent says nothing; nil: none
 	failed bool  // the latest watch
+
+	silent *subscription // fell silent, and is to be opened anew
 }
 
 // subscription is one watch; a word of one that has been stopped is not taken.
@@ -120,6 +125,13 @@
 	}
 }
 
+// again opens the watch anew after one that fell silent, unless another has begun or nobody wants one any more.
+func (c *Client) again(silent *subscription) {
+	if c.silent == silent && c.now == nil {
+		c.start()
+	}
+}
+
 // goBy goes by what was known before: the agent says nothing.
 func (c *Client) goBy() {
 	if l := c.known; l != nil {
@@ -167,7 +179,7 @@
 func (c *Client) stop() {
 	c.now.end()
 	c.left.end()
-	c.now, c.left = nil, nil
+	c.now, c.left, c.silent = nil, nil, nil
 }
 
 func (s *subscription) end() {
@@ -220,20 +232,26 @@
 		if !c.pushed || !c.failed { // an agent that is away is asked several times a second
 			log.Printf("event=watch_ended discovery=%s err=%q", c.addr, err)
 		}
-		c.now, c.failed = nil, true
+		c.now, c.failed, c.silent = nil, true, s
 		if errors.Is(err, errGarbage) {
 			c.seq = -1 // what it meant to say is lost: ask for the whole list
 		}
-		if c.pushed {
+		switch {
+		case c.pushed:
 			c.goBy()
 			time.AfterFunc(agentEvery, func() { c.box <- c.hold })
-			return
+		case errors.Is(err, errSilent): // the module's slots, for a service that is down or overbooked, come too late
+			time.AfterFunc(rand.N(anew), func() { c.box <- func() { c.again(s) } })
+		default:
+			c.to.ListFailed()
 		}
-		c.to.ListFailed()
 	}
 }
 
-var errGarbage = errors.New("discovery sent what is no list")
+var (
+	errGarbage = errors.New("discovery sent what is no list")
+	errSilent  = errors.New("the watch fell silent")
+)
 
 // watch holds one watch open, handing each list to take, and returns why it ended.
 func watch(ctx context.Context, addr string, from int64, dial, call time.Duration, take func(*List)) error {
@@ -275,6 +293,8 @@
 		switch err := dec.Decode(&text); {
 		case errors.As(err, &wrong):
 			return fmt.Errorf("%w: %v", errGarbage, err)
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			return fmt.Errorf("%w: %w", errSilent, err)
 		case err != nil:
 			return err
 		}
--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -202,3 +204,58 @@
 		return !ready
 	})
 }
+
+// A watch that fell silent is opened anew by this actor, soon; the module, whose slots are for a service in trouble, is not
+// asked. One that failed otherwise is the module's, and so is one that was given up meanwhile.
+func TestASilentWatchIsOpenedAnew(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		then func(c *Client)
+		want string
+	}{
+		{"silent", fmt.Errorf("%w: late", errSilent), nil, "asked"},
+		{"ended", io.EOF, nil, "failed"},
+		{"silent, then stopped", errSilent, func(c *Client) { c.stop(); c.to.ListFailed() }, "failed"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			to := make(told, 16)
+			addr := standin.NewDiscovery(t, func(w *standin.Watch) {
+				to <- "asked"
+				w.Left()
+			})
+			d := New(addr, nil, false, to)
+			running(t, d)
+			d.box <- func() {
+				d.now = newSubscription()
+				d.fail(d.now, c.err)
+				if c.then != nil {
+					c.then(d)
+				}
+			}
+			if word := next(t, to); word != c.want {
+				t.Fatal(word)
+			}
+		})
+	}
+}
+
+// What ends a watch for silence is called so; what ends it for another reason is not.
+func TestSilenceIsCalledSo(t *testing.T) {
+	for _, c := range []struct {
+		hangUp, silent bool
+	}{{true, false}, {false, true}} {
+		client, server := net.Pipe()
+		go func() {
+			io.WriteString(server, older)
+			if c.hangUp {
+				server.Close()
+			}
+		}()
+		err := lists(&beats{conn: hurried{client}, from: client}, func(*List) {})
+		if errors.Is(err, errSilent) != c.silent {
+			t.Errorf("hung up %v: %v", c.hangUp, err)
+		}
+		server.Close()
+	}
+}
