Lists: an agent that is away is asked less often after the first failure

Reckoned, not seen: calls given up after 0.6 s and made anew each 0.2 s by a whole fleet keep a service that works through them in turn from answering any. Now 0.6 then 1.2 s, and 0.1 to 0.2 then 0.2 to 0.4 s between; a return is seen in 1.6 s.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -29,8 +29,8 @@
 
 	// A list that is pushed comes from an agent beside this process: it answers at once or not at all, and what it has
 	// counts as told from the first moment. It is asked anew soon, and what was known before serves only where it is silent.
-	agentTimeout = 600 * time.Millisecond
-	agentEvery   = 200 * time.Millisecond
+	agentTimeout = 600 * time.Millisecond // of a call, twice that after one that failed
+	agentEvery   = 200 * time.Millisecond // half to all of it between two, twice that after one that failed
 	agentFirst   = 300 * time.Millisecond
 )
 
@@ -193,7 +193,8 @@
 	c.now = s
 	addr, from, dial, call := c.addr, c.seq, dialTimeout, callTimeout
 	if c.pushed {
-		dial, call = agentTimeout, agentTimeout
+		dial = c.patience(agentTimeout)
+		call = dial
 	}
 	go func() {
 		err := watch(s.ctx, addr, from, dial, call, func(l *List) { c.post(s, func() { c.take(s, l) }) })
@@ -232,22 +233,33 @@
 		if !c.pushed || !c.failed { // an agent that is away is asked several times a second
 			log.Printf("event=watch_ended discovery=%s err=%q", c.addr, err)
 		}
-		c.now, c.failed, c.silent = nil, true, s
+		c.now, c.silent = nil, s
 		if errors.Is(err, errGarbage) {
 			c.seq = -1 // what it meant to say is lost: ask for the whole list
 		}
 		switch {
 		case c.pushed:
 			c.goBy()
-			time.AfterFunc(agentEvery, func() { c.box <- c.hold })
+			every := c.patience(agentEvery)
+			time.AfterFunc(every/2+rand.N(every/2), func() { c.box <- c.hold })
 		case errors.Is(err, errSilent): // the module's slots, for a service that is down or overbooked, come too late
 			time.AfterFunc(rand.N(anew), func() { c.box <- func() { c.again(s) } })
 		default:
 			c.to.ListFailed()
 		}
+		c.failed = true
 	}
 }
 
+// patience is a time for an agent, longer once a call has failed. Guards against a fleet whose calls, given up and made
+// anew too soon, keep a service that works through them in turn from answering any.
+func (c *Client) patience(t time.Duration) time.Duration {
+	if c.failed {
+		return 2 * t
+	}
+	return t
+}
+
 var (
 	errGarbage = errors.New("discovery sent what is no list")
 	errSilent  = errors.New("the watch fell silent")
