--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -91,13 +91,16 @@
 	if int64(len(b.held)) == b.length {
 		return nil
 	}
-	b.rest = upstream.NewRest(b, b.length, func() {
-		b.cut.Store(true)
-		b.c.Conn.SetReadDeadline(past)
-	})
+	b.rest = upstream.NewRest(b, b.length, b.stop)
 	return nil
 }
 
+// stop ends a read under way, and any later one.
+func (b *body) stop() {
+	b.cut.Store(true)
+	b.c.Conn.SetReadDeadline(past)
+}
+
 var (
 	errCut  = errors.New("the body was cut off")
 	errLong = errors.New("the body is too long")
--- a/internal/frontend/crossings_test.go
+++ b/internal/frontend/crossings_test.go
@@ -26,6 +26,7 @@
 	"damsonscale/internal/lifecycle"
 	"damsonscale/internal/sidecar"
 	"damsonscale/internal/standin"
+	"damsonscale/internal/upstream"
 )
 
 // before starts a frontend before a server, with so many connections to servers.
@@ -613,3 +614,19 @@
 		}
 	}
 }
+
+// A body whose reading is cut off just before the next read stays cut off. Guards against an end that waits for a client
+// that sends nothing.
+func TestACutBeforeTheNextRead(t *testing.T) {
+	ours, theirs := net.Pipe()
+	defer ours.Close()
+	defer theirs.Close()
+	c := &clientConn{Conn: ours}
+	b := &body{c: c, src: c, length: 9}
+	b.rest = upstream.NewRest(b, b.length, b.stop)
+	b.stop()
+	go func() { theirs.Write([]byte("late")) }() // nobody is to wait for it
+	if n, err := b.rest.Read(make([]byte, 9)); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Fatalf("read on: %d bytes, %v", n, err)
+	}
+}
--- a/internal/upstream/crossings_test.go
+++ b/internal/upstream/crossings_test.go
@@ -66,3 +66,22 @@
 		}
 	}
 }
+
+// A reset under the write proves that nothing ran, as the last byte was not written; one after all was handed to the system
+// does not.
+func TestAResetUnderTheWrite(t *testing.T) {
+	for _, c := range []struct {
+		body int
+		want End
+	}{{64 << 20, Unreachable}, {2, Broken}} {
+		s := listen(t, func(c net.Conn, br *bufio.Reader) {
+			br.ReadString('\n')
+			c.(*net.TCPConn).SetLinger(0)
+		})
+		p, _ := peerOf(t, at(s.Addr().String()))
+		r := send(t, p, func(a *Attempt) { a.Message.Body = make([]byte, c.body) })
+		if r.End != c.want {
+			t.Errorf("%d bytes: %v, want %v", c.body, r.End, c.want)
+		}
+	}
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -141,6 +141,7 @@
 		{"error", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", Failed},
 		{"declined", "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", Declined},
 		{"declined late", "HTTP/1.1 504 No\r\nSrv-Declined: 1\r\nContent-Length: 0\r\n\r\n", Declined},
+		{"declined, cut short", "HTTP/1.1 503 No\r\nSrv-Declined: 1\r\nContent-Length: 9\r\n\r\nx", Broken},
 		{"a bad request", "HTTP/1.1 400 No\r\nContent-Length: 0\r\n\r\n", Rejected},
 		{"unknown", "HTTP/1.1 404 No\r\nContent-Length: 0\r\n\r\n", Rejected},
 		{"too many", "HTTP/1.1 429 No\r\nContent-Length: 0\r\n\r\n", Failed},
