--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -259,3 +259,42 @@
 		server.Close()
 	}
 }
+
+// Two failures that cross: the call that opens a silent watch anew fails too, and so does the first one after a move. Either is the
+// module's then, which asks at the address that counts; what the old watch still says is heard.
+func TestAFailureAfterSilenceOrAMove(t *testing.T) {
+	for _, move := range []bool{false, true} {
+		to := make(told, 16)
+		hangsUp := standin.NewDiscovery(t, func(*standin.Watch) { to <- "asked" })
+		d := New(hangsUp, nil, false, to)
+		if move {
+			d.addr = "127.0.0.1:1"
+		}
+		running(t, d)
+		old := newSubscription()
+		d.box <- func() {
+			d.now = old
+			if !move {
+				d.fail(old, errSilent)
+			}
+		}
+		if move {
+			d.Move(hangsUp)
+		}
+		for _, want := range []string{"asked", "failed"} {
+			if word := next(t, to); word != want {
+				t.Fatalf("after a move %v: %s, want %s", move, word, want)
+			}
+		}
+		if move {
+			d.box <- func() { d.take(old, &List{Hosts: []Entry{entry("a", "1", Ready)}}) }
+			if word := next(t, to); word != "listed" {
+				t.Fatalf("the old watch: %s", word)
+			}
+		}
+		d.Watch(true)
+		if word := next(t, to); word != "asked" {
+			t.Fatal(word)
+		}
+	}
+}
