--- a/cmd/damsonscale/fleet_test.go
+++ b/cmd/damsonscale/fleet_test.go
@@ -10,30 +10,9 @@
 	"syscall"
 	"testing"
 	"time"
-)
 
-// tcp is a stand-in that hands each connection to serve with its number.
-func tcp(t *testing.T, serve func(c *net.TCPConn, n int)) string {
-	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		for n := 0; ; n++ {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				serve(c.(*net.TCPConn), n)
-			}()
-		}
-	}()
-	return ln.Addr().String()
-}
+	"damsonscale/internal/standin"
+)
 
 // deadAddr is an address that refuses connections: bound, so that no other stand-in gets it, and never listened on. Guards
 // against a server taken for gone whose port the silent discovery got: an attempt there hung for all of its time.
@@ -68,7 +47,7 @@
 	for i := range 3 {
 		hosts = append(hosts, hostAt(fmt.Sprint("gone", i), deadAddr(t), "Ready"))
 	}
-	p := start(t, tcp(t, silent), &list{Seq: 3, Whole: true, Hosts: hosts}, nil)
+	p := start(t, standin.Listen(t, silent), &list{Seq: 3, Whole: true, Hosts: hosts}, nil)
 	p.ready(t)
 	for range 30 {
 		if s, body := p.look(t); s != 200 || body != "yes" {
@@ -97,7 +76,7 @@
 	first := serveHTTP(t, yes)
 	second := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "new") })
 	line := fmt.Sprintf(`{"seq":44,"whole":true,"hosts":[{"host":"s2","dial":%q,"site":"z","health":"Ready","share":1}]}`+"\n", second)
-	addr := tcp(t, func(c *net.TCPConn, n int) {
+	addr := standin.Listen(t, func(c *net.TCPConn, n int) {
 		b := make([]byte, 4096)
 		c.Read(b)
 		head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -171,7 +150,7 @@
 		mu.Unlock()
 		io.WriteString(w, "yes")
 	})
-	closes := tcp(t, func(*net.TCPConn, int) {})
+	closes := standin.Listen(t, func(*net.TCPConn, int) {})
 	away := serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Srv-Declined", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -198,12 +177,12 @@
 
 // A sidecar killed in the middle of it all starts again on the list known, while discovery turns it away, and serves.
 func TestRestartWhileDiscoveryIsOverbooked(t *testing.T) {
-	overbooked := tcp(t, func(c *net.TCPConn, _ int) {
+	overbooked := standin.Listen(t, func(c *net.TCPConn, _ int) {
 		c.Read(make([]byte, 4096))
 		io.WriteString(c, busy)
 	})
 	known := &list{Seq: 1, Whole: true, Hosts: []host{
-		hostAt("s1", serveHTTP(t, yes), "Ready"), hostAt("hangs", tcp(t, silent), "Ready"),
+		hostAt("s1", serveHTTP(t, yes), "Ready"), hostAt("hangs", standin.Listen(t, silent), "Ready"),
 	}}
 	p := start(t, overbooked, known, nil)
 	p.ready(t)
--- a/cmd/damsonscale/stream_test.go
+++ b/cmd/damsonscale/stream_test.go
@@ -13,12 +13,14 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"damsonscale/internal/standin"
 )
 
 // script is a server that answers each connection's first request by hand.
 func script(t *testing.T, serve func(r *http.Request, c net.Conn)) string {
 	t.Helper()
-	return tcp(t, func(c *net.TCPConn, _ int) {
+	return standin.Listen(t, func(c *net.TCPConn, _ int) {
 		c.SetDeadline(time.Now().Add(patience))
 		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
 			serve(r, c)
