--- a/internal/frontend/crossings_test.go
+++ b/internal/frontend/crossings_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -65,6 +66,18 @@
 	return f, side, ln
 }
 
+// hooked has a frontend serve another listener, with the reads of its connections.
+func hooked(t *testing.T, f *Frontend, read func(*net.TCPConn, []byte) (int, error)) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go f.Serve(&standin.Hook{Listener: ln, Read: read})
+	return ln
+}
+
 // text is a request of a class of before, with so many bytes of body.
 func text(class, id string, body int) string {
 	method, key := "POST", ""
@@ -105,13 +118,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f, _ := serving(t, nil)
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer ln.Close()
 			sent, chosen := make(chan bool, 1), make(chan bool)
-			go f.Serve(&standin.Hook{Listener: ln, Read: c.reads(sent, chosen)})
+			ln := hooked(t, f, c.reads(sent, chosen))
 			client := dial(t, ln)
 			io.WriteString(client, look)
 			<-sent
@@ -134,17 +142,12 @@
 // A connection that is chosen while it is about to set its own patience, or before its first read, does not wait on.
 func TestAChosenConnectionEnds(t *testing.T) {
 	f, _ := serving(t, func(f *Frontend) { f.server.ReadTimeout = time.Hour })
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
 	reads, on := make(chan bool, 1), make(chan bool)
-	go f.Serve(&standin.Hook{Listener: ln, Read: func(c *net.TCPConn, p []byte) (int, error) {
+	ln := hooked(t, f, func(c *net.TCPConn, p []byte) (int, error) {
 		reads <- true
 		<-on
 		return c.Read(p)
-	}})
+	})
 	client := dial(t, ln)
 	<-reads
 	f.closeIdle(-time.Hour, true)
@@ -169,42 +172,40 @@
 
 // A request whose client leaves while it waits is not sent on, wherever it waits, and is not sent again.
 func TestWhoLeavesIsNotSentOn(t *testing.T) {
+	type scene struct {
+		*standin.Server
+		f    *Frontend
+		side *sidecar.Sidecar
+		ln   net.Listener
+		sent int    // times that the leaver was, before it leaves
+		on   func() // ends its waiting
+	}
 	type place struct {
-		name string
-		// begin has the request wait and returns what ends its waiting.
-		begin func(t *testing.T, class string) (s *standin.Server, f *Frontend, side *sidecar.Sidecar, ln net.Listener, ahead int, on func())
+		name  string
+		begin func(t *testing.T) *scene // has the request wait
 		body  int
 	}
-	// held fills all connections, or all room, of a server with requests that it answers once on is called.
-	held := func(t *testing.T, most, fill int, change func(*config.Config, *Frontend)) (s *standin.Server, f *Frontend, side *sidecar.Sidecar, ln net.Listener, on func()) {
+	// held fills the only connection to a server with a request that it answers once on is called.
+	held := func(t *testing.T, change func(*config.Config, *Frontend)) *scene {
 		stay := make(chan bool)
-		s = standin.NewServer(t, func(c *net.TCPConn, r *http.Request) bool {
-			if strings.HasPrefix(r.Header.Get("Req-Id"), "fill") {
+		s := standin.NewServer(t, func(c *net.TCPConn, r *http.Request) bool {
+			if r.Header.Get("Req-Id") == "fill" {
 				<-stay
 			}
 			return standin.Yes(c, r)
 		})
-		f, side, ln = before(t, s.Addr, most, change)
-		for i := range fill {
-			id := fmt.Sprint("fill", i)
-			io.WriteString(dial(t, ln), text("look", id, 0))
-			eventually(t, id+" at the server", func() bool { return s.Got(id) == 1 })
-		}
-		var ended atomic.Bool
-		on = func() {
-			if ended.CompareAndSwap(false, true) {
-				close(stay)
-			}
-		}
+		f, side, ln := before(t, s.Addr, 1, change)
+		io.WriteString(dial(t, ln), text("look", "fill", 0))
+		eventually(t, "a full connection", func() bool { return s.Got("fill") == 1 })
+		on := sync.OnceFunc(func() { close(stay) })
 		t.Cleanup(on)
-		return s, f, side, ln, on
+		return &scene{s, f, side, ln, 0, on}
 	}
 	for _, p := range []place{
-		{"for a socket", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
-			s, f, side, ln, on := held(t, 1, 1, nil)
-			return s, f, side, ln, 0, on
+		{"for a socket", func(t *testing.T) *scene {
+			return held(t, nil)
 		}, 0},
-		{"in the module, behind a cold server's ration", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
+		{"in the module, behind a cold server's ration", func(t *testing.T) *scene {
 			s, room := standin.NewServer(t, standin.Yes), make(chan bool)
 			list := standin.NewDiscovery(t, func(w *standin.Watch) {
 				w.Begin()
@@ -216,15 +217,15 @@
 				c.Discovery, c.Known.Hosts[0].BornMs = list, time.Now().UnixMilli()
 				c.Settings.Rules.ColdFor, c.Settings.Rules.ColdFrom = 3_600_000_000, 0.1
 			})
-			return s, f, side, ln, 0, func() { close(room) }
+			return &scene{s, f, side, ln, 0, func() { close(room) }}
 		}, 0},
-		{"for a dial", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
+		{"for a dial", func(t *testing.T) *scene {
 			s := standin.NewServer(t, standin.Yes)
 			addr, accept := crowded(t, s.Addr)
 			f, side, ln := before(t, addr, 8, nil)
-			return s, f, side, ln, 0, accept
+			return &scene{s, f, side, ln, 0, accept}
 		}, 0},
-		{"between two tries", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
+		{"between two tries", func(t *testing.T) *scene {
 			stay := make(chan bool)
 			s := standin.NewServer(t, func(c *net.TCPConn, r *http.Request) bool {
 				if r.Header.Get("Req-Id") != "leaver" {
@@ -234,15 +235,14 @@
 				return standin.Say(c, 503, standin.Declined, "")
 			})
 			f, side, ln := before(t, s.Addr, 8, nil)
-			return s, f, side, ln, 1, func() { close(stay) }
+			return &scene{s, f, side, ln, 1, func() { close(stay) }}
 		}, 0},
-		{"for the rest of its body", func(t *testing.T, _ string) (*standin.Server, *Frontend, *sidecar.Sidecar, net.Listener, int, func()) {
-			s, f, side, ln, on := held(t, 1, 1, func(_ *config.Config, f *Frontend) {
+		{"for the rest of its body", func(t *testing.T) *scene {
+			return held(t, func(_ *config.Config, f *Frontend) {
 				if f != nil {
 					f.held.take(1 << 20) // none of it is left
 				}
 			})
-			return s, f, side, ln, 0, on
 		}, 40 << 10},
 	} {
 		for _, class := range []string{"look", "make", "once"} {
@@ -251,35 +251,30 @@
 					if p.body > 0 && (class == "look" || how == "closing behind bytes sent in advance") {
 						return // has no body; its body is what comes next
 					}
-					s, f, side, ln, ahead, on := p.begin(t, class)
-					client := dial(t, ln)
+					s := p.begin(t)
+					client := dial(t, s.ln)
 					request := text(class, "leaver", p.body)
 					if p.body > 0 {
 						request = request[:len(request)-p.body/2]
 					}
 					io.WriteString(client, request)
 					eventually(t, "the leaver with the module", func() bool {
-						for _, id := range side.Open() {
-							if id == "leaver" {
-								return true
-							}
-						}
-						return false
+						return slices.Contains(s.side.Open(), "leaver")
 					})
-					eventually(t, "the leaver at its place", func() bool { return s.Got("leaver") == ahead })
+					eventually(t, "the leaver at its place", func() bool { return s.Got("leaver") == s.sent })
 					if strings.Contains(how, "advance") {
 						io.WriteString(client, "GET ")
-						eventually(t, "the bytes sent in advance read", func() bool { return f.aheadOf("leaver") })
+						eventually(t, "the bytes sent in advance read", func() bool { return s.f.readOn() })
 					}
-					others := f.count() - 1
+					others := s.f.count() - 1
 					leaves(client, how == "resetting")
-					eventually(t, "the leaver's end", func() bool { return f.count() == others })
-					on()
-					usual := dial(t, ln)
+					eventually(t, "the leaver's end", func() bool { return s.f.count() == others })
+					s.on()
+					usual := dial(t, s.ln)
 					exchange(t, usual, bufio.NewReader(usual), text("look", "usual", 0), 200) // after all that waited before it
-					eventually(t, "nothing under way", func() bool { return len(side.Open()) == 0 })
-					if n := s.Got("leaver"); n != ahead {
-						t.Fatalf("sent %d times, want %d", n, ahead)
+					eventually(t, "nothing under way", func() bool { return len(s.side.Open()) == 0 })
+					if n := s.Got("leaver"); n != s.sent {
+						t.Fatalf("sent %d times, want %d", n, s.sent)
 					}
 				})
 			}
@@ -287,8 +282,8 @@
 	}
 }
 
-// aheadOf tells whether any connection's background read has taken the bytes that came in advance: nothing is unread.
-func (f *Frontend) aheadOf(string) bool {
+// readOn tells whether background reads have taken what came in advance: on no connection anything is unread.
+func (f *Frontend) readOn() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
@@ -443,14 +438,9 @@
 // reset of what had come.
 func TestARequestThatCrossesTheIdleTimeout(t *testing.T) {
 	f, _ := serving(t, nil)
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
 	ended, sent := make(chan bool, 1), make(chan bool)
 	var once atomic.Bool
-	go f.Serve(&standin.Hook{Listener: ln, Read: func(c *net.TCPConn, p []byte) (int, error) {
+	ln := hooked(t, f, func(c *net.TCPConn, p []byte) (int, error) {
 		if once.CompareAndSwap(false, true) { // its patience is over, and what follows comes before anyone looks
 			c.SetReadDeadline(past)
 			n, err := c.Read(p)
@@ -459,7 +449,7 @@
 			return n, err
 		}
 		return c.Read(p)
-	}})
+	})
 	client := dial(t, ln)
 	<-ended
 	io.WriteString(client, look)
--- a/internal/upstream/crossings_test.go
+++ b/internal/upstream/crossings_test.go
@@ -52,13 +52,7 @@
 		for looked.quiet() {
 			time.Sleep(time.Millisecond)
 		}
-		done := make(chan Report, 1)
-		now := time.Now()
-		a := &Attempt{
-			Host: "s1", Gate: &Gate{}, Sent: now, Deadline: now.Add(time.Minute),
-			Message: &Message{Head: []byte("POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n"), Body: []byte("hi")},
-			Done:    func(_ *Attempt, r Report) { done <- r },
-		}
+		a, done := attempt(nil)
 		a.arm()
 		p.attempt(a, looked)
 		if r := <-done; r.End != Answered || string(r.Body) == "wrong" || sh.Budget.used.Load() != 1 {
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -80,9 +80,8 @@
 	return func(string) (string, bool) { return addr, true }
 }
 
-// offer sends one attempt and returns the channel of its report.
-func offer(t *testing.T, p *Peer, change func(*Attempt)) (*Attempt, chan Report) {
-	t.Helper()
+// attempt makes one that reports to the channel.
+func attempt(change func(*Attempt)) (*Attempt, chan Report) {
 	done := make(chan Report, 1)
 	now := time.Now()
 	a := &Attempt{
@@ -93,6 +92,13 @@
 	if change != nil {
 		change(a)
 	}
+	return a, done
+}
+
+// offer sends one attempt and returns the channel of its report.
+func offer(t *testing.T, p *Peer, change func(*Attempt)) (*Attempt, chan Report) {
+	t.Helper()
+	a, done := attempt(change)
 	if !p.Offer(a) {
 		t.Fatal("mailbox full")
 	}
