--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
@@ -12,6 +13,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -35,6 +37,8 @@
 	Search   searchCmd   `cmd:"" help:"Play drawn timelines, and keep those that break a rule."`
 	Shrink   shrinkCmd   `cmd:"" help:"Look for a smaller timeline that still breaks a rule."`
 
+	Overhead overheadCmd `cmd:"" help:"What the sidecar adds to a call: the same calls direct and through it, in turn."`
+
 	Explore exploreCmd `cmd:"" help:"Look for orders of events that break a promise of custody, without processes."`
 }
 
@@ -177,6 +181,40 @@
 	return errors.Join(err, small.Write(c.Out))
 }
 
+type overheadCmd struct {
+	PerSecond int           `help:"Calls through the sidecar, and as many direct ones." default:"167"`
+	For       time.Duration `help:"That counts, after 2s that don't." default:"20s"`
+	Servers   int           `help:"That the list names." default:"6"`
+	Members   int           `help:"Of a fleet with takeover on, one of which is called; 0: no fleet." default:"0"`
+	Class     string        `help:"look (safe), make (keyed) or once (unsafe)." default:"look"`
+	ServerMs  int           `help:"That a server needs for an answer." default:"2"`
+	Seed      uint64        `help:"Of ids." default:"1"`
+	Times     int           `help:"How often." default:"1"`
+	JSON      string        `help:"File for the reports, a line each." type:"path"`
+}
+
+func (c *overheadCmd) Run(p *player) error {
+	var lines []byte
+	for i := range c.Times {
+		r, err := rig.MeasureOverhead(p.ctx, p.setup(filepath.Join(p.dir, fmt.Sprint(i))), &rig.Overhead{
+			PerSecond: c.PerSecond, For: c.For, Servers: c.Servers, Members: c.Members, Class: c.Class, ServerMs: c.ServerMs, Seed: c.Seed + uint64(i),
+		})
+		if err != nil {
+			return err
+		}
+		fmt.Println(r)
+		line, err := json.Marshal(r)
+		if err != nil {
+			return err
+		}
+		lines = append(append(lines, line...), '\n')
+	}
+	if c.JSON == "" {
+		return nil
+	}
+	return os.WriteFile(c.JSON, lines, 0o644)
+}
+
 type exploreCmd struct {
 	Depth int    `help:"Of all orders of events of one request." default:"5"`
 	Seed  uint64 `help:"Of the first way at random." default:"1"`
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -150,7 +150,7 @@
 	line := short("")
 	line.Audit, line.LeaseMs = true, 2000
 	dir := t.TempDir()
-	p := &play{set: Setup{Binary: filepath.Join(programs, "damsonscale"), Dir: dir}, line: line}
+	p := newPlay(Setup{Binary: filepath.Join(programs, "damsonscale"), Dir: dir}, line)
 	defer p.close()
 	if err := p.begin(context.Background()); err != nil {
 		t.Fatal(err)
@@ -225,7 +225,7 @@
 func TestAskedAgainAfterTheAnswer(t *testing.T) {
 	line := short("")
 	line.LeaseMs = 2000 // a busy machine must not end a lease here
-	p := &play{set: Setup{Binary: filepath.Join(programs, "damsonscale"), Dir: t.TempDir()}, line: line}
+	p := newPlay(Setup{Binary: filepath.Join(programs, "damsonscale"), Dir: t.TempDir()}, line)
 	defer p.close()
 	if err := p.begin(context.Background()); err != nil {
 		t.Fatal(err)
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -28,7 +28,7 @@
 	if err := t.Validate(); err != nil {
 		return nil, err
 	}
-	p := &play{set: set, line: t}
+	p := newPlay(set, t)
 	defer p.close()
 	if err := p.begin(ctx); err != nil {
 		return nil, err
@@ -56,11 +56,19 @@
 	over    int                  // members shut out at once past the guard, at most
 }
 
+func newPlay(set Setup, t *Timeline) *play {
+	return &play{set: set, line: t, starter: newStarter(), links: map[[2]int]*link{}}
+}
+
 func (p *play) begin(ctx context.Context) (err error) {
-	p.starter, p.links = newStarter(), map[[2]int]*link{}
 	if p.servers, err = startServers(p.line.Servers, p.line.Seed); err != nil {
 		return err
 	}
+	return p.launch(ctx)
+}
+
+// launch starts discovery and the processes beside the servers, and waits until all serve.
+func (p *play) launch(ctx context.Context) (err error) {
 	if p.registry, err = startRegistry(&p.servers.list); err != nil {
 		return err
 	}
