Descriptors: the system's limit counts where it is below limits.sockets; a dial waits for one

Idle clients may fill the descriptors while discovery is down. With as many descriptors as limits.sockets tells of the term held. With fewer (ulimit -n below it) clients took all: calls to discovery ended with "too many open files", and requests were refused. The program now divides the smaller of the two, and says so (event=descriptors). One descriptor at least is left for either side, also in an upgrade.

An attempt's dial that found no descriptor ended unwritten at once, so that all tries of a request were over while the descriptors of a crowd that had left were being closed: 503. It now asks for idle sockets and waits as long as for a dial.

Tests: TestIdleClientsWhileDiscoveryIsDown (13 cases: discovery refuses, hangs, trickles, answers 503; lists pushed and asked for; with connections to servers that rest; with the operators' door; 64 descriptors, or 40 or 32 where 64 are told; 80 idle clients of three kinds that come again): the first call after the return is told the list, within 6 s, no call finds no descriptor, health answers, a new client is served by the new server. TestDescriptorsTakenAway: the limit falls while it runs. TestADialWithoutADescriptor, TestDivide.

Seen to fail: without the clamp the cases with 40 and 32 (no descriptor for discovery, requests refused); without the wait TestADialWithoutADescriptor (unwritten). Planted for the moment: nothing kept for the program (ownSockets 0), and the cases with 64 of 64 found no descriptor for discovery; a listener that ends at EMFILE, and TestDescriptorsTakenAway saw the exit; a division without its floor, and TestDivide saw -6.

--- /dev/null
+++ b/cmd/damsonscale/descriptors_test.go
@@ -0,0 +1,366 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+	"unsafe"
+
+	"damsonscale/internal/standin"
+)
+
+// outage is a discovery that is down in one way, and comes back at the same address.
+type outage struct {
+	addr string
+	fd   int
+	how  string
+	back atomic.Bool
+	list string        // that it tells once it is back
+	told chan struct{} // closed when the first call after its return was told the list
+	once sync.Once
+	all  atomic.Int64 // calls before the return
+	more atomic.Int64 // calls since
+}
+
+// Ways of being down.
+const (
+	refuses  = "refuses"
+	hangs    = "hangs"    // takes calls and says nothing
+	trickles = "trickles" // begins its answer byte by byte
+	fails    = "fails"    // answers 503
+)
+
+func newOutage(t *testing.T, how string) *outage {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// A bound socket that does not listen keeps its port and refuses.
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := &outage{addr: fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port), fd: fd, how: how, told: make(chan struct{})}
+	if how == refuses {
+		t.Cleanup(func() {
+			if !o.back.Load() {
+				syscall.Close(fd)
+			}
+		})
+	} else {
+		o.listen(t)
+	}
+	return o
+}
+
+func (o *outage) listen(t *testing.T) {
+	t.Helper()
+	if err := syscall.Listen(o.fd, 128); err != nil {
+		t.Fatal(err)
+	}
+	f := os.NewFile(uintptr(o.fd), "discovery")
+	ln, err := net.FileListener(f)
+	f.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				o.serve(c, o.back.Load())
+			}()
+		}
+	}()
+}
+
+// serve answers one call, which came when discovery was back or not.
+func (o *outage) serve(c net.Conn, back bool) {
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		return
+	}
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	if back {
+		o.more.Add(1)
+		fmt.Fprintf(c, "%s%x\r\n%s\r\n", head, len(o.list), o.list)
+		o.once.Do(func() { close(o.told) })
+		for { // the empty lines of a list that does not change
+			time.Sleep(time.Second)
+			if _, err := io.WriteString(c, "1\r\n\n\r\n"); err != nil {
+				return
+			}
+		}
+	}
+	o.all.Add(1)
+	switch o.how {
+	case fails:
+		standin.Say(c, 503, "", "")
+	case trickles:
+		for _, b := range []byte(head) {
+			if _, err := c.Write([]byte{b}); err != nil {
+				return
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	default:
+		io.Copy(io.Discard, c)
+	}
+}
+
+// comeBack has it tell a list from the next call on.
+func (o *outage) comeBack(t *testing.T, l list) {
+	t.Helper()
+	text, _ := json.Marshal(l)
+	o.list = string(text) + "\n"
+	o.back.Store(true)
+	if o.how == refuses {
+		o.listen(t)
+	}
+}
+
+// crowd is idle clients of three kinds: such that never send a byte, that send half a request, and that were served once and
+// rest. Each comes again as soon as it is closed.
+type crowd struct {
+	came   atomic.Int64 // connections
+	closed atomic.Int64 // of them
+}
+
+func gather(t *testing.T, addr string, size int) *crowd {
+	k, stop := &crowd{}, make(chan struct{})
+	var wg sync.WaitGroup
+	t.Cleanup(func() {
+		close(stop)
+		wg.Wait()
+	})
+	for i := range size {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				k.rest(addr, i%3, stop)
+				select {
+				case <-stop:
+					return
+				case <-time.After(20 * time.Millisecond):
+				}
+			}
+		}()
+	}
+	return k
+}
+
+// rest holds one connection until the other side, or stop, ends it.
+func (k *crowd) rest(addr string, kind int, stop <-chan struct{}) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return
+	}
+	defer c.Close()
+	over := make(chan struct{})
+	defer close(over)
+	go func() {
+		select {
+		case <-stop:
+			c.Close()
+		case <-over:
+		}
+	}()
+	k.came.Add(1)
+	switch kind {
+	case 1:
+		io.WriteString(c, "GET /look HTTP/1.1\r\nHost: h\r\nReq-")
+	case 2:
+		io.WriteString(c, "GET /health/ready HTTP/1.1\r\nHost: h\r\n\r\n")
+	}
+	io.Copy(io.Discard, c)
+	k.closed.Add(1)
+}
+
+// anew makes a request as a client that has just come.
+func anew(p *program, r *http.Request) (status int, body string, took time.Duration) {
+	began := time.Now()
+	c := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	resp, err := c.Do(r)
+	if err != nil {
+		return 0, err.Error(), time.Since(began)
+	}
+	defer resp.Body.Close()
+	text, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(text), time.Since(began)
+}
+
+// A process whose limit is lowered while it runs stays up, and serves once there is room. Guards against a listener that gives up
+// where no descriptor is left.
+func TestDescriptorsTakenAway(t *testing.T) {
+	p, _ := one(t, func(w http.ResponseWriter, r *http.Request) {})
+	few := syscall.Rlimit{Cur: 16, Max: 256}
+	if _, _, e := syscall.RawSyscall6(syscall.SYS_PRLIMIT64, uintptr(p.cmd.Process.Pid), syscall.RLIMIT_NOFILE,
+		uintptr(unsafe.Pointer(&few)), 0, 0, 0); e != 0 {
+		t.Fatal(e)
+	}
+	var held []net.Conn
+	for range 40 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	select {
+	case err := <-p.done:
+		t.Fatalf("exit: %v\n%s", err, p.log.String())
+	case <-time.After(200 * time.Millisecond):
+	}
+	for _, c := range held {
+		c.Close()
+	}
+	if s, _ := p.look(t); s != 200 {
+		t.Fatalf("afterwards: %d", s)
+	}
+}
+
+const listTerm = 6 * time.Second // after its return what discovery has to tell counts as told
+
+// Idle clients may fill the descriptors while discovery is down: at its return its list is taken in time, health answers, servers
+// are reached and a new client is served. Guards against a call to discovery, or a dial to a server, that finds no descriptor.
+func TestIdleClientsWhileDiscoveryIsDown(t *testing.T) {
+	const enough = 0 // descriptors: as many as the program is told of
+	for _, c := range []struct {
+		how         string
+		pushed      bool
+		known       bool // servers were known before, and connections to them rest
+		door        bool
+		sockets     int
+		descriptors int
+	}{
+		{refuses, false, false, false, 64, enough},
+		{refuses, false, true, true, 64, enough},
+		{refuses, true, true, false, 64, enough},
+		{hangs, false, true, false, 64, enough},
+		{hangs, true, false, true, 64, enough},
+		{trickles, false, true, false, 64, enough},
+		{trickles, true, true, false, 64, enough},
+		{fails, false, false, false, 64, enough},
+		{refuses, false, true, false, 64, 40},
+		{refuses, true, false, true, 64, 40},
+		{hangs, false, true, true, 64, 40},
+		{hangs, true, true, false, 64, 32},
+		{trickles, false, false, false, 64, 32},
+	} {
+		name := fmt.Sprintf("%s,pushed=%t,known=%t,door=%t,%d of %d", c.how, c.pushed, c.known, c.door, c.descriptors, c.sockets)
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			d := newOutage(t, c.how)
+			var before *list
+			var hosts []host
+			for i := range 3 {
+				s := standin.NewServer(t, func(c *net.TCPConn, r *http.Request) bool {
+					time.Sleep(100 * time.Millisecond)
+					return standin.Say(c, 200, "", "before")
+				})
+				hosts = append(hosts, hostAt(fmt.Sprint("s", i), s.Addr, "Ready"))
+			}
+			if c.known {
+				before = &list{Seq: 7, Whole: true, Hosts: hosts}
+			}
+			door := ""
+			p := start(t, d.addr, before, func(conf map[string]any) {
+				conf["limits"] = map[string]any{"cores": 1.0, "memory_mb": 64, "sockets": c.sockets}
+				conf["descriptors"] = c.sockets
+				if c.descriptors != enough {
+					conf["descriptors"] = c.descriptors
+				}
+				if c.pushed {
+					conf["settings"] = json.RawMessage(strings.Replace(settings, `"on_request"`, `"pushed"`, 1))
+				}
+				if c.door {
+					door = freeAddr(t)
+					conf["admin"] = door
+				}
+			})
+			p.expect(t, "event=start")
+			if c.known {
+				p.ready(t)
+				var wg sync.WaitGroup
+				for range 24 { // as many at once leave connections to servers that rest
+					r := request(t, p.addr, "GET", "/look", "")
+					wg.Add(1)
+					go func() {
+						defer wg.Done()
+						if s, body, _ := anew(p, r); s != 200 || body != "before" {
+							t.Errorf("before the crowd: %d %s", s, body)
+						}
+					}()
+				}
+				wg.Wait()
+			}
+			k := gather(t, p.addr, 5*c.sockets/4)
+			eventually(t, "a crowd past the limit", func() bool { return k.came.Load() > int64(5*c.sockets/4) })
+			time.Sleep(3 * time.Second) // some calls fail meanwhile
+			if c.known {
+				if s, body, took := anew(p, request(t, p.addr, "GET", "/look", "")); s != 200 || body != "before" {
+					t.Errorf("a new client while discovery is down: %d %s after %v", s, body, took)
+				}
+			}
+			next := standin.NewServer(t, func(c *net.TCPConn, r *http.Request) bool { return standin.Say(c, 200, "", "next") })
+			back := time.Now()
+			d.comeBack(t, list{Seq: 9, Whole: true, Hosts: []host{hostAt("next", next.Addr, "Ready")}})
+			select {
+			case <-d.told:
+			case <-time.After(patience):
+				t.Fatalf("discovery was not called\n%s", p.log.String())
+			}
+			called := time.Since(back)
+			if called > listTerm {
+				t.Errorf("told %v after the return", called)
+			}
+			var ready, served int
+			var body string
+			var health, took time.Duration
+			eventually(t, "ready", func() bool {
+				ready, _, health = anew(p, request(t, p.addr, "GET", "/health/ready", ""))
+				return ready == 200
+			})
+			eventually(t, "the new list", func() bool {
+				served, body, took = anew(p, request(t, p.addr, "GET", "/look", ""))
+				return body == "next"
+			})
+			if served != 200 {
+				t.Errorf("a new client: %d %s", served, body)
+			}
+			if c.door {
+				if s, text, _ := anew(p, request(t, door, "GET", "/healthcheck", "")); s != 200 {
+					t.Errorf("the door: %d %s", s, text)
+				}
+			}
+			if log := p.log.String(); strings.Contains(log, "too many open files") {
+				t.Errorf("out of descriptors:\n%s", log)
+			}
+			if n := d.more.Load(); n != 1 {
+				t.Errorf("%d calls after the return, one was to be enough\n%s", n, p.log.String())
+			}
+			t.Logf("called %v after the return (%d calls before), health after %v, a request after %v; %d idle connections came, %d were closed",
+				called.Round(time.Millisecond), d.all.Load(), health.Round(time.Millisecond), took.Round(time.Millisecond),
+				k.came.Load(), k.closed.Load())
+		})
+	}
+}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -83,8 +83,7 @@
 	if conf.Admin != "" {
 		own += 1 + admin.Conns
 	}
-	clients := int(clientPart * float64(limits.Sockets-own))
-	servers := limits.Sockets - own - clients
+	clients, servers := divide(descriptors(limits.Sockets), own)
 	term, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	life, failed := &lifecycle.Owner{}, make(chan error, 2)
@@ -151,6 +150,23 @@
 	return nil
 }
 
+// descriptors is how many of those told this process may hold. Guards against a limit of the system below them: clients would
+// take all, and the calls to discovery and to servers would find none.
+func descriptors(told int) int {
+	var l syscall.Rlimit // its soft limit, which the runtime has raised to the hard one
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l); err != nil || l.Cur >= uint64(told) {
+		return told
+	}
+	log.Printf("event=descriptors allowed=%d told=%d", l.Cur, told)
+	return int(l.Cur)
+}
+
+// divide gives clients and servers their connections, one at least, of so many descriptors, own of which are the program's.
+func divide(all, own int) (clients, servers int) {
+	clients = max(1, int(clientPart*float64(all-own)))
+	return clients, max(1, all-own-clients)
+}
+
 // Fleet is the argument by which the program speaks with a fleet instead of serving.
 const Fleet = "fleet"
 
--- a/internal/app/app_test.go
+++ b/internal/app/app_test.go
@@ -14,3 +14,13 @@
 		}
 	}
 }
+
+// Clients and servers have a connection each also where few descriptors are left, and never more than there are where that many are.
+func TestDivide(t *testing.T) {
+	for all := range 2048 {
+		clients, servers := divide(all, ownSockets)
+		if clients < 1 || servers < 1 || all >= ownSockets+2 && clients+servers != all-ownSockets {
+			t.Fatalf("of %d: %d for clients, %d for servers", all, clients, servers)
+		}
+	}
+}
--- a/internal/app/upgrade.go
+++ b/internal/app/upgrade.go
@@ -219,7 +219,7 @@
 	if s.after {
 		parts++
 	}
-	s.front.Hold(s.clients / parts)
-	s.side.Hold(s.servers / parts)
+	s.front.Hold(max(1, s.clients/parts))
+	s.side.Hold(max(1, s.servers/parts))
 	debug.SetMemoryLimit(int64(s.memory / float64(parts)))
 }
--- a/internal/upstream/crossings_test.go
+++ b/internal/upstream/crossings_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -79,3 +80,51 @@
 		}
 	}
 }
+
+// An attempt for which the system has no descriptor asks for idle sockets to be closed and waits, as one for which the budget has
+// none. Guards against a request whose tries all end at once while a crowd's descriptors are being closed.
+func TestADialWithoutADescriptor(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // accepts only once there are descriptors again: it would need one itself
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	p, sh := peerOf(t, at(ln.Addr().String()))
+	sh.Retune(time.Minute, time.Hour)
+	var usual syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &usual); err != nil {
+		t.Fatal(err)
+	}
+	set := func(l syscall.Rlimit) {
+		if err := syscall.Setrlimit(syscall.RLIMIT_NOFILE, &l); err != nil {
+			t.Error(err)
+		}
+	}
+	defer set(usual)
+	asked := 0
+	sh.Short = func() {
+		asked++
+		set(usual)
+		go func() {
+			if c, err := ln.Accept(); err == nil {
+				defer c.Close()
+				always(yes, false)(c, bufio.NewReader(c))
+			}
+		}()
+	}
+	set(syscall.Rlimit{Cur: 0, Max: usual.Max})
+	if r := send(t, p, nil); r.End != Answered || asked != 1 || sh.Budget.used.Load() != 1 {
+		t.Fatalf("%v, asked %d times, %d sockets", r.End, asked, sh.Budget.used.Load())
+	}
+	for range 2 { // none comes free: it is the lack's fault, not the server's
+		sh.Retune(time.Millisecond, time.Hour)
+		sh.Short = func() { asked++ }
+		p.CloseIdle()
+		set(syscall.Rlimit{Cur: 0, Max: usual.Max})
+		r := send(t, p, nil)
+		set(usual)
+		if r.End != Unwritten || sh.Budget.used.Load() != 0 {
+			t.Fatalf("with none: %v, %d sockets", r.End, sh.Budget.used.Load())
+		}
+	}
+}
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -14,7 +14,8 @@
 const (
 	mailbox    = 256
 	sweepEvery = time.Second
-	idlePart   = 0.6 // of the servers' idle limit: a connection older than this is not written to
+	redial     = 5 * time.Millisecond // after a dial that found no descriptor
+	idlePart   = 0.6                  // of the servers' idle limit: a connection older than this is not written to
 )
 
 // Budget counts the sockets that all peers may hold.
@@ -271,9 +272,20 @@
 	}
 	var d net.Dialer
 	nc, err := d.DialContext(ctx, "tcp", addr)
+	short := OutOfSockets(err)
+	if short {
+		p.shared.Short()
+	}
+	for OutOfSockets(err) && ctx.Err() == nil { // Guards against tries that are used up within microseconds while sockets close
+		select {
+		case <-ctx.Done():
+		case <-time.After(redial):
+			nc, err = d.DialContext(ctx, "tcp", addr)
+		}
+	}
 	if err != nil {
 		p.shared.Budget.give()
-		if a.withdrawn() || OutOfSockets(err) {
+		if a.withdrawn() || OutOfSockets(err) || short && ctx.Err() != nil {
 			return nil, Unwritten
 		}
 		return nil, Unreachable
