Ready: thirty real processes restarted at once and in a rolling way on a busy machine

The term, nine in ten restarted processes ready within 10 s, was held and had no test. TestRestartedProcessesAreReady keeps all cores busy by a process of its own (a minute at most), restarts thirty processes in seven ways (killed at once, or a tenth at a time by SIGTERM; discovery down, hanging, back after a while, overbooked, up; servers known before or not; lists pushed or asked for) and counts on its own clock from a start to 200 at /health/ready.

Verdict: one that is never ready fails it at once; nine in ten within 10 s pass it. Where more are late, six plain processes that listen and do nothing else, started among them in the same way, tell whether the machine is a measure: if one took over a third of the 10 s the play is void and played again, after three the test fails. So a busy machine never passes a play by itself.

--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -21,9 +21,16 @@
 
 // TestMain lets the test's own binary be the program: the tests start it and speak to it on loopback.
 func TestMain(m *testing.M) {
-	if os.Getenv("DAMSONSCALE_RUN_MAIN") == "1" {
+	switch os.Getenv("DAMSONSCALE_RUN_MAIN") {
+	case "1":
 		main()
 		return
+	case runPlain:
+		plain()
+		return
+	case runBurner:
+		burn()
+		return
 	}
 	os.Exit(m.Run())
 }
@@ -126,6 +133,7 @@
 	conf map[string]any
 	path string // of the configuration
 	addr string
+	most string // descriptors
 	log  journal
 	done chan error
 }
@@ -165,8 +173,7 @@
 
 func start(t *testing.T, discoveryAddr string, known *list, change func(map[string]any)) *program {
 	t.Helper()
-	limit := "256"
-	p := &program{addr: freeAddr(t), done: make(chan error, 1)}
+	p := &program{addr: freeAddr(t), most: "256"}
 	conf := map[string]any{
 		"name": "n1", "listen": p.addr, "discovery": discoveryAddr, "seed": "8c1f30d27a5be964",
 		"limits":   map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 256},
@@ -179,23 +186,30 @@
 		change(conf)
 	}
 	if n, ok := conf["descriptors"]; ok { // fewer than it is told of
-		limit = fmt.Sprint(n)
+		p.most = fmt.Sprint(n)
 		delete(conf, "descriptors")
 	}
 	p.conf, p.path = conf, filepath.Join(t.TempDir(), "config.json")
 	p.configure(t)
-	p.cmd = exec.Command("/bin/sh", "-c", "ulimit -n "+limit+"; exec "+os.Args[0])
-	p.cmd.Env = append(os.Environ(), "DAMSONSCALE_RUN_MAIN=1", "PROXY_CONFIG="+p.path)
-	if e, ok := conf["environment"]; ok {
-		p.cmd.Env = append(p.cmd.Env, e.(string))
+	p.run(t, "1")
+	return p
+}
+
+// run starts the process in one of its roles.
+func (p *program) run(t *testing.T, role string) {
+	t.Helper()
+	cmd, done := exec.Command("/bin/sh", "-c", "ulimit -n "+p.most+"; exec "+os.Args[0]), make(chan error, 1)
+	cmd.Env = append(os.Environ(), "DAMSONSCALE_RUN_MAIN="+role, "PROXY_CONFIG="+p.path)
+	if e, ok := p.conf["environment"]; ok {
+		cmd.Env = append(cmd.Env, e.(string))
 	}
-	p.cmd.Stderr = &p.log
-	if err := p.cmd.Start(); err != nil {
+	cmd.Stderr = &p.log
+	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	go func() { p.done <- p.cmd.Wait() }()
-	t.Cleanup(func() { p.cmd.Process.Kill() })
-	return p
+	go func() { done <- cmd.Wait() }()
+	t.Cleanup(func() { cmd.Process.Kill() })
+	p.cmd, p.done = cmd, done
 }
 
 // configure writes the configuration's file.
