A look at the client's socket right before each attempt: none begins for one that left

The goroutine that reads a client's connection on sees it leave only while it runs, and within 16 KiB of what was sent in advance. A process short of CPU, or a client behind more, had its request sent on.

Now the attempt itself looks, under the request's gate, right before its first byte: a peek, and behind unread bytes a poll for POLLRDHUP. Where it finds an end or a reset the gate closes, the attempt is unwritten, and the call ends as that of a client that left. A refused look counts as nothing seen.

The measure of leavers counts first and further attempts apart, with the mark of 0.1 s.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"damsonscale/internal/upstream"
 )
 
@@ -34,7 +36,7 @@
 var past = time.Unix(1, 0)
 
 const (
-	aheadMost  = 16 << 10 // bytes read in the background: a client that has sent more in advance is not seen to leave
+	aheadMost  = 16 << 10 // bytes read in the background: past it hungUp alone sees a client leave
 	aheadPiece = 512      // of one background read
 )
 
@@ -183,6 +185,39 @@
 	return gone
 }
 
+// hungUp looks whether the client has left by now, without waiting and without taking anything that it has sent. It sees an
+// end behind bytes that nobody has read, and before the background read's goroutine runs. Where the system refuses the
+// look it says no.
+func (c *clientConn) hungUp() (left bool) {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	raw.Control(func(fd uintptr) { left = hungUp(int(fd)) })
+	return left
+}
+
+// hungUp tells whether the other side of a socket has ended its sending, or reset it.
+func hungUp(fd int) bool {
+	var b [1]byte
+	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case err != nil:
+		return err == syscall.ECONNRESET || err == syscall.EPIPE || err == syscall.ETIMEDOUT
+	case n == 0:
+		return true
+	}
+	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}} // there are bytes: an end may stand behind them
+	if n, err := unix.Poll(poll, 0); err != nil || n <= 0 {
+		return false
+	}
+	return poll[0].Revents&unix.POLLNVAL == 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
 // unwatch ends the background read, if there is one.
 func (c *clientConn) unwatch() {
 	if c.done == nil {
--- a/internal/frontend/crossings_test.go
+++ b/internal/frontend/crossings_test.go
@@ -20,6 +20,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"damsonscale/decide"
 	"damsonscale/internal/config"
 	"damsonscale/internal/custody"
@@ -246,16 +248,31 @@
 		}, 40 << 10},
 	} {
 		for _, class := range []string{"look", "make", "once"} {
-			for _, how := range []string{"closing", "resetting", "closing behind bytes sent in advance"} {
+			for _, how := range []string{
+				"closing", "resetting", "closing behind bytes sent in advance",
+				"closing" + unread, "resetting" + unread, "closing" + unwatched, "resetting" + unwatched,
+			} {
 				t.Run(p.name+"/"+class+"/"+how, func(t *testing.T) {
-					if p.body > 0 && (class == "look" || how == "closing behind bytes sent in advance") {
-						return // has no body; its body is what comes next
+					unseen := strings.HasSuffix(how, unread) || strings.HasSuffix(how, unwatched)
+					if p.body > 0 && (class == "look" || how == "closing behind bytes sent in advance" || strings.HasSuffix(how, unwatched)) {
+						return // has no body; its body is what comes next; many reads bring it
 					}
 					s := p.begin(t)
-					client := dial(t, s.ln)
+					ln, watched := s.ln, make(chan bool)
+					defer sync.OnceFunc(func() { close(watched) })()
+					if strings.HasSuffix(how, unwatched) {
+						ln = hooked(t, s.f, afterFirst(watched))
+					}
+					client := dial(t, ln)
 					request := text(class, "leaver", p.body)
-					if p.body > 0 {
+					switch {
+					case strings.HasSuffix(how, unread) && p.body > 0:
+						request += strings.Repeat("b", 48<<10-p.body)
+						request = strings.Replace(request, fmt.Sprint("Length: ", p.body), fmt.Sprint("Length: ", 48<<10), 1)
+					case p.body > 0:
 						request = request[:len(request)-p.body/2]
+					case strings.HasSuffix(how, unread):
+						request += strings.Repeat("GET /look HTTP/1.1\r\n", 48<<10/20)
 					}
 					io.WriteString(client, request)
 					eventually(t, "the leaver with the module", func() bool {
@@ -266,9 +283,13 @@
 						io.WriteString(client, "GET ")
 						eventually(t, "the bytes sent in advance read", func() bool { return s.f.readOn() })
 					}
-					others := s.f.count() - 1
-					leaves(client, how == "resetting")
-					eventually(t, "the leaver's end", func() bool { return s.f.count() == others })
+					others, from := s.f.count()-1, client.LocalAddr().String()
+					leaves(client, strings.HasPrefix(how, "resetting"))
+					if unseen { // nobody reads that far: the end has come, and stands there
+						eventually(t, "the leaving at the sidecar", func() bool { return s.f.hasEnded(from) })
+					} else {
+						eventually(t, "the leaver's end", func() bool { return s.f.count() == others })
+					}
 					s.on()
 					usual := dial(t, s.ln)
 					exchange(t, usual, bufio.NewReader(usual), text("look", "usual", 0), 200) // after all that waited before it
@@ -282,6 +303,44 @@
 	}
 }
 
+// How a client leaves so that the background read does not see it.
+const (
+	unread    = " behind more than is read on"
+	unwatched = ", its watch held back"
+)
+
+// afterFirst makes reads of which all but the first wait for on: the goroutine that watches a client lags.
+func afterFirst(on chan bool) func(*net.TCPConn, []byte) (int, error) {
+	var reads atomic.Int64
+	return func(c *net.TCPConn, p []byte) (int, error) {
+		if reads.Add(1) > 1 {
+			<-on
+		}
+		return c.Read(p)
+	}
+}
+
+// hasEnded tells, by the system's own word, whether the end of a client at that address has come.
+func (f *Frontend) hasEnded(from string) (ended bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if c.RemoteAddr().String() != from {
+			continue
+		}
+		raw, err := c.Conn.(syscall.Conn).SyscallConn()
+		if err != nil {
+			continue
+		}
+		raw.Control(func(fd uintptr) {
+			const closed, closeWait = 7, 8
+			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+			ended = err == nil && (info.State == closed || info.State == closeWait)
+		})
+	}
+	return ended
+}
+
 // readOn tells whether background reads have taken what came in advance: on no connection anything is unread.
 func (f *Frontend) readOn() bool {
 	f.mu.Lock()
@@ -519,8 +578,8 @@
 	}
 }
 
-// The term on those who leave, measured: of so many leavers at rough servers, how many were sent on, or sent again, over
-// 0.3 s later. It is about time, so it runs only where LEAVERS says how many.
+// The term on those who leave, measured: of so many leavers at rough servers, how many first and further attempts began over
+// 0.1 s later. It is about time, so it runs only where LEAVERS says how many.
 func TestLeaversMeasured(t *testing.T) {
 	most, err := strconv.Atoi(os.Getenv("LEAVERS"))
 	if err != nil {
@@ -587,20 +646,25 @@
 		wg.Wait()
 		time.Sleep(2 * time.Second)
 		mu.Lock()
-		sent, later, latest := 0, 0, time.Duration(0)
+		var total, later [2]int // of first and of further attempts
+		var latest [2]time.Duration
 		for id, at := range left {
-			for _, when := range came[id] {
-				sent++
-				latest = max(latest, when.Sub(at))
-				if when.Sub(at) > 300*time.Millisecond {
-					later++
+			for i, when := range came[id] {
+				kind := min(i, 1)
+				total[kind]++
+				latest[kind] = max(latest[kind], when.Sub(at))
+				if when.Sub(at) > 100*time.Millisecond {
+					later[kind]++
 				}
 			}
 		}
 		mu.Unlock()
-		t.Logf("cancel %v: %d leavers, %d sends, %d over 0.3 s after the leaving, the latest %v after it", cancel, len(left), sent, later, latest)
-		if later > 0 {
-			t.Errorf("%d of %d sent on", later, len(left))
+		for kind, name := range []string{"first", "further"} {
+			t.Logf("cancel %v: %d leavers, %d %s attempts, %d over 0.1 s after the leaving, the latest %v after it",
+				cancel, len(left), total[kind], name, later[kind], latest[kind])
+			if later[kind] > 0 {
+				t.Errorf("%d %s attempts for those who had left", later[kind], name)
+			}
 		}
 	}
 }
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -438,6 +438,7 @@
 		call.Needs(leave.Valid)
 	}
 	call.Whole = c.watch
+	call.Abandon(c.hungUp)
 	a, left := f.side.Do(call, c.watch()) // reading a body on ends that watch
 	broken := body.close()
 	c.unwatch()
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -43,8 +43,9 @@
 	giveUp   time.Time        // when the module's time for it ends; zero: its last byte has not come yet
 	last     time.Time        // when it is answered, whatever the module does
 	gate     upstream.Gate
-	needs    bool        // it is answered at once where the gate has no leave; else it waits for that
-	answer   chan Answer // holds the one answer of the module
+	needs    bool          // it is answered at once where the gate has no leave; else it waits for that
+	answer   chan Answer   // holds the one answer of the module
+	gone     chan struct{} // closed by the actor when an attempt has found that the client left
 	attempts []*upstream.Attempt
 	out      int       // attempts without their end
 	answered bool      // by the module, or ended for it by Gone
@@ -65,7 +66,8 @@
 // a part of its body is not held its time counts from the last byte of that.
 func NewCall(set *decide.Settings, r decide.Request, m upstream.Message, came time.Time, left time.Duration) *Call {
 	c := &Call{
-		Request: r, Message: m, settings: set, class: &set.Classes[r.Class], answer: make(chan Answer, 1), left: left,
+		Request: r, Message: m, settings: set, class: &set.Classes[r.Class], answer: make(chan Answer, 1),
+		gone: make(chan struct{}), left: left,
 	}
 	if m.Rest != nil {
 		c.Request.Once, c.last = true, came.Add(longestBody)
@@ -78,6 +80,10 @@
 // Needs has the call taken and sent only while leave says so, and answered at once where it does not.
 func (c *Call) Needs(leave func() bool) { c.gate.Leave, c.needs = leave, true }
 
+// Abandon has the call given up, with nothing sent, where hungUp says right before an attempt that the client has left. It
+// must not block.
+func (c *Call) Abandon(hungUp func() bool) { c.gate.HungUp = hungUp }
+
 // may tells whether this process has the leave that the call needs.
 func (c *Call) may() bool { return !c.needs || c.gate.May() }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -211,6 +211,8 @@
 			return a, false, true
 		case <-gone:
 			return a, true, false
+		case <-c.gone:
+			return a, true, false
 		case <-last.C:
 			return a, false, false
 		case <-s.ending:
@@ -456,6 +458,10 @@
 
 // settle takes an attempt's end. An answer of a server ends its call.
 func (s *Sidecar) settle(now int64, c *Call, n int, a *upstream.Attempt, r upstream.Report) {
+	if !c.answered && c.gate.Abandoned() { // Guards against further attempts until the client's own goroutine sees it
+		s.left(now, c)
+		close(c.gone)
+	}
 	p := s.peers[a.Host]
 	p.out--
 	c.out--
--- a/internal/upstream/attempt.go
+++ b/internal/upstream/attempt.go
@@ -43,10 +43,12 @@
 // Gate stands between a request's attempts and its final answer: once closed, nothing more is written for it.
 // Guards against an attempt that is written after the final answer because goroutines lag.
 type Gate struct {
-	Leave func() bool // asked before each write, where this process may lose its leave to send; nil: it may not
+	Leave  func() bool // asked before each write, where this process may lose its leave to send; nil: it may not
+	HungUp func() bool // asked right before an attempt's first byte: the client has left. It must not block; nil: nobody asks
 
-	mu     sync.Mutex
-	closed bool
+	mu        sync.Mutex
+	closed    bool
+	abandoned bool // HungUp has said so
 }
 
 // May tells whether this process has leave to send.
@@ -66,6 +68,23 @@
 	return g.closed
 }
 
+// Abandoned tells that an attempt was not begun, and none will be, because the client had left.
+func (g *Gate) Abandoned() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.abandoned
+}
+
+// abandon closes the gate where the client has left. Only a write that has passed may ask. Guards against an attempt that
+// begins although its client has gone, because the goroutine that watches it lags, or its leaving stands behind bytes that
+// nobody reads yet.
+func (g *Gate) abandon() bool {
+	if g.HungUp != nil && g.HungUp() {
+		g.closed, g.abandoned = true, true
+	}
+	return g.abandoned
+}
+
 // pass runs write unless the gate is closed or the leave is over.
 func (g *Gate) pass(write func()) bool {
 	g.mu.Lock()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -98,6 +98,9 @@
 			left = a.Deadline.Sub(now)
 		}
 		parts, size := a.Message.render(left, a.Actor)
+		if a.Gate.abandon() {
+			return
+		}
 		switch n, err := parts.WriteTo(c.Conn); {
 		case n == size:
 			end = Answered
