Tests with the real program: no attempt begins for a client that has left

The program is stopped (SIGSTOP) while clients leave and what their requests wait for comes: a server's answer, a new list, a dial. So both lie before it at once when it goes on, as for one short of processor time. Places: not read yet (new and kept connections), half a body, a cold server's ration, a dial, between two tries; closing and resetting, also behind 48 KiB unread; GOMAXPROCS 1 and 4. Judged by the stand-ins' record once the program has ended.

--- /dev/null
+++ b/cmd/damsonscale/leavers_test.go
@@ -0,0 +1,303 @@
+package main
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"damsonscale/internal/standin"
+)
+
+// halt stops the program, and returns once none of its threads runs.
+func (p *program) halt(t *testing.T) {
+	t.Helper()
+	p.signal(syscall.SIGSTOP)
+	eventually(t, "a program that stands still", func() bool {
+		tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.cmd.Process.Pid))
+		for _, task := range tasks {
+			stat, err := os.ReadFile(task)
+			if _, state, _ := strings.Cut(string(stat), ") "); err == nil && !strings.HasPrefix(state, "T") {
+				return false
+			}
+		}
+		return len(tasks) > 0
+	})
+}
+
+// hasLeft tells, by the system's own word, that the end of a client's connection has come to the program.
+func (p *program) hasLeft(t *testing.T, client net.Addr) bool {
+	t.Helper()
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const closeWait = "08"
+	for line := range strings.Lines(string(table)) {
+		f := strings.Fields(line)
+		if len(f) > 3 && f[1] == inTable(t, p.addr) && f[2] == inTable(t, client.String()) {
+			return f[3] == closeWait
+		}
+	}
+	return true // reset
+}
+
+// inTable is an address as /proc/net/tcp has it.
+func inTable(t *testing.T, addr string) string {
+	t.Helper()
+	a, err := net.ResolveTCPAddr("tcp4", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	host := binary.NativeEndian.AppendUint32(nil, binary.BigEndian.Uint32(a.IP.To4()))
+	return fmt.Sprintf("%08X:%04X", binary.BigEndian.Uint32(host), a.Port)
+}
+
+// leaver is a client that leaves before it has its answer.
+type leaver struct {
+	*net.TCPConn
+	id, class string
+	reset     bool // it leaves by a reset
+	behind    bool // it has sent more in advance than is read on
+}
+
+// leavers are one for each way of leaving.
+func (p *program) leavers(t *testing.T, class string) (all []*leaver) {
+	t.Helper()
+	for way := range 4 {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		all = append(all, &leaver{c.(*net.TCPConn), fmt.Sprint("leaver-", way), class, way%2 == 1, way >= 2})
+	}
+	return all
+}
+
+// text is its request with so many bytes of body.
+func (l *leaver) text(id string, body int) string {
+	head := fmt.Sprintf("POST /%s HTTP/1.1\r\nHost: h\r\nReq-Owner: t\r\nReq-Id: %s\r\nReq-Deadline-Ms: 20000\r\nContent-Length: %d\r\n", l.class, id, body)
+	switch l.class {
+	case "look":
+		head = strings.Replace(head, "POST", "GET", 1)
+	case "make":
+		head += "Idempotency-Key: k-" + id + "\r\n"
+	}
+	return head + "\r\n" + strings.Repeat("b", body)
+}
+
+// asks sends its request, and what it sends in advance.
+func (l *leaver) asks(t *testing.T, text string) {
+	t.Helper()
+	if l.behind {
+		text += strings.Repeat("GET /look HTTP/1.1\r\n", 48<<10/20)
+	}
+	if _, err := io.WriteString(l, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+const moment = 50 * time.Millisecond
+
+// ask has all of them ask.
+func ask(t *testing.T, all []*leaver) {
+	t.Helper()
+	for _, l := range all {
+		l.asks(t, l.text(l.id, 0))
+	}
+}
+
+// leave has them leave a program that stands still, and returns once the end of each has come to it.
+func (p *program) leave(t *testing.T, all []*leaver) {
+	t.Helper()
+	for _, l := range all {
+		if l.reset {
+			l.SetLinger(0)
+		}
+		l.Close()
+	}
+	for _, l := range all {
+		eventually(t, "the end of "+l.id, func() bool { return p.hasLeft(t, l.LocalAddr()) })
+	}
+}
+
+// wait is a place where requests wait while the program stands still.
+type wait struct {
+	p    *program
+	s    *standin.Server                 // whose record counts
+	sent int                             // times that a leaver came to it before it left
+	lift func(*testing.T, []*leaver)     // what it waits for comes; nil: nothing more has to
+	asks func(t *testing.T, _ []*leaver) // nil: each asks, and has a moment to come to its place
+}
+
+// before starts a program with one server at the address that dial makes of the stand-in's.
+func (s *stage) before(t *testing.T, server *standin.Server, dial string, old, new string) *program {
+	t.Helper()
+	p := start(t, startDiscovery(t).addr, &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", dial, "Ready")}}, func(c map[string]any) {
+		c["settings"] = json.RawMessage(strings.Replace(settings, old, new, 1))
+		c["environment"] = s.environment
+	})
+	p.ready(t)
+	return p
+}
+
+// stage is how a program is started.
+type stage struct{ environment string }
+
+// unread has them ask a program that stands still already.
+func (s *stage) unread(t *testing.T) *wait {
+	server := standin.NewServer(t, standin.Yes)
+	w := &wait{p: s.before(t, server, server.Addr, "", ""), s: server}
+	w.asks = func(t *testing.T, all []*leaver) {
+		w.p.halt(t)
+		ask(t, all)
+	}
+	return w
+}
+
+// kept is the same on connections, to both sides, that have carried a request.
+func (s *stage) kept(t *testing.T) *wait {
+	w := s.unread(t)
+	w.asks = func(t *testing.T, all []*leaver) {
+		for _, l := range all {
+			io.WriteString(l, l.text("before-"+l.id, 0))
+			resp, err := http.ReadResponse(bufio.NewReader(l), nil)
+			if err != nil || resp.StatusCode != 200 {
+				t.Fatal(resp, err)
+			}
+		}
+		w.p.halt(t)
+		ask(t, all)
+	}
+	return w
+}
+
+// halfBody has them send the rest of a body to a program that stands still.
+func (s *stage) halfBody(t *testing.T) *wait {
+	w := s.unread(t)
+	const body, first = 20 << 10, 12 << 10
+	w.asks = func(t *testing.T, all []*leaver) {
+		for _, l := range all {
+			io.WriteString(l, l.text(l.id, body)[:first])
+		}
+		time.Sleep(moment)
+		w.p.halt(t)
+		for _, l := range all {
+			l.asks(t, l.text(l.id, body)[first:])
+		}
+	}
+	return w
+}
+
+// cold has them wait in the module for the ration of a cold server, until the list has another one.
+func (s *stage) cold(t *testing.T) *wait {
+	cold, server := standin.NewServer(t, standin.Yes), standin.NewServer(t, standin.Yes)
+	d, h := startDiscovery(t), hostAt("s1", cold.Addr, "Ready")
+	h.Born = time.Now().UnixMilli()
+	p := start(t, d.addr, nil, func(c map[string]any) {
+		c["settings"] = json.RawMessage(strings.NewReplacer(`"on_request"`, `"pushed"`,
+			`"ColdFrom":0.5,"ColdUs":5000000`, `"ColdFrom":0.1,"ColdUs":3600000000`).Replace(settings))
+		c["environment"] = s.environment
+	})
+	<-d.watches
+	d.tell(t, list{Seq: 41, Whole: true, Hosts: []host{h}})
+	p.ready(t)
+	return &wait{p: p, s: server, lift: func(t *testing.T, _ []*leaver) {
+		d.tell(t, list{Seq: 42, Hosts: []host{hostAt("s2", server.Addr, "Ready")}})
+	}}
+}
+
+// dial has them wait for connections to come up.
+func (s *stage) dial(t *testing.T) *wait {
+	server := standin.NewServer(t, standin.Yes)
+	addr, accept := standin.Crowded(t, server.Addr)
+	p := s.before(t, server, addr, `"DialTimeoutUs":250000`, `"DialTimeoutUs":19000000`)
+	return &wait{p: p, s: server, lift: func(*testing.T, []*leaver) { accept() }}
+}
+
+// tries has them out at a server that says, once they have left, that they never ran, or hangs up.
+func (s *stage) tries(t *testing.T, answer func(*net.TCPConn) bool) *wait {
+	stay := make(chan bool)
+	server := standin.NewServer(t, func(c *net.TCPConn, r *http.Request) bool {
+		if !strings.HasPrefix(r.Header.Get("Req-Id"), "leaver") {
+			return standin.Yes(c, r)
+		}
+		<-stay
+		return answer(c)
+	})
+	w := &wait{p: s.before(t, server, server.Addr, "", ""), s: server, sent: 1}
+	w.lift = func(*testing.T, []*leaver) { close(stay) }
+	w.asks = func(t *testing.T, all []*leaver) {
+		ask(t, all)
+		for _, l := range all {
+			eventually(t, l.id+" at the server", func() bool { return server.Got(l.id) == 1 })
+		}
+	}
+	return w
+}
+
+func (s *stage) declined(t *testing.T) *wait {
+	return s.tries(t, func(c *net.TCPConn) bool { return standin.Say(c, 503, standin.Declined, "") })
+}
+
+func (s *stage) hungUp(t *testing.T) *wait {
+	return s.tries(t, func(*net.TCPConn) bool { return false })
+}
+
+// No attempt, first or further, begins for a client that has left, wherever its request was when it left. The program stands
+// still while the clients leave and what their requests wait for comes, as one does that lacks processor time: then the two
+// lie before it at once, and which it sees first is not the test's to say. Guards against an attempt that goes before the
+// goroutine that watches its client, and against an end behind bytes that nobody reads.
+func TestNoAttemptForWhoHasLeft(t *testing.T) {
+	for _, place := range []struct {
+		name  string
+		begin func(*stage, *testing.T) *wait
+	}{
+		{"not read yet", (*stage).unread},
+		{"not read yet, on kept connections", (*stage).kept},
+		{"half a body read", (*stage).halfBody},
+		{"behind a cold server's ration", (*stage).cold},
+		{"for a dial", (*stage).dial},
+		{"between two tries, declined", (*stage).declined},
+		{"between two tries, hung up", (*stage).hungUp},
+	} {
+		for environment, classes := range map[string][]string{"GOMAXPROCS=1": {"look", "make", "once"}, "GOMAXPROCS=4": {"make"}} {
+			for _, class := range classes {
+				t.Run(place.name+"/"+environment+"/"+class, func(t *testing.T) {
+					w := place.begin(&stage{environment}, t)
+					all := w.p.leavers(t, class)
+					if w.asks != nil {
+						w.asks(t, all)
+					} else {
+						ask(t, all)
+						time.Sleep(moment) // where they are by then decides what is tested, not the verdict
+					}
+					w.p.halt(t)
+					w.p.leave(t, all)
+					if w.lift != nil {
+						w.lift(t, all)
+					}
+					w.p.signal(syscall.SIGCONT)
+					eventually(t, "a usual request served", func() bool { status, _ := w.p.look(t); return status == 200 })
+					w.p.signal(syscall.SIGTERM)
+					w.p.ends(t) // nothing comes after that
+					for _, l := range all {
+						if n := w.s.Got(l.id); n != w.sent {
+							t.Errorf("%s (reset %v, behind %v) came %d times, want %d", l.id, l.reset, l.behind, n, w.sent)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/frontend/crossings_test.go
+++ b/internal/frontend/crossings_test.go
@@ -33,7 +33,7 @@
 )
 
 // before starts a frontend before a server, with so many connections to servers.
-func before(t *testing.T, addr string, servers int, change func(*config.Config, *Frontend)) (*Frontend, *sidecar.Sidecar, net.Listener) {
+func before(t testing.TB, addr string, servers int, change func(*config.Config, *Frontend)) (*Frontend, *sidecar.Sidecar, net.Listener) {
 	t.Helper()
 	conf := &config.Config{
 		Discovery: "127.0.0.1:1",
@@ -223,7 +223,7 @@
 		}, 0},
 		{"for a dial", func(t *testing.T) *scene {
 			s := standin.NewServer(t, standin.Yes)
-			addr, accept := crowded(t, s.Addr)
+			addr, accept := standin.Crowded(t, s.Addr)
 			f, side, ln := before(t, addr, 8, nil)
 			return &scene{s, f, side, ln, 0, accept}
 		}, 0},
@@ -362,44 +362,6 @@
 	return true
 }
 
-// crowded is an address at which connections come up only once accept was called; they lead to another.
-func crowded(t *testing.T, to string) (addr string, accept func()) {
-	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
-		t.Fatal(err)
-	}
-	file := os.NewFile(uintptr(fd), "crowded")
-	ln, err := net.FileListener(file)
-	file.Close()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { ln.Close() })
-	fill := dial(t, ln) // the one that the system takes of its own accord
-	return ln.Addr().String(), func() {
-		fill.Close()
-		go func() {
-			for {
-				c, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				s, err := net.Dial("tcp", to)
-				if err != nil {
-					c.Close()
-					continue
-				}
-				go func() { io.Copy(s, c); s.Close() }()
-				go func() { io.Copy(c, s); c.Close() }()
-			}
-		}()
-	}
-}
-
 // late is a listener that has taken a connection and does not say so yet.
 type late struct {
 	net.Listener
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -38,7 +38,7 @@
 	return f, ln
 }
 
-func dial(t *testing.T, ln net.Listener) net.Conn {
+func dial(t testing.TB, ln net.Listener) net.Conn {
 	t.Helper()
 	c, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -393,6 +393,26 @@
 	return acts.Ref{Member: custody.Member{Name: "n"}, N: uint64(len(n.all))}
 }
 
+// A call whose attempt finds that the client has left ends as that of a client that left, with nobody else to say so: the
+// module draws no other server for it. Guards against draws that come to nothing, and an answer made up for nobody.
+func TestAnAttemptFindsTheClientGone(t *testing.T) {
+	var asked atomic.Int64
+	s := sidecar(t, toy(t, func(http.ResponseWriter, *http.Request) { asked.Add(1) }))
+	var n notes
+	s.Audit(&n)
+	run(t, s)
+	c := call("a", 0, time.Minute)
+	c.Abandon(func() bool { return true })
+	if a, left := s.Do(c, nil); !left || a.Verdict != Late {
+		t.Errorf("left %v, %+v", left, a)
+	}
+	eventually(t, func() bool { return ask(s, func() int { return len(s.calls) }) == 0 })
+	got := ask(s, func() []string { return slices.Clone(n.all) })
+	if want := []string{"took 1 a look", "sent 1 a s1", "unsent 1 a s1"}; !slices.Equal(got, want) || asked.Load() > 0 {
+		t.Errorf("%q, %d came", got, asked.Load())
+	}
+}
+
 // Acts bear the version that they were decided by, servers are told whose act it was, and what was not written is said.
 func TestActsAreNoted(t *testing.T) {
 	actor := make(chan string, 4)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -4,11 +4,14 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -150,3 +153,44 @@
 }
 
 func (c *hooked) Read(p []byte) (int, error) { return c.hook.Read(c.TCPConn, p) }
+
+// Crowded is an address at which connections come up only once accept was called; they lead to another.
+func Crowded(t testing.TB, to string) (addr string, accept func()) {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	file := os.NewFile(uintptr(fd), "crowded")
+	ln, err := net.FileListener(file)
+	file.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	fill, err := net.Dial("tcp", ln.Addr().String()) // the one that the system takes of its own accord
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln.Addr().String(), func() {
+		fill.Close()
+		go func() {
+			for {
+				c, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				s, err := net.Dial("tcp", to)
+				if err != nil {
+					c.Close()
+					continue
+				}
+				go func() { io.Copy(s, c); s.Close() }()
+				go func() { io.Copy(c, s); c.Close() }()
+			}
+		}()
+	}
+}
