--- a/internal/frontend/crossings_test.go
+++ b/internal/frontend/crossings_test.go
@@ -594,8 +594,11 @@
 						body = 30 << 10
 					}
 					io.WriteString(c, strings.Replace(text(class, id, body), "Ms: 60000", "Ms: 2000", 1))
-					if rand.IntN(4) == 0 {
+					switch rand.IntN(8) {
+					case 0:
 						io.WriteString(c, "GET /look")
+					case 1:
+						io.WriteString(c, strings.Repeat("GET /look HTTP/1.1\r\n", 48<<10/20)) // past what is read on
 					}
 					time.Sleep(time.Duration(rand.IntN(150)) * time.Millisecond)
 					mu.Lock()
