Leavers' tests run side by side; a watch found silent after a stop is told the list again

Cause: the cold case hung where the program stood still past the time for silence: it opens its watch anew, and the stand-in told each line to one watch alone (seen with the cases side by side on a busy machine: 3 of 28 never served).

--- a/cmd/damsonscale/leavers_test.go
+++ b/cmd/damsonscale/leavers_test.go
@@ -213,7 +213,23 @@
 	d.tell(t, list{Seq: 41, Whole: true, Hosts: []host{h}})
 	p.ready(t)
 	return &wait{p: p, s: server, lift: func(t *testing.T, _ []*leaver) {
-		d.tell(t, list{Seq: 42, Hosts: []host{hostAt("s2", server.Addr, "Ready")}})
+		next := list{Seq: 42, Hosts: []host{hostAt("s2", server.Addr, "Ready")}}
+		d.tell(t, next)
+		text, _ := json.Marshal(next)
+		go func() { // a program that stood still for long finds its watch silent, and opens another
+			for {
+				select {
+				case <-d.watches:
+				case <-t.Context().Done():
+					return
+				}
+				select {
+				case d.lines <- string(text):
+				case <-t.Context().Done():
+					return
+				}
+			}
+		}()
 	}}
 }
 
@@ -274,6 +290,7 @@
 		for environment, classes := range map[string][]string{"GOMAXPROCS=1": {"look", "make", "once"}, "GOMAXPROCS=4": {"make"}} {
 			for _, class := range classes {
 				t.Run(place.name+"/"+environment+"/"+class, func(t *testing.T) {
+					t.Parallel() // each waits for a drain
 					w := place.begin(&stage{environment}, t)
 					all := w.p.leavers(t, class)
 					if w.asks != nil {
