--- a/internal/discovery/crossings_test.go
+++ b/internal/discovery/crossings_test.go
@@ -332,10 +332,22 @@
 	return q
 }
 
+// number waits for a call to be asked or ended.
+func number(t *testing.T, calls chan int) int {
+	t.Helper()
+	select {
+	case n := <-calls:
+		return n
+	case <-time.After(standin.Patience):
+		t.Fatal("no call")
+		return -1
+	}
+}
+
 // ask makes the next call, and has it overdue.
 func (q *queue) ask(t *testing.T, c *Client, to told, n int, overdue bool) {
 	t.Helper()
-	if c.Watch(true); <-q.asked != n {
+	if c.Watch(true); number(t, q.asked) != n {
 		t.Fatal("asked out of order")
 	}
 	if overdue {
@@ -346,6 +358,16 @@
 	}
 }
 
+// reply answers a call that waits.
+func (q *queue) reply(t *testing.T, n int) {
+	t.Helper()
+	select {
+	case q.answer[n] <- true:
+	case <-time.After(standin.Patience):
+		t.Fatalf("call %d waits no more", n)
+	}
+}
+
 // Calls that are overdue go on waiting beside the next, and whichever is answered first counts and ends the others; of three the
 // oldest is given up. Guards against calls that give their places away, in a service that works through them in turn.
 func TestAnOverdueCallKeepsItsPlace(t *testing.T) {
@@ -356,12 +378,12 @@
 		for n := range 3 {
 			q.ask(t, c, to, n, n < 2)
 		}
-		q.answer[answered] <- true
+		q.reply(t, answered)
 		if word := next(t, to); word != "listed" {
 			t.Fatal(word)
 		}
 		for range 2 {
-			if n := <-q.ended; n == answered {
+			if n := number(t, q.ended); n == answered {
 				t.Errorf("call %d was answered, and ended", n)
 			}
 		}
@@ -376,7 +398,7 @@
 	for n := range 3 {
 		q.ask(t, c, to, n, true)
 	}
-	if n := <-q.ended; n != 0 {
+	if n := number(t, q.ended); n != 0 {
 		t.Errorf("call %d is given up", n)
 	}
 }
@@ -409,14 +431,14 @@
 			}
 			continue
 		}
-		if n := <-q.asked; n != 0 {
+		if n := number(t, q.asked); n != 0 {
 			t.Fatal(n)
 		}
 		c.box <- func() { c.take(old, &List{Hosts: []Entry{entry("a", "1", Ready)}}) }
 		if word := next(t, to); word != "listed" {
 			t.Fatalf("the suspect watch: %s", word)
 		}
-		q.answer[0] <- true
+		q.reply(t, 0)
 		if word := next(t, to); word != "listed" || old.ctx.Err() == nil {
 			t.Fatalf("the new watch: %s; the old one ended: %v", word, old.ctx.Err())
 		}
