Cold servers: what balancers save for one runs out, so the ramp holds for the fleet

Cause: `allowance` kept a send that nobody wanted for as long as nobody did. Each balancer could hold one, and all could spend them in one moment: after a lull, or when the other servers drained.

Change: the credit is a token bucket whose token runs out one window after it was earned (less where the factor is under 2); the next comes when it would have come anyway. So what a fleet may send depends on no traffic, and is what is earned in a window and held for one: N on average at the worst, in a sum of independent parts. As quiet balancers would let most tokens run out, a server weighs more in the draw while its bucket holds one.

--- a/decide/decide.go
+++ b/decide/decide.go
@@ -256,7 +256,7 @@
 	r.out++
 	b.out++
 	b.tally.tries++
-	s.credit--
+	s.ramp.tokens--
 	b.act.Send(r.ID, s.ID, b.timeout(now, r))
 }
 
@@ -506,7 +506,7 @@
 // under one counts as that part of it. Guards against many balancers that take turns at a jammed server and
 // keep it so: work they gave up on still goes on there.
 func (b *Balancer) armWeight(s, home *server) float64 {
-	w := s.Size * s.weight * min(1, b.bound(s)) * b.near(s.Zone) * b.ease(s)
+	w := s.Size * s.weight * min(1, b.bound(s)) * b.near(s.Zone) * b.ease(s) * s.ramp.turn(len(b.arms))
 	if s == home {
 		return warmBoost * float64(len(b.arms)) * w
 	}
@@ -852,19 +852,18 @@
 
 // ---- Rule 4: cold servers
 
-// allowance keeps rule 4 alone: a cold server gets its warm-up's part of the answers (not sends: they pile up
-// in a jam) that a warm one of its size gives this balancer, or more where that is half of what would push it
-// over, as a credit that grows from a random part of one send. Guards against hundreds of quiet balancers who
-// together push a server over with one send each, and against cold ones at ease while warm ones are late.
+// allowance keeps rule 4 alone, for all balancers together: a cold server gets its warm-up's part of the
+// answers (not sends: they pile up in a jam) that a warm one of its size gives this balancer, or more where
+// that is half of what would push it over: guards against cold ones at ease while warm ones are late. What is
+// not used runs out: see bucket.
 func (b *Balancer) allowance(now int64, s *server) bool {
 	w := b.warmth(now, s)
 	if w >= 1 {
+		s.ramp.part = 1
 		return true
 	}
 	w *= max(1, b.set.Rules.OverloadFactor*coldPart)
-	s.credit = min(s.credit+w*b.perSize[s.role()]*s.Size*float64(now-s.creditAt), 1)
-	s.creditAt = now
-	return s.credit >= 1
+	return s.ramp.take(now, w*b.perSize[s.role()]*s.Size, b.burst())
 }
 
 // ---- Time and the list of servers
--- a/decide/fleet_test.go
+++ b/decide/fleet_test.go
@@ -24,6 +24,7 @@
 	busy     map[string]int64    // when each server has done what it holds; nil: answers take 60 ms whatever is held
 	keys     int                 // that requests ask for; 0: none
 	served   map[bool]int        // answers of late: within the aim or not
+	stuck    bool                // no answer comes
 }
 
 type crowdSend struct {
@@ -74,14 +75,14 @@
 
 // newCrowd makes n balancers; skew 0 spreads traffic evenly, more gives the first ones most of it.
 func newCrowd(n int, set Settings, skew float64, servers []Server) *crowd {
-	c := &crowd{now: 1000 * second, rng: rand.New(rand.NewPCG(3, 3))}
+	return newCrowdOf(0, n, set, skew, servers)
+}
+
+// newCrowdOf does so with seeds of its own.
+func newCrowdOf(seed uint64, n int, set Settings, skew float64, servers []Server) *crowd {
+	c := &crowd{now: 1000 * second, rng: rand.New(rand.NewPCG(3, 3+seed))}
 	for i := range n {
-		set.Me, set.Balancers = i, n
-		m := &mouth{c: c, n: map[string]int{}}
-		m.b = New(set, uint64(i+1), m)
-		m.b.Begin(c.now)
-		m.b.Listed(c.now, servers, true)
-		c.bs = append(c.bs, m.b)
+		c.bs = append(c.bs, c.join(seed, i, n, set, servers))
 		w := 1.0
 		if skew > 0 {
 			w = 1 / (skew*float64(i) + 1)
@@ -92,45 +93,66 @@
 	return c
 }
 
+// join starts one balancer.
+func (c *crowd) join(seed uint64, me, n int, set Settings, servers []Server) *Balancer {
+	set.Me, set.Balancers = me, n
+	m := &mouth{c: c, n: map[string]int{}}
+	m.b = New(set, seed<<16+uint64(me+1), m)
+	m.b.Begin(c.now)
+	m.b.Listed(c.now, servers, true)
+	return m.b
+}
+
 // run plays traffic of so many requests a second; each attempt is answered after 60 ms.
 func (c *crowd) run(seconds, perSecond int) {
-	const tick = 5000
 	for end := c.now + int64(seconds)*second; c.now < end; {
-		c.now += tick
-		var later []crowdSend
-		ready := c.due
-		c.due = nil
-		for _, d := range ready {
-			if c.now < d.done {
-				later = append(later, d)
-				continue
-			}
-			if c.served != nil {
-				c.served[c.now-d.at <= 400_000]++
-			}
-			d.from.Outcome(c.now, Outcome{Request: d.request, Attempt: d.attempt, Server: d.server, Result: Served,
-				Latency: c.now - d.at, Closed: true})
+		c.step(perSecond * crowdTick / int(second))
+	}
+}
+
+const crowdTick = 5000 // µs
+
+// step lets a tick pass: answers come, unless they are held up, then so many requests.
+func (c *crowd) step(requests int) {
+	c.now += crowdTick
+	var later []crowdSend
+	ready := c.due
+	c.due = nil
+	for _, d := range ready {
+		if c.now < d.done || c.stuck {
+			later = append(later, d)
+			continue
 		}
-		c.due = append(later, c.due...)
-		if c.now%second == 0 {
-			for _, b := range c.bs {
-				b.Timer(c.now, tokenSecond)
-			}
+		if c.served != nil {
+			c.served[c.now-d.at <= 400_000]++
 		}
-		for range perSecond * tick / int(second) {
-			x, i := c.rng.Float64()*c.sum, 0
-			for i < len(c.bs)-1 && x >= c.weights[i] {
-				x -= c.weights[i]
-				i++
-			}
-			c.requests++
-			r := Request{ID: fmt.Sprint("r", c.requests), Tenant: -1, Left: 2 * second}
-			if c.keys > 0 {
-				r.Key = fmt.Sprint("k", c.rng.IntN(c.keys))
-			}
-			c.bs[i].Request(c.now, r)
+		d.from.Outcome(c.now, Outcome{Request: d.request, Attempt: d.attempt, Server: d.server, Result: Served,
+			Latency: c.now - d.at, Closed: true})
+	}
+	c.due = append(later, c.due...)
+	if c.now%second == 0 {
+		for _, b := range c.bs {
+			b.Timer(c.now, tokenSecond)
 		}
 	}
+	for range requests {
+		x, i := c.rng.Float64()*c.sum, 0
+		for i < len(c.bs)-1 && x >= c.weights[i] {
+			x -= c.weights[i]
+			i++
+		}
+		c.ask(i)
+	}
+}
+
+// ask hands a request to a balancer.
+func (c *crowd) ask(i int) {
+	c.requests++
+	r := Request{ID: fmt.Sprint("r", c.requests), Tenant: -1, Left: 2 * second}
+	if c.keys > 0 {
+		r.Key = fmt.Sprint("k", c.rng.IntN(c.keys))
+	}
+	c.bs[i].Request(c.now, r)
 }
 
 // coldSends tells all balancers of a server that starts now, and returns the times of what they send it in some seconds.
@@ -327,9 +349,9 @@
 		set.Rules.OverloadFactor = factor
 		b := newCrowd(2, set, 0, fleet(4)).bs[0]
 		s, now := b.servers[0], 2000*second
-		b.perSize[1], s.coldSince, s.creditAt, s.credit = 10/float64(second), now-1, now-second/10, 0
+		b.perSize[1], s.coldSince, s.ramp = 10/float64(second), now-1, bucket{at: now - second/10}
 		b.allowance(now, s)
-		near(t, fmt.Sprint("credit where the factor is ", factor), s.credit, want, 1e-3)
+		near(t, fmt.Sprint("tokens where the factor is ", factor), s.ramp.tokens, want, 1e-3)
 	}
 }
 
--- a/decide/follow.go
+++ b/decide/follow.go
@@ -19,7 +19,7 @@
 			r.followed = n + 1
 			return
 		}
-		a.server.credit++
+		a.server.ramp.tokens++
 		a.server.inFlight--
 		a.server.health[r.Class].out--
 		r.out--
--- a/decide/state.go
+++ b/decide/state.go
@@ -125,8 +125,7 @@
 	lastServed int64
 	leftAt     int64   // when it left the list, where it is not held
 	coldSince  int64   // start of its latest warm-up; 0: warm
-	credit     float64 // while cold: sends that it may get, as of the time below
-	creditAt   int64
+	ramp       bucket  // while cold: sends that it may get
 	answered   int     // own answers this second
 	base       float64 // its size before its pace counts
 	told       float64 // requests that it holds, as it tells
@@ -735,16 +734,6 @@
 	}
 }
 
-// warmth is the least share of its capacity that s has by now: even growth over the stated time.
-func (b *Balancer) warmth(now int64, s *server) float64 {
-	age := now - s.coldSince
-	if s.coldSince == 0 || age >= b.set.Rules.ColdFor {
-		return 1
-	}
-	from := b.set.Rules.ColdFrom
-	return from + (1-from)*float64(max(age, 0))/float64(b.set.Rules.ColdFor)
-}
-
 // near is how much more a server of the own zone weighs, where attempts to other zones have a price.
 func (b *Balancer) near(zone string) float64 {
 	if zone == b.set.Zone {
@@ -801,8 +790,3 @@
 		s.lost = false
 	}
 }
-
-// chill makes s cold since a time. Another word of the same start grants no credit anew.
-func (b *Balancer) chill(now int64, s *server, since int64) {
-	s.coldSince, s.credit, s.creditAt = since, b.rng.Float64(), now
-}
