Cold servers under 20 and 30 real processes: every window counted by the servers themselves

The program itself, each process with a discovery of its own, before two warm stand-ins and cold ones that write down when requests came: the others drain under a burst; all processes start with the server; three cold at once, told to one process after another, one process with three quarters of the traffic, then half of it, a lull and a burst. The verdict is a count in every window that begins with a request, against N + 2 root of N + 2, N by the server's age as the window begins and by what a warm one is said to take. A hold-up on a busy machine brings requests together: it adds what is earned in it, and the bound leaves room for one about as long as a window.

--- /dev/null
+++ b/cmd/damsonscale/ramp_test.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// What the fleet's settings allow a cold server, and what a warm one takes.
+const (
+	rampFrom   = 0.9  // of its capacity at its start
+	rampFor    = 20.0 // s
+	rampFactor = 3.0
+	rampWindow = 0.5 // s
+	rampRate   = 6.0 // requests a second that a warm server can do
+)
+
+// coldServer is a stand-in that writes down when requests came.
+type coldServer struct {
+	addr, name string
+	born       time.Time
+	mu         sync.Mutex
+	came       []float64 // s since its start
+}
+
+func startCold(t *testing.T, name string) *coldServer {
+	s := &coldServer{name: name, born: time.Now()}
+	s.addr = serveHTTP(t, func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		s.came = append(s.came, time.Since(s.born).Seconds())
+		s.mu.Unlock()
+		io.WriteString(w, "yes")
+	})
+	return s
+}
+
+func (s *coldServer) listed() host {
+	h := hostAt(s.name, s.addr, "Ready")
+	h.Born = s.born.UnixMilli()
+	return h
+}
+
+// judge counts every window that begins with a request, by the server's own clock. What is held up on a busy machine
+// comes later, and so together: a hold-up adds what is earned in it, at most the mean of so much time, and the bound
+// leaves room for one about as long as a window. It returns how many came.
+func (s *coldServer) judge(t *testing.T) (came int) {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	most, share := 0, 0.0
+	for i, at := range s.came {
+		n := 0
+		for n < len(s.came)-i && s.came[i+n]-at < rampWindow {
+			n++
+		}
+		budget := rampFactor * min(1, rampFrom+(1-rampFrom)*at/rampFor) * rampRate * rampWindow
+		bound := budget + 2*math.Sqrt(budget) + 2
+		if most = max(most, n); float64(n) > bound {
+			t.Errorf("%s got %d requests within %.1f s from %.2f s after its start, %.1f allowed", s.name, n, rampWindow, at, bound)
+		}
+		share = max(share, float64(n)/bound)
+	}
+	t.Logf("%s: %d requests, %d in its fullest window, %.2f of the bound", s.name, len(s.came), most, share)
+	return len(s.came)
+}
+
+// rampFleet is some sidecars, each with a discovery of its own, before the same servers.
+type rampFleet struct {
+	t      *testing.T
+	all    []*program
+	lists  []*discovery
+	warm   []host
+	client *http.Client
+	calls  sync.WaitGroup
+	next   int
+}
+
+// startRamp starts the program so many times before two warm servers and others that it knows of.
+func startRamp(t *testing.T, n int, others ...host) *rampFleet {
+	f := &rampFleet{t: t, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 8}}}
+	for i := range 2 {
+		f.warm = append(f.warm, hostAt(fmt.Sprint("warm", i), serveHTTP(t, yes), "Ready"))
+	}
+	edit := strings.NewReplacer(`"Balancers":1`, fmt.Sprintf(`"Balancers":%d`, n), `"ColdFrom":0.5,"ColdUs":5000000`,
+		fmt.Sprintf(`"ColdFrom":%v,"ColdUs":%.0f`, rampFrom, rampFor*1e6), `"FallUs":3000000`,
+		fmt.Sprintf(`"FallUs":%.0f`, rampWindow*1e6))
+	for i := range n {
+		d := startDiscovery(t)
+		f.lists = append(f.lists, d)
+		f.all = append(f.all, start(t, d.addr, &list{Seq: 41, Whole: true, Hosts: append(others, f.warm...)}, func(c map[string]any) {
+			c["name"], c["seed"] = fmt.Sprint("n", i), fmt.Sprintf("%016x", i+1)
+			c["settings"] = json.RawMessage(strings.Replace(edit.Replace(settings), `"Me":0`, fmt.Sprintf(`"Me":%d`, i), 1))
+		}))
+	}
+	for _, p := range f.all {
+		p.ready(t)
+	}
+	t.Cleanup(f.calls.Wait)
+	return f
+}
+
+// call makes a request of one of them and does not wait for its answer.
+func (f *rampFleet) call(p *program) {
+	r := request(f.t, p.addr, "GET", "/look", "")
+	f.calls.Add(1)
+	go func() {
+		defer f.calls.Done()
+		ctx, stop := context.WithTimeout(context.Background(), patience)
+		defer stop()
+		if resp, err := f.client.Do(r.WithContext(ctx)); err == nil { // or refused, or gone: only what servers get counts
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+		}
+	}()
+}
+
+// play makes requests for so many seconds, as many as the warm servers can do, of those in turn.
+func (f *rampFleet) play(seconds float64, of ...*program) {
+	gap := time.Duration(float64(time.Second) / (rampRate * float64(len(f.warm))))
+	for end := time.Now().Add(time.Duration(seconds * 1e9)); time.Now().Before(end); time.Sleep(gap) {
+		f.call(of[f.next%len(of)])
+		f.next++
+	}
+}
+
+// burst makes so many requests of each at once.
+func (f *rampFleet) burst(each int) {
+	for _, p := range f.all {
+		for range each {
+			f.call(p)
+		}
+	}
+}
+
+// tell gives one of them its list.
+func (f *rampFleet) tell(i, seq int, hosts ...host) {
+	f.lists[i].tell(f.t, list{Seq: seq, Whole: true, Hosts: hosts})
+}
+
+// Guards against a fleet that pushes a cold server over with what each process has saved up for it: real processes, and
+// servers that count for themselves what comes in every window. While each process kept a send until it was wanted, 30 of
+// them had 1.24 of the bound when the others drained, and 20 had 0.75.
+func TestColdServersUnderManyProcesses(t *testing.T) {
+	for _, n := range []int{20, 30} {
+		came := 0
+		t.Run(fmt.Sprint(n, " processes, the others drain"), func(t *testing.T) {
+			f := startRamp(t, n)
+			f.play(0.5, f.all...)
+			cold := startCold(t, "cold")
+			for i := range f.all {
+				f.tell(i, 42, append([]host{cold.listed()}, f.warm...)...)
+			}
+			f.play(5, f.all...)
+			for i := range f.all {
+				f.tell(i, 43, cold.listed())
+			}
+			f.burst(4)
+			f.play(0.5, f.all...)
+			came += cold.judge(t)
+		})
+		t.Run(fmt.Sprint(n, " processes that start with the server"), func(t *testing.T) {
+			cold := startCold(t, "cold")
+			f := startRamp(t, n, cold.listed())
+			f.burst(2)
+			f.play(3, f.all...)
+			came += cold.judge(t)
+		})
+		t.Run(fmt.Sprint(n, " processes, one with most of the traffic, told at other times of three cold ones, a lull"), func(t *testing.T) {
+			f := startRamp(t, n)
+			f.play(1, f.all...)
+			var colds []*coldServer
+			hosts := f.warm
+			for i := range 3 {
+				colds = append(colds, startCold(t, fmt.Sprint("cold", i)))
+				hosts = append(hosts[:len(hosts):len(hosts)], colds[i].listed())
+			}
+			for i := range f.all {
+				f.tell(i, 42, hosts...)
+				f.play(1/float64(n), f.all[0], f.all[0], f.all[0], f.all[i])
+			}
+			f.play(2, append(f.all[:n:n], f.all[0], f.all[0], f.all[0])...)
+			time.Sleep(time.Second)
+			f.burst(3)
+			f.play(1, f.all...)
+			for _, c := range colds {
+				came += c.judge(t)
+			}
+		})
+		if came == 0 {
+			t.Errorf("%d processes sent cold servers nothing at all", n)
+		}
+	}
+}
