--- a/cmd/damsonscale/leavers_test.go
+++ b/cmd/damsonscale/leavers_test.go
@@ -109,8 +109,8 @@
 
 const moment = 50 * time.Millisecond
 
-// ask has all of them ask.
-func ask(t *testing.T, all []*leaver) {
+// askAll has all of them ask.
+func askAll(t *testing.T, all []*leaver) {
 	t.Helper()
 	for _, l := range all {
 		l.asks(t, l.text(l.id, 0))
@@ -160,7 +160,7 @@
 	w := &wait{p: s.before(t, server, server.Addr, "", ""), s: server}
 	w.asks = func(t *testing.T, all []*leaver) {
 		w.p.halt(t)
-		ask(t, all)
+		askAll(t, all)
 	}
 	return w
 }
@@ -177,7 +177,7 @@
 			}
 		}
 		w.p.halt(t)
-		ask(t, all)
+		askAll(t, all)
 	}
 	return w
 }
@@ -254,7 +254,7 @@
 	w := &wait{p: s.before(t, server, server.Addr, "", ""), s: server, sent: 1}
 	w.lift = func(*testing.T, []*leaver) { close(stay) }
 	w.asks = func(t *testing.T, all []*leaver) {
-		ask(t, all)
+		askAll(t, all)
 		for _, l := range all {
 			eventually(t, l.id+" at the server", func() bool { return server.Got(l.id) == 1 })
 		}
@@ -296,7 +296,7 @@
 					if w.asks != nil {
 						w.asks(t, all)
 					} else {
-						ask(t, all)
+						askAll(t, all)
 						time.Sleep(moment) // where they are by then decides what is tested, not the verdict
 					}
 					w.p.halt(t)
