Cells: the pure core of a fleet of many small groups, with a directory above

internal/cells has the state machines, without I/O or a clock: the directory (commands, deltas with a digest, whole transfers in bounded pages), a cell's log (joins by a certificate of departure, leave, seal) with its leader's book of leases, relays, members, an inquiry's way through the cells that may have a request's record, admission and pace of callers, and the plan of sizes and zones. No process links it yet.

A property test found that a split of a cell which a name was about to leave gave that name three places, and another that a zone's last member could not be exchanged between two cells of the least size; both are mended.

--- /dev/null
+++ b/internal/cells/cells_test.go
@@ -0,0 +1,494 @@
+package cells
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"damsonscale/internal/custody"
+)
+
+const lease = 600_000 // µs
+
+func seatsOf(region string, from, n, zones int) (out []Seat) {
+	for i := from; i < from+n; i++ {
+		name := fmt.Sprintf("%s-n%05d", region, i)
+		out = append(out, Seat{Name: name, Address: fmt.Sprintf("10.%d.%d.%d:7101", i>>16, i>>8&255, i&255), Zone: fmt.Sprintf("%s-z%d", region, i%zones)})
+	}
+	return out
+}
+
+// journal gives commands their versions, as the directory's log does.
+type journal struct {
+	t     testing.TB
+	d     *Directory
+	term  uint64
+	index uint64
+}
+
+func newJournal(t testing.TB) *journal { return &journal{t: t, d: NewDirectory(Sound), term: 1} }
+
+func (j *journal) try(c Command) error {
+	j.index++
+	return j.d.Apply(Version{Term: j.term, Index: j.index}, &c)
+}
+
+func (j *journal) do(c Command) {
+	j.t.Helper()
+	if err := j.try(c); err != nil {
+		j.t.Fatalf("%+v: %v", c, err)
+	}
+}
+
+func names(seats []Seat) (out []string) {
+	for _, s := range seats {
+		out = append(out, s.Name)
+	}
+	return out
+}
+
+// told is the directory's word to a cell, unless nothing is new to it.
+func (j *journal) told(l *Log) *Entry {
+	return &Entry{Kind: Hear, Told: &Told{Version: j.d.Version(), Global: j.d.Global(), Part: j.d.Part(l.ID)}}
+}
+
+func member(name string, inc uint64) custody.Member {
+	return custody.Member{Name: name, Incarnation: inc}
+}
+
+func apply(t testing.TB, l *Log, all ...*Entry) {
+	t.Helper()
+	for _, e := range all {
+		if !l.Apply(e) {
+			t.Fatalf("cell %d at %d: %+v changes nothing", l.ID, l.Epoch, e)
+		}
+	}
+}
+
+// A member's move: the new cell expects it, the old one lets it go once its lease is over, the new one takes another incarnation
+// with the old one's certificate, once.
+func TestMove(t *testing.T) {
+	j := newJournal(t)
+	j.do(Command{Kind: Open, Region: "r", Seats: seatsOf("r", 0, 3, 3)})
+	j.do(Command{Kind: Open, Region: "r", Seats: seatsOf("r", 3, 3, 3)})
+	a, b := NewLog(1, Sound), NewLog(2, Sound)
+	one, two := member("r-n00000", 1), member("r-n00000", 2)
+	apply(t, a, j.told(a), &Entry{Kind: Join, Member: one})
+	apply(t, b, j.told(b))
+	g := NewGrants(lease, Sound)
+	if !g.Grant(0, a, one, 0) || b.Apply(&Entry{Kind: Join, Member: two}) {
+		t.Fatal("no lease, or a name that joins a cell which is not its own")
+	}
+
+	j.do(Command{Kind: Move, Names: []string{one.Name}, Cell: 2})
+	if s := j.d.Part(1).Seat(one.Name); s.To != 0 {
+		t.Fatal("it is to leave before the new cell expects it")
+	}
+	apply(t, b, j.told(b))
+	j.do(Command{Kind: Ready, Cell: 2, At: b.Heard.Version})
+	apply(t, a, j.told(a))
+	if g.Grant(1, a, one, 0) || len(g.Due(lease, a)) > 0 {
+		t.Error("a lease to one that is to leave, or it leaves while its lease may run")
+	}
+	if at, ok := b.Start(one.Name); !ok || at != 1 {
+		t.Errorf("before it has arrived its requests are asked for at %d", at)
+	}
+	due := g.Due(skewed(lease), a)
+	if len(due) != 1 || due[0].Kind != Leave {
+		t.Fatalf("%+v", due)
+	}
+	apply(t, a, &due[0])
+	cert := a.Certificate(one.Name)
+	if cert == nil || cert.Member != one || cert.To != 2 || a.Apply(&Entry{Kind: Join, Member: member(one.Name, 9)}) {
+		t.Fatalf("%+v, or the old cell takes it again", cert)
+	}
+	forged := *cert
+	forged.Move--
+	for _, c := range []*Certificate{nil, &forged, {Departure: Departure{Cell: 3, To: 2, Move: cert.Move, Member: one}}} {
+		if b.Apply(&Entry{Kind: Join, Member: two, Came: c}) {
+			t.Errorf("joined with %+v", c)
+		}
+	}
+	if b.Apply(&Entry{Kind: Join, Member: one, Came: cert}) {
+		t.Error("one incarnation is of two cells")
+	}
+	apply(t, b, &Entry{Kind: Join, Member: two, Came: cert})
+	if b.Apply(&Entry{Kind: Join, Member: two, Came: cert}) {
+		t.Error("it joined twice")
+	}
+	for _, l := range []*Log{a, b} {
+		if at, ok := l.Start(one.Name); !ok || at != 1 {
+			t.Errorf("an inquiry at %d begins at %d", l.ID, at)
+		}
+		q := NewInquiry(one.Name, l.ID)
+		for n := 0; q.Seek(l) == Onward && n < 3; n++ {
+			l = a
+		}
+		if s, give := q.Nothing(a); s != Onward || !give || q.At != 2 {
+			t.Errorf("what the first cell does not know is not given to the second: %v %v %+v", s, give, q)
+		}
+		if s, _ := q.Nothing(b); q.Seek(b) != Look || s != Look {
+			t.Error("nor begun there")
+		}
+	}
+	if s := NewInquiry("r-n00099", 2).Seek(b); s != Unknown {
+		t.Errorf("of an unknown member: %v", s)
+	}
+	j.do(Command{Kind: Arrived, Cell: 2, Names: []string{one.Name}, Number: cert.Move})
+	if err := j.try(Command{Kind: Move, Names: []string{one.Name}, Cell: 1}); !errors.Is(err, ErrRecent) {
+		t.Errorf("back at once: %v", err)
+	}
+	apply(t, a, j.told(a), &Entry{Kind: Drop, Member: one})
+	apply(t, b, j.told(b), &Entry{Kind: Drop, Member: one}, &Entry{Kind: Out, Member: two}, &Entry{Kind: Join, Member: member(one.Name, 3)})
+	j.do(Command{Kind: Forget, Names: []string{one.Name}})
+	if _, ok := a.Start(one.Name); ok || len(a.Left)+len(b.Came) > 0 {
+		t.Error("what is over is not forgotten")
+	}
+	j.do(Command{Kind: Move, Names: []string{one.Name}, Cell: 1})
+	apply(t, a, j.told(a))
+	if a.Apply(&Entry{Kind: Join, Member: member(one.Name, 4), Came: cert}) {
+		t.Error("the certificate of the first move does for the second")
+	}
+}
+
+// A split ends a log once no lease of it can run; all its members join the successors; a merge makes one of two.
+func TestSplitAndMerge(t *testing.T) {
+	j := newJournal(t)
+	all := seatsOf("r", 0, 6, 3)
+	j.do(Command{Kind: Open, Region: "r", Seats: all})
+	a := NewLog(1, Sound)
+	apply(t, a, j.told(a))
+	g := NewGrants(lease, Sound)
+	for _, s := range all[:5] {
+		apply(t, a, &Entry{Kind: Join, Member: member(s.Name, 1)})
+		g.Grant(10, a, member(s.Name, 1), 0)
+	}
+	split := Command{Kind: Split, ID: 7, Cell: 1, Names: names(all[:3])}
+	j.do(split)
+	if err := j.try(split); !errors.Is(err, ErrDone) {
+		t.Errorf("twice: %v", err)
+	}
+	if err := j.try(Command{Kind: Merge, Cells: []ID{1, 2}}); !errors.Is(err, ErrMoving) {
+		t.Errorf("merge of what is split: %v", err)
+	}
+	b, c := NewLog(2, Sound), NewLog(3, Sound)
+	apply(t, b, j.told(b))
+	apply(t, c, j.told(c))
+	j.do(Command{Kind: Ready, Cell: 2, At: b.Heard.Version})
+	if len(j.d.Part(1).Into) > 0 {
+		t.Fatal("to be sealed before both successors expect its members")
+	}
+	apply(t, a, j.told(a))
+	if due := g.Due(10+2*lease, a); len(due) != 5 { // all silent: out as ever, and none leaves one by one
+		t.Fatalf("%+v", due)
+	}
+	g = NewGrants(lease, Sound)
+	for _, m := range a.living("") {
+		g.last[m] = 10
+	}
+	j.do(Command{Kind: Ready, Cell: 3, At: c.Heard.Version})
+	apply(t, a, j.told(a))
+	if len(j.d.Part(1).Into) != 2 || g.Grant(11, a, member(all[0].Name, 1), 0) || len(g.Due(10+lease, a)) > 0 {
+		t.Fatal("not to be sealed, or leases go on, or sealed while one may run")
+	}
+	due := g.Due(10+skewed(lease), a)
+	if len(due) != 1 || due[0].Kind != Seal {
+		t.Fatalf("%+v", due)
+	}
+	apply(t, a, &due[0])
+	if a.Apply(j.told(a)) || a.Apply(&due[0]) || len(a.Living) > 0 || g.Grant(2*lease, a, member(all[0].Name, 1), 0) {
+		t.Error("a sealed log goes on")
+	}
+	for i, s := range all { // the last one was never a member: it comes as any other
+		l := b
+		if i >= 3 {
+			l = c
+		}
+		apply(t, l, &Entry{Kind: Join, Member: member(s.Name, 2), Came: a.Certificate(s.Name)})
+		j.do(Command{Kind: Arrived, Cell: l.ID, Names: []string{s.Name}, Number: l.Arrived[s.Name]})
+	}
+	if err := j.try(Command{Kind: Forget, Cell: 1}); !errors.Is(err, ErrNothing) {
+		t.Errorf("forgotten before it is told that it is sealed: %v", err)
+	}
+	j.do(Command{Kind: Sealed, Cell: 1, Epoch: a.Epoch})
+	j.do(Command{Kind: Forget, Cell: 1})
+	apply(t, b, j.told(b))
+	apply(t, c, j.told(c))
+
+	j.do(Command{Kind: Merge, Cells: []ID{2, 3}})
+	m := NewLog(4, Sound)
+	apply(t, m, j.told(m))
+	j.do(Command{Kind: Ready, Cell: 4, At: m.Heard.Version})
+	for _, l := range []*Log{b, c} {
+		apply(t, l, j.told(l), &Entry{Kind: Seal})
+	}
+	for i, s := range all {
+		l := b
+		if i >= 3 {
+			l = c
+		}
+		cert := l.Certificate(s.Name)
+		apply(t, m, &Entry{Kind: Join, Member: member(s.Name, 3), Came: cert})
+		if at, _ := m.Start(s.Name); len(cert.Before) != 1 || at != 1 {
+			t.Errorf("%s: an inquiry begins at %d, %+v", s.Name, at, cert)
+		}
+	}
+}
+
+// Removed for good: its name gets no place elsewhere before its cell has let it go.
+func TestRemove(t *testing.T) {
+	j := newJournal(t)
+	all := seatsOf("r", 0, 4, 3)
+	j.do(Command{Kind: Open, Region: "r", Seats: all})
+	j.do(Command{Kind: Remove, Names: []string{all[0].Name}})
+	if err := j.try(Command{Kind: Open, Region: "r", Seats: all[:1]}); !errors.Is(err, ErrSeated) {
+		t.Errorf("a second place: %v", err)
+	}
+	a, m := NewLog(1, Sound), member(all[0].Name, 1)
+	apply(t, a, j.told(a))
+	apply(t, a, &Entry{Kind: Join, Member: m})
+	g := NewGrants(lease, Sound)
+	if g.Grant(0, a, m, 0) {
+		t.Error("a lease to one that is to go")
+	}
+	g.Yield(m)
+	due := g.Due(1, a)
+	if len(due) != 1 || due[0].Kind != Leave {
+		t.Fatalf("%+v", due)
+	}
+	apply(t, a, &due[0])
+	j.do(Command{Kind: Gone, Names: []string{m.Name}, Number: a.Left[m.Name].Move})
+	j.do(Command{Kind: Open, Region: "r", Seats: all[:1]})
+}
+
+// Fence and target only grow, and a cell hears nothing older than what it has heard: the newer side of a cut wins.
+func TestNewerVersionWins(t *testing.T) {
+	j := newJournal(t)
+	j.do(Command{Kind: Open, Region: "r", Seats: seatsOf("r", 0, 3, 3)})
+	j.do(Command{Kind: Target, Number: 3})
+	a, m := NewLog(1, Sound), member("r-n00000", 1)
+	before := j.told(a)
+	j.do(Command{Kind: Fence, Number: 3})
+	for _, c := range []Command{{Kind: Target, Number: 2}, {Kind: Fence, Number: 2}, {Kind: Fence, Number: 4}, {Kind: Fence, Number: 3}} {
+		if err := j.try(c); !errors.Is(err, ErrNothing) {
+			t.Errorf("%+v: %v", c, err)
+		}
+	}
+	apply(t, a, j.told(a), &Entry{Kind: Join, Member: m})
+	if a.Apply(before) {
+		t.Error("the older word is taken")
+	}
+	g := NewGrants(lease, Sound)
+	if g.Grant(0, a, m, 2) || !g.Grant(0, a, m, 3) {
+		t.Error("a lease below the fence, or none at it")
+	}
+	old := j.d.Clone()
+	if err := j.d.Apply(Version{Term: 2, Index: j.index + 1}, &Command{Kind: Target, Number: 9}); err != nil {
+		t.Fatal(err)
+	}
+	if err := j.d.Apply(Version{Term: 1, Index: j.index + 2}, &Command{Kind: Target, Number: 10}); !errors.Is(err, ErrOld) || j.d.Global().Settings != 9 {
+		t.Errorf("a command of an earlier term: %v", err)
+	}
+	// A relay that heard the newer directory hears nothing of one that is behind.
+	r := NewRelay("r", Sound)
+	r.Take(j.d.Delta("r", Version{}, Version{}, true, 1<<20))
+	r.Take(old.Delta("r", r.Pull().Since, Version{}, false, 1<<20))
+	r.Take(old.Delta("r", Version{}, Version{}, true, 1<<20))
+	if r.version != j.d.Version() || r.global.Settings != 9 {
+		t.Errorf("%+v %+v", r.version, r.global)
+	}
+}
+
+// Nobody but a member's own cell and own incarnation gives it leave to act, and that ends before it goes.
+func TestMemberActsForOneCell(t *testing.T) {
+	n := NewNode(member("x", 1), 1)
+	ask := n.Ask(100, 0)
+	n.Granted(Grant{Cell: 2, Member: ask.Member, Sent: ask.Sent}, lease)
+	n.Granted(Grant{Cell: 1, Member: member("x", 2), Sent: ask.Sent}, lease)
+	if n.Valid(101) {
+		t.Fatal("a lease of another cell or incarnation")
+	}
+	n.Granted(Grant{Cell: 1, Member: ask.Member, Sent: ask.Sent}, lease)
+	if !n.Valid(100+lease-1) || n.Valid(100+lease) {
+		t.Fatal("a lease counts from when it was asked for")
+	}
+	cert := &Certificate{Departure: Departure{Cell: 1, To: 2, Member: n.Me, Move: 5}}
+	if n.Depart(cert, 1) || n.Depart(&Certificate{Departure: Departure{Cell: 3, To: 2, Member: n.Me}}, 2) || !n.Depart(cert, 2) {
+		t.Fatal("it goes as the same incarnation, or by the word of another cell")
+	}
+	n.Granted(Grant{Cell: 1, Member: member("x", 1), Sent: 200}, lease)
+	if n.Valid(201) || n.Cell != 2 {
+		t.Error("a late grant of the cell that it left")
+	}
+	n.Yield()
+	n.Granted(Grant{Cell: 2, Member: n.Me, Sent: 300}, lease)
+	if n.Valid(301) {
+		t.Error("it acts after it has said that it does not")
+	}
+}
+
+// A word without its part is taken where what the cell has is what the directory has; else the part is asked for.
+func TestWordWithoutItsPart(t *testing.T) {
+	j := newJournal(t)
+	j.do(Command{Kind: Open, Region: "r", Seats: seatsOf("r", 0, 3, 3)})
+	r := NewRelay("r", Sound)
+	pull := func() { r.Take(j.d.Delta("r", r.Pull().Since, Version{}, false, 1<<20)) }
+	a := NewLog(1, Sound)
+	pull()
+	first := r.Tell(1, a.Heard.Version, false)
+	apply(t, a, &Entry{Kind: Hear, Told: first})
+	if r.Tell(1, a.Heard.Version, false) != nil {
+		t.Error("told what it has")
+	}
+	j.do(Command{Kind: Open, Region: "r", Seats: seatsOf("r", 3, 3, 3)})
+	if pull(); r.Tell(1, a.Heard.Version, false) != nil {
+		t.Error("told of another cell")
+	}
+	j.do(Command{Kind: Target, Number: 1})
+	pull()
+	second := r.Tell(1, a.Heard.Version, false)
+	if second.Part != nil || len(Encode(second)) > 60 {
+		t.Errorf("the part goes with a change of the settings: %d bytes", len(Encode(second)))
+	}
+	if NewLog(1, Sound).Apply(&Entry{Kind: Hear, Told: second}) {
+		t.Error("taken by one that has another part")
+	}
+	apply(t, a, &Entry{Kind: Hear, Told: second})
+	if a.Heard.Part != first.Part || a.Heard.Global.Settings != 1 {
+		t.Errorf("%+v", a.Heard)
+	}
+	b := NewLog(1, Sound)
+	apply(t, b, &Entry{Kind: Hear, Told: r.Tell(1, Version{}, true)})
+}
+
+// Relays end with the directory's parts, whatever is lost, spoilt or doubled, and a digest that does not fit costs one whole transfer
+// in pages of a bounded size.
+func TestRelaysFollowTheDirectory(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		j := newJournal(t)
+		for i := range 8 {
+			j.do(Command{Kind: Open, Region: []string{"r", "q"}[i%2], Seats: seatsOf([]string{"r", "q"}[i%2], 6*i, 6, 3)})
+		}
+		relay, next := NewRelay("r", Sound), 100
+		pull := func(spoil int) bool {
+			p := relay.Pull()
+			d := j.d.Delta(p.Region, p.Since, p.From, p.Whole, 700)
+			if size := len(Encode(d)); size > 2500 {
+				r.Fatalf("a page of %d bytes", size)
+			}
+			if spoil == 1 && len(d.Parts) > 0 {
+				d.Parts = d.Parts[1:]
+			}
+			if spoil == 2 {
+				d.Drops = nil
+			}
+			if spoil == 3 {
+				relay.Take(d)
+			}
+			return relay.Take(d)
+		}
+		for range rapid.IntRange(1, 40).Draw(r, "steps") {
+			switch rapid.IntRange(0, 5).Draw(r, "what") {
+			case 0:
+				j.try(Command{Kind: Assign, Cell: ID(rapid.IntRange(1, 9).Draw(r, "cell")), Seats: seatsOf("x", next, 1, 3)})
+				next++
+			case 1:
+				j.try(Command{Kind: Target, Number: uint64(next)})
+				next++
+			case 2:
+				if p := j.d.Part(ID(rapid.IntRange(1, 8).Draw(r, "cell"))); p != nil && len(p.Seats) > 1 {
+					j.try(Command{Kind: Split, Cell: p.ID, Names: names(p.Seats[:len(p.Seats)/2])})
+				}
+			case 3: // a split goes through: the old cell is forgotten
+				for _, id := range j.d.Cells() {
+					j.try(Command{Kind: Ready, Cell: id, At: j.d.Version()})
+				}
+				for _, id := range j.d.Cells() {
+					if p := j.d.Part(id); len(p.Into) > 0 {
+						j.do(Command{Kind: Sealed, Cell: id, Epoch: 1})
+						for _, s := range p.Seats {
+							j.do(Command{Kind: Arrived, Cell: s.To, Names: []string{s.Name}, Number: s.ToMove})
+						}
+						j.do(Command{Kind: Forget, Cell: id})
+					}
+				}
+			default:
+				pull(rapid.IntRange(0, 3).Draw(r, "spoil"))
+			}
+		}
+		j.do(Command{Kind: Target, Number: uint64(next)})
+		calls := 0
+		for ; calls < 100 && (relay.Version() != j.d.Version() || pull(0)); calls++ {
+			pull(0)
+		}
+		if relay.Version() != j.d.Version() || relay.global != j.d.Global() || calls > 40 {
+			r.Fatalf("%v after %d calls, the directory is at %v", relay.Version(), calls, j.d.Version())
+		}
+		for _, id := range j.d.Cells() {
+			if p := j.d.Part(id); p.Region == "r" && relay.parts[id].Part != p {
+				r.Fatalf("cell %d differs", id)
+			}
+		}
+		for id := range relay.parts {
+			if j.d.Part(id) == nil {
+				r.Fatalf("cell %d is no more", id)
+			}
+		}
+	})
+}
+
+// Drawn commands never give a name two places, but an old and a new one of a single move, and the same ones give the same state.
+func TestDirectoryOrders(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		j, twin := newJournal(t), NewDirectory(Sound)
+		j.do(Command{Kind: Open, Region: "r", Seats: seatsOf("r", 0, 4, 3)})
+		j.do(Command{Kind: Open, Region: "r", Seats: seatsOf("r", 4, 4, 3)})
+		twin.Apply(Version{Term: 1, Index: 1}, &Command{Kind: Open, Region: "r", Seats: seatsOf("r", 0, 4, 3)})
+		twin.Apply(Version{Term: 1, Index: 2}, &Command{Kind: Open, Region: "r", Seats: seatsOf("r", 4, 4, 3)})
+		for range rapid.IntRange(1, 60).Draw(r, "n") {
+			name := names(seatsOf("r", rapid.IntRange(0, 8).Draw(r, "name"), 1, 3))
+			cell := ID(rapid.IntRange(0, int(j.d.last)+1).Draw(r, "cell"))
+			c := Command{Kind: Kind(rapid.IntRange(int(Open), int(Forget)).Draw(r, "kind")), Region: "r", Cell: cell, Names: name, At: j.d.Version()}
+			switch c.Kind {
+			case Open, Assign:
+				c.Seats = seatsOf("r", rapid.IntRange(0, 8).Draw(r, "name"), 1, 3)
+			case Merge:
+				c.Cells = []ID{cell, ID(rapid.IntRange(0, int(j.d.last)+1).Draw(r, "other"))}
+			case Arrived:
+				if p := j.d.Part(cell); p != nil && p.Seat(name[0]) != nil {
+					c.Number = p.Seat(name[0]).Move
+				}
+			case Gone:
+				if p := j.d.Part(j.d.Where(name[0])); p != nil {
+					c.Number = p.Seat(name[0]).ToMove
+				}
+			case Forget:
+				if rapid.Bool().Draw(r, "cell") {
+					c.Names = nil
+				}
+			}
+			err := j.try(c)
+			if twice := twin.Apply(j.d.Version(), &c); (err == nil) != (twice == nil) || string(Encode(twin.parts)) != string(Encode(j.d.parts)) {
+				r.Fatalf("%+v gives two states: %v, %v", c, err, twice)
+			}
+			met := map[string][]Seat{}
+			for _, id := range j.d.Cells() {
+				for _, s := range j.d.Part(id).Seats {
+					met[s.Name] = append(met[s.Name], s)
+					if j.d.Part(j.d.Where(s.Name)).Seat(s.Name) == nil {
+						r.Fatalf("%s is not where it is said to be", s.Name)
+					}
+				}
+			}
+			for n, all := range met {
+				slices.SortFunc(all, func(a, b Seat) int { return int(a.Move) - int(b.Move) })
+				if len(all) > 2 || len(all) == 2 && (all[1].From == 0 || all[0].From != 0) {
+					r.Fatalf("%s has %d places: %+v after %+v", n, len(all), all, c)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/cells/log.go
@@ -0,0 +1,357 @@
+package cells
+
+import (
+	"maps"
+	"slices"
+
+	"damsonscale/internal/custody"
+)
+
+// EntryKind is what an entry of a cell's log says.
+type EntryKind uint8
+
+const (
+	Hear  EntryKind = iota + 1 // the directory's word
+	Join                       // a member
+	Out                        // a member: its lease is over
+	Leave                      // a name, for another cell: its leases are over
+	Seal                       // the last: no lease is valid any more
+	Drop                       // a name's former cells, or that it left: the longest deadline has passed
+)
+
+// Entry is one of a cell's log.
+type Entry struct {
+	_      struct{} `cbor:",toarray"`
+	Kind   EntryKind
+	Told   *Told
+	Member custody.Member // with Leave and Drop its name counts
+	Came   *Certificate   // with Join, of a member that comes from another cell
+	Move   uint64         // with Leave
+}
+
+// Log is the state of a cell after some entries of its log.
+type Log struct {
+	ID      ID
+	Epoch   uint64
+	Heard   Told
+	Living  map[custody.Member]uint64 // epoch of joining
+	Gone    map[string][]uint64       // incarnations that are out
+	Arrived map[string]uint64         // Move of the seat that a name has arrived at
+	Left    map[string]Departure
+	Came    map[string][]Departure // cells that may hold records of a name's requests, oldest first
+	Sealed  bool
+	sum     uint64 // of the part
+	plant   Plant
+}
+
+// NewLog makes that of a cell whose first word from the directory is known.
+func NewLog(id ID, p Plant) *Log {
+	return &Log{
+		ID: id, Heard: Told{Part: &Part{ID: id}}, Living: map[custody.Member]uint64{}, Gone: map[string][]uint64{}, Arrived: map[string]uint64{},
+		Left: map[string]Departure{}, Came: map[string][]Departure{}, plant: p,
+	}
+}
+
+// Clone copies it.
+func (l *Log) Clone() *Log {
+	c := *l
+	c.Living, c.Gone, c.Arrived = maps.Clone(l.Living), maps.Clone(l.Gone), maps.Clone(l.Arrived)
+	c.Left, c.Came = maps.Clone(l.Left), maps.Clone(l.Came)
+	return &c
+}
+
+// Lives tells whether a member has joined and is not out.
+func (l *Log) Lives(m custody.Member) bool { _, ok := l.Living[m]; return ok }
+
+// Apply takes an entry, and tells whether it changed anything. What an entry may do is decided here alone, by the log's order:
+// leaders that follow one another can't disagree.
+func (l *Log) Apply(e *Entry) bool {
+	if l.Sealed && e.Kind != Drop {
+		return false
+	}
+	ok := false
+	switch e.Kind {
+	case Hear:
+		ok = l.hear(e.Told)
+	case Join:
+		ok = l.join(e)
+	case Out:
+		if ok = l.Lives(e.Member); ok {
+			l.out(e.Member)
+		}
+	case Leave:
+		s := l.Heard.Part.Seat(e.Member.Name)
+		if ok = s != nil && s.To != 0 && s.ToMove == e.Move && l.Left[s.Name].Move != e.Move; ok {
+			l.leave(s)
+		}
+	case Seal:
+		if ok = len(l.Heard.Part.Into) > 0; ok {
+			l.Sealed = true
+			for i := range l.Heard.Part.Seats {
+				if s := &l.Heard.Part.Seats[i]; l.Left[s.Name].Move != s.ToMove {
+					l.leave(s)
+				}
+			}
+			for _, m := range l.living("") {
+				l.out(m)
+			}
+		}
+	case Drop:
+		_, left := l.Left[e.Member.Name]
+		_, came := l.Came[e.Member.Name]
+		ok = left || came
+		delete(l.Came, e.Member.Name)
+		if s := l.Heard.Part.Seat(e.Member.Name); s == nil || s.To == 0 {
+			delete(l.Left, e.Member.Name)
+		}
+	}
+	if ok {
+		l.Epoch++
+	}
+	return ok
+}
+
+// Fits tells whether a word without its part can be taken: what this cell has is what the directory has.
+func (l *Log) Fits(t *Told) bool { return t.Part != nil || l.sum == t.Sum }
+
+func (l *Log) hear(t *Told) bool {
+	if t == nil || t.Part != nil && t.Part.ID != l.ID || !l.Fits(t) {
+		return false
+	}
+	if !t.Version.Newer(l.Heard.Version) && (l.plant != OlderTaken || t.Version == l.Heard.Version) {
+		return false // Guards against the older side's word after a cut
+	}
+	part := l.Heard.Part
+	if l.Heard = *t; t.Part == nil {
+		l.Heard.Part = part
+	} else {
+		l.sum = sum(t.Part)
+	}
+	for name := range l.Arrived {
+		if l.Heard.Part.Seat(name) == nil {
+			delete(l.Arrived, name)
+		}
+	}
+	return true
+}
+
+// May tells whether a member may join now.
+func (l *Log) May(m custody.Member, cert *Certificate) bool {
+	s := l.Heard.Part.Seat(m.Name)
+	switch {
+	case l.Sealed || s == nil || l.Lives(m) || slices.Contains(l.Gone[m.Name], m.Incarnation):
+		return false
+	case l.left(s):
+		return false // it has left since it was given this place
+	case s.From == 0 || l.Arrived[m.Name] == s.Move:
+		return true
+	case l.plant == CertUnread:
+		return true
+	}
+	return cert != nil && cert.Cell == s.From && cert.To == l.ID && cert.Move == s.Move && cert.Member.Name == m.Name &&
+		cert.Member != m && !slices.ContainsFunc(cert.Before, func(d Departure) bool { return d.Cell == l.ID })
+}
+
+func (l *Log) left(s *Seat) bool {
+	d, ok := l.Left[s.Name]
+	return ok && d.Move > s.Move
+}
+
+func (l *Log) join(e *Entry) bool {
+	if !l.May(e.Member, e.Came) {
+		return false
+	}
+	s := l.Heard.Part.Seat(e.Member.Name)
+	if s.From != 0 && l.Arrived[s.Name] != s.Move {
+		l.Arrived[s.Name] = s.Move
+		delete(l.Left, s.Name)
+		if e.Came != nil && l.plant != ForwardDropped {
+			l.Came[s.Name] = append(slices.Clone(e.Came.Before), e.Came.Departure)
+		}
+	}
+	l.Living[e.Member] = l.Epoch + 1
+	return true
+}
+
+func (l *Log) out(m custody.Member) {
+	delete(l.Living, m)
+	old := append(slices.Clone(l.Gone[m.Name]), m.Incarnation)
+	l.Gone[m.Name] = old[max(0, len(old)-mostGone):]
+}
+
+func (l *Log) leave(s *Seat) {
+	d := Departure{Cell: l.ID, Epoch: l.Epoch + 1, Member: custody.Member{Name: s.Name}, To: s.To, Move: s.ToMove}
+	if gone := l.Gone[s.Name]; len(gone) > 0 {
+		d.Member.Incarnation = gone[len(gone)-1]
+	}
+	for _, m := range l.living(s.Name) {
+		d.Member = m
+		l.out(m)
+	}
+	l.Left[s.Name] = d
+}
+
+// living lists the members of a name, of all with an empty one, in a fixed order.
+func (l *Log) living(name string) (out []custody.Member) {
+	for m := range l.Living {
+		if name == "" || m.Name == name {
+			out = append(out, m)
+		}
+	}
+	slices.SortFunc(out, func(a, b custody.Member) int { return custody.Ballot{By: a}.Compare(custody.Ballot{By: b}) })
+	return out
+}
+
+// Certificate is that of a name which has left; nil: it has not.
+func (l *Log) Certificate(name string) *Certificate {
+	d, ok := l.Left[name]
+	if !ok {
+		return nil
+	}
+	return &Certificate{Departure: d, Before: l.Came[name]}
+}
+
+// Start is the cell where an inquiry for a request begins whose client asked a name first; false: this cell can't tell. Every
+// inquiry goes the same way, from the oldest cell that may have it onwards.
+func (l *Log) Start(former string) (ID, bool) {
+	s := l.Heard.Part.Seat(former)
+	_, left := l.Left[former]
+	switch {
+	case len(l.Came[former]) > 0:
+		return l.Came[former][0].Cell, true
+	case left:
+		return l.ID, true
+	case s == nil:
+		return 0, false
+	case s.From != 0 && l.Arrived[former] != s.Move:
+		return s.From, true
+	}
+	return l.ID, true
+}
+
+// Next is the cell that a name has gone to; 0: it has not left.
+func (l *Log) Next(name string) ID { return l.Left[name].To }
+
+// Bytes is the length of all that a member holds of its cell, encoded.
+func (l *Log) Bytes() int {
+	n := len(Encode(l.Heard)) + 16
+	for m := range l.Living {
+		n += len(m.Name) + 16
+	}
+	for name, all := range l.Gone {
+		n += len(name) + 8*len(all)
+	}
+	for name, d := range l.Left {
+		n += len(name) + len(Encode(d))
+	}
+	for name, all := range l.Came {
+		n += len(name) + len(Encode(all))
+	}
+	for name := range l.Arrived {
+		n += len(name) + 8
+	}
+	return n
+}
+
+// skewed is how long a lease may run by any clock, counted by the leader's.
+func skewed(lease int64) int64 { return lease + lease/50 }
+
+// Grants is the book of a cell's leader. It is kept by one term and begun anew with the next.
+type Grants struct {
+	Lease   int64 // µs
+	last    map[custody.Member]int64
+	yielded map[custody.Member]bool
+	plant   Plant
+}
+
+// NewGrants begins a term.
+func NewGrants(lease int64, p Plant) *Grants {
+	return &Grants{Lease: lease, last: map[custody.Member]int64{}, yielded: map[custody.Member]bool{}, plant: p}
+}
+
+// Clone copies it.
+func (g *Grants) Clone() *Grants {
+	c := *g
+	c.last, c.yielded = maps.Clone(g.last), maps.Clone(g.yielded)
+	return &c
+}
+
+// Grant tells whether a member that acts on a version gets a lease, by a log that has all that was agreed before a quorum
+// confirmed, after the ask came, that this one leads.
+func (g *Grants) Grant(now int64, l *Log, m custody.Member, acts uint64) bool {
+	s := l.Heard.Part.Seat(m.Name)
+	if !l.Lives(m) || l.Sealed || s == nil || s.To != 0 || g.yielded[m] || acts < l.Heard.Global.Fence {
+		return false
+	}
+	if len(l.Heard.Part.Into) > 0 && g.plant != SealGrants {
+		return false
+	}
+	g.last[m] = now
+	return true
+}
+
+// Yield takes a member's word that it acts no more as this incarnation.
+func (g *Grants) Yield(m custody.Member) { g.yielded[m] = true }
+
+// over tells whether no lease of a member can be valid by any clock.
+func (g *Grants) over(now int64, m custody.Member) bool {
+	if g.yielded[m] {
+		return true
+	}
+	last, ok := g.last[m]
+	if !ok {
+		g.last[m] = now // it has joined just now, or this term has begun: an earlier leader may have granted until then
+		return false
+	}
+	return now-last >= skewed(g.Lease)
+}
+
+// Due lists what is to be agreed now: who is out, who has left, that the cell is sealed.
+func (g *Grants) Due(now int64, l *Log) (out []Entry) {
+	if l.Sealed {
+		return nil
+	}
+	for m := range g.last {
+		if !l.Lives(m) {
+			delete(g.last, m)
+			delete(g.yielded, m)
+		}
+	}
+	over, all := map[custody.Member]bool{}, true
+	for _, m := range l.living("") {
+		over[m] = g.over(now, m)
+		all = all && over[m]
+	}
+	p := l.Heard.Part
+	if len(p.Into) > 0 {
+		if all || g.plant == SealGrants {
+			return []Entry{{Kind: Seal}}
+		}
+		return nil
+	}
+	leaving := map[string]bool{}
+	for i := range p.Seats {
+		s := &p.Seats[i]
+		if s.To == 0 || l.Left[s.Name].Move == s.ToMove || len(p.Pending) > 0 {
+			continue
+		}
+		leaving[s.Name] = true
+		if g.plant == EarlyLeave || !slices.ContainsFunc(l.living(s.Name), func(m custody.Member) bool { return !over[m] }) {
+			out = append(out, Entry{Kind: Leave, Member: custody.Member{Name: s.Name}, Move: s.ToMove})
+		}
+	}
+	for _, m := range l.living("") {
+		if over[m] && !leaving[m.Name] {
+			out = append(out, Entry{Kind: Out, Member: m})
+		}
+	}
+	return out
+}
+
+// Bytes is the length of the book.
+func (g *Grants) Bytes() (n int) {
+	for m := range g.last {
+		n += len(m.Name) + 16
+	}
+	return n + 16
+}
--- /dev/null
+++ b/internal/cells/plan_test.go
@@ -0,0 +1,165 @@
+package cells
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// region plays a region's joins and leaves by the plan.
+type region struct {
+	groups []Group
+	last   ID
+	limits Limits
+	moves  int
+	splits int
+	merges int
+}
+
+func (g *region) at(id ID) *Group {
+	i := slices.IndexFunc(g.groups, func(x Group) bool { return x.ID == id })
+	return &g.groups[i]
+}
+
+func (g *region) join(s Seat) {
+	id := Place(g.groups, s.Zone, g.limits)
+	if id == 0 {
+		g.last++
+		id = g.last
+		g.groups = append(g.groups, Group{ID: id})
+	}
+	g.at(id).Seats = append(g.at(id).Seats, s)
+}
+
+func (g *region) move(name string, from, to *Group) {
+	i := slices.IndexFunc(from.Seats, func(s Seat) bool { return s.Name == name })
+	s := from.Seats[i]
+	from.Seats = slices.Delete(slices.Clone(from.Seats), i, i+1)
+	to.Seats = append(slices.Clone(to.Seats), s)
+	g.moves++
+}
+
+// settle does what the plan says until nothing is left.
+func (g *region) settle() error {
+	for range 200 {
+		a, ok := Next(g.groups, g.limits)
+		if !ok {
+			return nil
+		}
+		from := g.at(a.From)
+		switch a.Kind {
+		case Move:
+			g.move(a.Name, from, g.at(a.To))
+			if a.Back != "" {
+				g.move(a.Back, g.at(a.To), from)
+			}
+		case Split:
+			one, two := Group{ID: g.last + 1}, Group{ID: g.last + 2}
+			g.last += 2
+			for _, s := range from.Seats {
+				if slices.Contains(a.Names, s.Name) {
+					one.Seats = append(one.Seats, s)
+				} else {
+					two.Seats = append(two.Seats, s)
+				}
+			}
+			g.groups = append(slices.DeleteFunc(g.groups, func(x Group) bool { return x.ID == a.From }), one, two)
+			g.splits++
+		case Merge:
+			g.last++
+			one := Group{ID: g.last, Seats: append(slices.Clone(from.Seats), g.at(a.To).Seats...)}
+			g.groups = append(slices.DeleteFunc(g.groups, func(x Group) bool { return x.ID == a.From || x.ID == a.To }), one)
+			g.merges++
+		}
+	}
+	return fmt.Errorf("no end: %+v", g.groups)
+}
+
+// Joins and leaves, drawn: sizes stay within the limits, a cell has all of the region's three zones where there are enough of each,
+// no zone has a quorum of its voters, and one change moves few names.
+func TestPlanKeepsSizesAndZones(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		zones := rapid.IntRange(1, 4).Draw(r, "zones")
+		g := &region{limits: Limits{Min: 5, Aim: 9, Max: 14}}
+		next := 0
+		join := func() {
+			z := rapid.IntRange(0, 2*zones-1).Draw(r, "zone") % zones
+			g.join(Seat{Name: fmt.Sprintf("n%05d", next), Zone: fmt.Sprint("z", z)})
+			next++
+		}
+		for range rapid.IntRange(1, 150).Draw(r, "changes") {
+			moves, splits, merges := g.moves, g.splits, g.merges
+			if rapid.IntRange(0, 9).Draw(r, "join") < 6 || len(g.groups) == 0 {
+				join()
+			} else {
+				c := &g.groups[rapid.IntRange(0, len(g.groups)-1).Draw(r, "cell")]
+				if len(c.Seats) > 0 {
+					i := rapid.IntRange(0, len(c.Seats)-1).Draw(r, "who")
+					c.Seats = slices.Delete(slices.Clone(c.Seats), i, i+1)
+				}
+			}
+			if err := g.settle(); err != nil {
+				r.Fatal(err)
+			}
+			if g.moves-moves > zones+2 || g.splits-splits+g.merges-merges > 1 {
+				r.Fatalf("one change: %d moves, %d splits, %d merges", g.moves-moves, g.splits-splits, g.merges-merges)
+			}
+			total, by := 0, map[string]int{}
+			for _, c := range g.groups {
+				total += len(c.Seats)
+				for _, s := range c.Seats {
+					by[s.Zone]++
+				}
+			}
+			for _, c := range g.groups {
+				if n := len(c.Seats); n >= g.limits.Max || n < g.limits.Min && total > g.limits.Min && n != total {
+					r.Fatalf("a cell of %d, of %d in all: %+v", n, total, g.groups)
+				}
+				for z, n := range by {
+					if len(by) >= 3 && n >= len(g.groups) && c.in(z) == 0 && len(c.Seats) > 0 {
+						r.Fatalf("cell %d has nobody of %s, of which there are %d in %d cells", c.ID, z, n, len(g.groups))
+					}
+				}
+				v := Voters(c.Seats)
+				count := map[string]int{}
+				for _, s := range c.Seats {
+					if slices.Contains(v, s.Name) {
+						count[s.Zone]++
+					}
+				}
+				if len(c.Seats) > 0 && len(v)%2 != 1 {
+					r.Fatalf("%d voters", len(v))
+				}
+				for z, n := range count {
+					if len(zonesOf([]Group{c})) >= 3 && n > len(v)/2 {
+						r.Fatalf("zone %s has %d of %d voters", z, n, len(v))
+					}
+				}
+			}
+		}
+	})
+}
+
+// A region of even zones, as large as the largest of eleven: every cell has three zones and five voters, and survives the loss of any.
+func TestPlanOfARegion(t *testing.T) {
+	g := &region{limits: DefaultLimits}
+	for _, s := range seatsOf("r", 0, 1800, 3) {
+		g.join(s)
+		if err := g.settle(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	least, most := 1800, 0
+	for _, c := range g.groups {
+		least, most = min(least, len(c.Seats)), max(most, len(c.Seats))
+		if v := Voters(c.Seats); len(v) != voters || len(zonesOf([]Group{c})) != 3 {
+			t.Errorf("cell %d: voters %v", c.ID, v)
+		}
+	}
+	t.Logf("%d cells of %d to %d; %d splits, %d merges, %d moves for 1800 joins", len(g.groups), least, most, g.splits, g.merges, g.moves)
+	if least < g.limits.Min || most > g.limits.Max {
+		t.Errorf("cells of %d to %d", least, most)
+	}
+}
--- /dev/null
+++ b/internal/cells/scale_test.go
@@ -0,0 +1,281 @@
+package cells
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"testing"
+)
+
+const (
+	second    = int64(1_000_000)
+	relaysOf  = 2 // of a region
+	relayPage = 64 << 10
+	settings  = 4 << 10 // bytes of a change of the settings, taken for the reckoning
+)
+
+// fleet is a whole one, reckoned: a directory, two relays a region, the logs of all cells.
+type fleet struct {
+	j      *journal
+	relays []*Relay
+	logs   []*Log
+	member *Log // one cell of the middle size
+	sizes  []int
+}
+
+// newFleet makes one of so many members, in regions and zones as the target has them: eight regions of three zones, three of two.
+func newFleet(t testing.TB, members int) *fleet {
+	t.Helper()
+	f := &fleet{j: newJournal(t)}
+	regions := min(11, members/100)
+	for r := range regions {
+		region, zones := fmt.Sprintf("region%02d", r), 3
+		if r >= 8 {
+			zones = 2
+		}
+		n := members / regions
+		if r < members%regions {
+			n++
+		}
+		all := seatsOf(region, 0, n, zones)
+		count := (n + DefaultLimits.Aim - 1) / DefaultLimits.Aim
+		for c := range count {
+			var mine []Seat
+			for i := c * n / count; i < (c+1)*n/count; i++ {
+				mine = append(mine, all[i])
+			}
+			f.j.do(Command{Kind: Open, Region: region, Seats: mine})
+			f.sizes = append(f.sizes, len(mine))
+		}
+		for range relaysOf {
+			f.relays = append(f.relays, NewRelay(region, Sound))
+		}
+	}
+	for _, id := range f.j.d.Cells() {
+		l := NewLog(id, Sound)
+		apply(t, l, f.j.told(l))
+		for _, s := range f.j.d.Part(id).Seats {
+			apply(t, l, &Entry{Kind: Join, Member: member(s.Name, 1)})
+		}
+		f.logs = append(f.logs, l)
+	}
+	sorted := slices.SortedFunc(slices.Values(f.logs), func(a, b *Log) int {
+		return cmp.Or(cmp.Compare(len(a.Living), len(b.Living)), cmp.Compare(a.ID, b.ID))
+	})
+	f.member = sorted[len(sorted)-1]
+	return f
+}
+
+// traffic counts calls and bytes.
+type traffic struct {
+	calls, bytes int
+}
+
+func (t *traffic) add(bytes int) { t.calls, t.bytes = t.calls+1, t.bytes+bytes }
+
+// pull has a relay ask until it has all there is, and counts what it asked for.
+func (f *fleet) pull(r *Relay, t *traffic) {
+	for range 1000 {
+		p := r.Pull()
+		if p.Since == f.j.d.Version() && !p.Whole {
+			return
+		}
+		d := f.j.d.Delta(p.Region, p.Since, p.From, p.Whole, relayPage)
+		t.add(len(Encode(p)) + len(Encode(d)))
+		r.Take(d)
+	}
+}
+
+// State a member and a leader is the same in a fleet of 300 and of 18,000: that of their cell. A relay's grows with its region, the
+// directory's with the fleet, and both stay far below their bounds.
+func TestStateByRole(t *testing.T) {
+	var first [2]int // bytes for each member of the cell
+	for _, n := range []int{300, 3_000, 18_000} {
+		f := newFleet(t, n)
+		for _, r := range f.relays {
+			f.pull(r, &traffic{})
+		}
+		g := NewGrants(lease, Sound)
+		for _, m := range f.member.living("") {
+			g.Grant(1, f.member, m, 0)
+		}
+		own, lead, size := f.member.Bytes(), f.member.Bytes()+g.Bytes(), len(f.member.Living)
+		relay := 0
+		for _, r := range f.relays {
+			relay = max(relay, r.Bytes())
+		}
+		t.Logf("%d members: %d cells of %d to %d; bytes: member %d, leader %d, relay %d, directory %d", n, len(f.logs), slices.Min(f.sizes),
+			slices.Max(f.sizes), own, lead, relay, f.j.d.Bytes())
+		if first[0] == 0 {
+			first = [2]int{own / size, lead / size}
+		}
+		if own/size > first[0]*11/10 || lead/size > first[1]*11/10 || own/size > 120 || lead/size > 160 || size > DefaultLimits.Max {
+			t.Errorf("%d members, a cell of %d: a member holds %d bytes, a leader %d; of 300, for each of the cell: %v", n, size, own, lead, first)
+		}
+		if f.j.d.Bytes() > 200*n || relay > f.j.d.Bytes() {
+			t.Errorf("%d members: the directory holds %d bytes, a relay %d", n, f.j.d.Bytes(), relay)
+		}
+	}
+}
+
+// A burst of 100 changes in a minute, each hop asking once a second for what is new: calls and bytes of each hop, and how late the last
+// cell hears. A member is told on its lease's answer, which comes five times a lease anyway.
+func TestBurstOfChanges(t *testing.T) {
+	for _, n := range []int{300, 18_000} {
+		f := newFleet(t, n)
+		for _, r := range f.relays {
+			f.pull(r, &traffic{})
+		}
+		var up, down traffic
+		given, lag := map[Version]int64{}, int64(0)
+		changes := 0
+		for now := int64(0); now < 70*second; now += second / 10 {
+			for changes < 100 && int64(changes)*60*second/100 <= now {
+				changes++
+				f.j.do(Command{Kind: Target, Number: uint64(changes)})
+				given[f.j.d.Version()] = now
+			}
+			for i, r := range f.relays { // each at its own tenth of a second
+				if now/(second/10)%10 == int64(i)%10 {
+					f.pull(r, &up)
+				}
+			}
+			for i, l := range f.logs {
+				if now/(second/10)%10 != int64(i)%10 {
+					continue
+				}
+				for _, r := range f.relays { // one of its region
+					if told := r.Tell(l.ID, l.Heard.Version, false); told != nil {
+						before := l.Heard.Version
+						apply(t, l, &Entry{Kind: Hear, Told: told})
+						down.add(len(Encode(told)))
+						for v, at := range given {
+							if v.Newer(before) && !v.Newer(told.Version) {
+								lag = max(lag, now-at)
+							}
+						}
+						break
+					}
+				}
+			}
+		}
+		for _, l := range f.logs {
+			if l.Heard.Global != f.j.d.Global() {
+				t.Fatalf("cell %d is at %v", l.ID, l.Heard.Global)
+			}
+		}
+		perCell, perRelay := float64(down.calls)/float64(len(f.logs)), float64(up.calls)/float64(len(f.relays))
+		t.Logf("%d members, 100 changes in 60 s: %d calls to the directory that brought something (%.0f a relay, %d bytes each), %d to relays (%.0f a cell, %d bytes each), the last cell %.1f s late",
+			n, up.calls, perRelay, up.bytes/up.calls, down.calls, perCell, down.bytes/down.calls, float64(lag)/1e6)
+		if perCell > 70 || perRelay > 70 || lag > 3*second {
+			t.Errorf("%d members: %.0f calls a cell, %.0f a relay, %d µs late", n, perCell, perRelay, lag)
+		}
+	}
+}
+
+// All control machines have restarted, or a region has returned: relays and cells come back paced, no callee serves more calls a second
+// than it admits, and all have heard the newest word within 10 s.
+func TestReturnIsPaced(t *testing.T) {
+	for _, n := range []int{3_000, 18_000} {
+		f := newFleet(t, n)
+		f.j.do(Command{Kind: Target, Number: 1})
+		type caller struct {
+			attempt int
+			due     int64
+		}
+		directory := &Admission{Rate: 20, Burst: 5}
+		doors := make([]Admission, len(f.relays))
+		relays, leaders := make([]caller, len(f.relays)), make([]caller, len(f.logs))
+		for i := range doors {
+			doors[i] = Admission{Rate: 100, Burst: 10}
+			relays[i].due = Pace(fmt.Sprint("relay", i), 1, second, second)
+		}
+		for i := range leaders {
+			leaders[i].due = Pace(fmt.Sprint("cell", i), 1, second, second)
+		}
+		var up traffic
+		worst, served, refused, last := 0, map[string]int{}, 0, int64(0)
+		done := 0
+		for now := int64(0); now < 30*second && done < len(f.logs); now += second / 100 {
+			serve := func(who string) {
+				k := fmt.Sprint(who, "/", now/second)
+				served[k]++
+				worst = max(worst, served[k])
+			}
+			for i, r := range f.relays {
+				if c := &relays[i]; c.due <= now && r.Version() != f.j.d.Version() {
+					c.attempt++
+					if !directory.Admit(now) {
+						refused++
+						c.due = now + Pace(fmt.Sprint("relay", i), c.attempt, second/4, 2*second)
+						continue
+					}
+					serve("directory")
+					p := r.Pull()
+					d := f.j.d.Delta(p.Region, p.Since, p.From, p.Whole, relayPage)
+					up.add(len(Encode(p)) + len(Encode(d)))
+					if c.due = now + second; r.Take(d) {
+						c.due = now + second/10
+					}
+				}
+			}
+			for i, l := range f.logs {
+				c := &leaders[i]
+				if c.due > now || l.Heard.Global == f.j.d.Global() {
+					continue
+				}
+				c.attempt++
+				region := f.j.d.Part(l.ID).Region
+				for k, r := range f.relays {
+					if r.region != region || k%relaysOf != (i+c.attempt)%relaysOf {
+						continue
+					}
+					if c.due = now + Pace(fmt.Sprint("cell", i), c.attempt, second/4, 2*second); !doors[k].Admit(now) {
+						refused++
+						break
+					}
+					serve(fmt.Sprint("relay", k))
+					if told := r.Tell(l.ID, l.Heard.Version, false); told != nil {
+						apply(t, l, &Entry{Kind: Hear, Told: told})
+						done, last = done+1, now
+					}
+				}
+			}
+		}
+		t.Logf("%d members: %d of %d cells have heard within %.1f s; %d calls to the directory of %d bytes in all, at most %d calls a second at one callee, %d told to come again",
+			n, done, len(f.logs), float64(last)/1e6, up.calls, up.bytes, worst, refused)
+		if done < len(f.logs) || last > 10*second || worst > 120 {
+			t.Errorf("%d members: %d cells, %d µs, %d calls a second", n, done, last, worst)
+		}
+	}
+}
+
+// What is asked too often in one moment is told to come again, and callers that begin together do not come back together.
+func TestAdmissionAndPace(t *testing.T) {
+	a := Admission{Rate: 10, Burst: 3}
+	served := 0
+	for now := int64(0); now < 2*second; now += 1000 {
+		if a.Admit(now) {
+			served++
+		}
+	}
+	if served < 20 || served > 24 {
+		t.Errorf("%d of 2000 calls in 2 s served", served)
+	}
+	tenths := map[int64]int{}
+	for i := range 1000 {
+		p := Pace(fmt.Sprint("n", i), 3, second/4, 2*second)
+		if p < second/2 || p > second {
+			t.Fatalf("third wait: %d µs", p)
+		}
+		tenths[p/(second/10)]++
+	}
+	for k, n := range tenths {
+		if n > 300 {
+			t.Errorf("%d of 1000 come back in tenth %d", n, k)
+		}
+	}
+	if p := Pace("n", 60, second/4, 2*second); p < second || p > 2*second {
+		t.Errorf("a late wait: %d µs", p)
+	}
+}
