Cells: a cell that is to be split grants on until all successors expect its members

Where one of two successors was ready the old cell already refused leases to half of its members. Nothing was done twice, but they would have had no leave to act while the directory was down. A cell now lets its members go when all successors are ready. Dropping what is not there changes nothing any more. One that yields gets no lease.

Tests for rules that no test held: certificates (destination, name, cells before), leaving twice or by another move, a certificate kept until its name has arrived, the last of a cell, readiness and departure by an earlier word, drops in deltas, an inquiry that passes a cell which has forgotten.

--- a/internal/cells/cells.go
+++ b/internal/cells/cells.go
@@ -101,6 +101,9 @@
 	return nil
 }
 
+// leaving tells whether a seat's name is to go: a cell that is to become others goes on until all of these expect its members.
+func (p *Part) leaving(s *Seat) bool { return s.To != 0 && len(p.Pending) == 0 }
+
 // Told is the directory's word to one cell.
 type Told struct {
 	_       struct{} `cbor:",toarray"`
--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -83,7 +83,15 @@
 		t.Fatal("no lease, or a name that joins a cell which is not its own")
 	}
 
+	for _, c := range []Command{{Kind: Ready, Cell: 2, At: b.Heard.Version}, {Kind: Ready, Cell: 9}} {
+		if j.try(c) == nil {
+			t.Errorf("%+v is taken", c)
+		}
+	}
 	j.do(Command{Kind: Move, Names: []string{one.Name}, Cell: 2})
+	if err := j.try(Command{Kind: Ready, Cell: 2, At: b.Heard.Version}); !errors.Is(err, ErrNothing) {
+		t.Errorf("ready by a word from before the move: %v", err)
+	}
 	if s := j.d.Part(1).Seat(one.Name); s.To != 0 {
 		t.Fatal("it is to leave before the new cell expects it")
 	}
@@ -100,14 +108,30 @@
 	if len(due) != 1 || due[0].Kind != Leave {
 		t.Fatalf("%+v", due)
 	}
+	if a.Apply(&Entry{Kind: Leave, Member: one, Move: due[0].Move - 1}) {
+		t.Error("it leaves by another move")
+	}
 	apply(t, a, &due[0])
+	if a.Apply(&due[0]) {
+		t.Error("it leaves twice")
+	}
+	if a.Apply(&Entry{Kind: Drop, Member: one}) {
+		t.Error("its certificate is forgotten before it has arrived")
+	}
 	cert := a.Certificate(one.Name)
 	if cert == nil || cert.Member != one || cert.To != 2 || a.Apply(&Entry{Kind: Join, Member: member(one.Name, 9)}) {
 		t.Fatalf("%+v, or the old cell takes it again", cert)
 	}
-	forged := *cert
-	forged.Move--
-	for _, c := range []*Certificate{nil, &forged, {Departure: Departure{Cell: 3, To: 2, Move: cert.Move, Member: one}}} {
+	forged := []*Certificate{nil}
+	for _, change := range []func(c *Certificate){
+		func(c *Certificate) { c.Move-- }, func(c *Certificate) { c.Cell = 3 }, func(c *Certificate) { c.To = 3 },
+		func(c *Certificate) { c.Member.Name = "r-n00001" }, func(c *Certificate) { c.Before = []Departure{{Cell: 2}} },
+	} {
+		c := *cert
+		change(&c)
+		forged = append(forged, &c)
+	}
+	for _, c := range forged {
 		if b.Apply(&Entry{Kind: Join, Member: two, Came: c}) {
 			t.Errorf("joined with %+v", c)
 		}
@@ -182,8 +206,11 @@
 		t.Fatal("to be sealed before both successors expect its members")
 	}
 	apply(t, a, j.told(a))
-	if due := g.Due(10+2*lease, a); len(due) != 5 { // all silent: out as ever, and none leaves one by one
-		t.Fatalf("%+v", due)
+	if !g.Grant(10, a, member(all[0].Name, 1), 0) {
+		t.Error("no lease, while one of the successors does not expect its members")
+	}
+	if due := g.Due(10+2*lease, a); len(due) != 5 || slices.ContainsFunc(due, func(e Entry) bool { return e.Kind != Out }) {
+		t.Fatalf("all silent: out as ever, and none leaves one by one: %+v", due)
 	}
 	g = NewGrants(lease, Sound)
 	for _, m := range a.living("") {
@@ -260,6 +287,9 @@
 		t.Fatalf("%+v", due)
 	}
 	apply(t, a, &due[0])
+	if err := j.try(Command{Kind: Gone, Names: []string{m.Name}, Number: a.Left[m.Name].Move - 1}); !errors.Is(err, ErrNothing) {
+		t.Errorf("gone by an earlier word: %v", err)
+	}
 	j.do(Command{Kind: Gone, Names: []string{m.Name}, Number: a.Left[m.Name].Move})
 	j.do(Command{Kind: Open, Region: "r", Seats: all[:1]})
 }
@@ -302,6 +332,77 @@
 	}
 }
 
+// The last of a cell can't leave it: nobody would be left for what is in hand there.
+func TestLastStays(t *testing.T) {
+	j := newJournal(t)
+	all := seatsOf("r", 0, 4, 3)
+	j.do(Command{Kind: Open, Region: "r", Seats: all[:2]})
+	j.do(Command{Kind: Open, Region: "r", Seats: all[2:]})
+	j.do(Command{Kind: Move, Names: []string{all[0].Name}, Cell: 2})
+	if err := j.try(Command{Kind: Move, Names: []string{all[1].Name}, Cell: 2}); !errors.Is(err, ErrLast) {
+		t.Errorf("both leave: %v", err)
+	}
+}
+
+// One that has said that it acts no more gets no lease, and need not be waited for.
+func TestYield(t *testing.T) {
+	j := newJournal(t)
+	j.do(Command{Kind: Open, Region: "r", Seats: seatsOf("r", 0, 3, 3)})
+	a, m := NewLog(1, Sound), member("r-n00000", 1)
+	apply(t, a, j.told(a), &Entry{Kind: Join, Member: m})
+	g := NewGrants(lease, Sound)
+	g.Grant(5, a, m, 0)
+	g.Yield(m)
+	if due := g.Due(6, a); g.Grant(6, a, m, 0) || len(due) != 1 || due[0].Kind != Out {
+		t.Errorf("a lease after its yield, or %+v", due)
+	}
+}
+
+// Where the first cell has forgotten that a name left it, an inquiry passes it by: what it had is older than any request lives.
+func TestInquiryPassesWhatIsForgotten(t *testing.T) {
+	j := newJournal(t)
+	all := seatsOf("r", 0, 5, 3)
+	j.do(Command{Kind: Open, Region: "r", Seats: all[:3]})
+	j.do(Command{Kind: Open, Region: "r", Seats: all[3:]})
+	a, b, name := NewLog(1, Sound), NewLog(2, Sound), all[0].Name
+	j.do(Command{Kind: Move, Names: []string{name}, Cell: 2})
+	apply(t, b, j.told(b))
+	j.do(Command{Kind: Ready, Cell: 2, At: b.Heard.Version})
+	apply(t, a, j.told(a), &Entry{Kind: Leave, Member: member(name, 0), Move: j.d.Part(1).Seat(name).ToMove})
+	apply(t, b, &Entry{Kind: Join, Member: member(name, 1), Came: a.Certificate(name)})
+	j.do(Command{Kind: Arrived, Cell: 2, Names: []string{name}, Number: b.Arrived[name]})
+	apply(t, a, j.told(a), &Entry{Kind: Drop, Member: member(name, 0)})
+	q := NewInquiry(name, 2)
+	if s := q.Seek(b); s != Onward || q.At != 1 || q.Seek(a) != Look {
+		t.Fatalf("it does not look at the first cell: %v %+v", s, q)
+	}
+	if s, give := q.Nothing(a); s != Onward || give || q.At != 2 || q.Seek(b) != Look {
+		t.Errorf("%v %v %+v", s, give, q)
+	}
+}
+
+// A cell that is forgotten goes with a delta, without a whole transfer.
+func TestForgottenCellsGoWithADelta(t *testing.T) {
+	j := newJournal(t)
+	all := seatsOf("r", 0, 4, 3)
+	j.do(Command{Kind: Open, Region: "r", Seats: all})
+	j.do(Command{Kind: Split, Cell: 1, Names: names(all[:2])})
+	r := NewRelay("r", Sound)
+	r.Take(j.d.Delta("r", Version{}, Version{}, true, 1<<20))
+	for _, id := range []ID{2, 3} {
+		j.do(Command{Kind: Ready, Cell: id, At: j.d.Version()})
+	}
+	j.do(Command{Kind: Sealed, Cell: 1, Epoch: 9})
+	for _, s := range j.d.Part(1).Seats {
+		j.do(Command{Kind: Arrived, Cell: s.To, Names: []string{s.Name}, Number: s.ToMove})
+	}
+	j.do(Command{Kind: Forget, Cell: 1})
+	d := j.d.Delta("r", r.Pull().Since, Version{}, false, 1<<20)
+	if again := r.Take(d); d.Whole || again || len(r.parts) != 2 || r.Version() != j.d.Version() {
+		t.Errorf("whole %t, again %t, %d parts", d.Whole, again, len(r.parts))
+	}
+}
+
 // Nobody but a member's own cell and own incarnation gives it leave to act, and that ends before it goes.
 func TestMemberActsForOneCell(t *testing.T) {
 	n := NewNode(member("x", 1), 1)
--- a/internal/cells/log.go
+++ b/internal/cells/log.go
@@ -81,7 +81,7 @@
 		}
 	case Leave:
 		s := l.Heard.Part.Seat(e.Member.Name)
-		if ok = s != nil && s.To != 0 && s.ToMove == e.Move && l.Left[s.Name].Move != e.Move; ok {
+		if ok = s != nil && l.Heard.Part.leaving(s) && s.ToMove == e.Move && l.Left[s.Name].Move != e.Move; ok {
 			l.leave(s)
 		}
 	case Seal:
@@ -97,11 +97,11 @@
 			}
 		}
 	case Drop:
-		_, left := l.Left[e.Member.Name]
-		_, came := l.Came[e.Member.Name]
-		ok = left || came
+		_, ok = l.Came[e.Member.Name]
 		delete(l.Came, e.Member.Name)
-		if s := l.Heard.Part.Seat(e.Member.Name); s == nil || s.To == 0 {
+		if s := l.Heard.Part.Seat(e.Member.Name); s == nil || s.To == 0 { // else it has not arrived yet, and wants its certificate
+			_, left := l.Left[e.Member.Name]
+			ok = ok || left
 			delete(l.Left, e.Member.Name)
 		}
 	}
@@ -280,10 +280,10 @@
 // confirmed, after the ask came, that this one leads.
 func (g *Grants) Grant(now int64, l *Log, m custody.Member, acts uint64) bool {
 	s := l.Heard.Part.Seat(m.Name)
-	if !l.Lives(m) || l.Sealed || s == nil || s.To != 0 || g.yielded[m] || acts < l.Heard.Global.Fence {
+	if !l.Lives(m) || l.Sealed || s == nil || g.yielded[m] || acts < l.Heard.Global.Fence {
 		return false
 	}
-	if len(l.Heard.Part.Into) > 0 && g.plant != SealGrants {
+	if l.Heard.Part.leaving(s) && (g.plant != SealGrants || len(l.Heard.Part.Into) == 0) {
 		return false
 	}
 	g.last[m] = now
@@ -332,7 +332,7 @@
 	leaving := map[string]bool{}
 	for i := range p.Seats {
 		s := &p.Seats[i]
-		if s.To == 0 || l.Left[s.Name].Move == s.ToMove || len(p.Pending) > 0 {
+		if !p.leaving(s) || l.Left[s.Name].Move == s.ToMove {
 			continue
 		}
 		leaving[s.Name] = true
