--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -183,6 +183,23 @@
 	Count int    `help:"Ways at random, of two requests." default:"10000"`
 	Steps int    `help:"Of each at most." default:"300"`
 	Fence bool   `help:"Look at leases and the fence in a larger world instead: two minutes, 6.5 million states."`
+	Cells bool   `help:"Look at cells instead: moves, splits, merges, directories that are late, down, cut off or two; --count ways at random."`
+}
+
+// cells goes ways at random through a world of cells.
+func (c *exploreCmd) cells(p *player) error {
+	steps, met := 0, explore.Met{}
+	for i := 0; i < c.Count && p.ctx.Err() == nil; i++ {
+		seed := c.Seed + uint64(i)
+		f := explore.WalkCells(explore.CellsOf(seed), seed, c.Steps)
+		steps, met = steps+f.States, met.Add(f.Met)
+		if f.Broken != "" {
+			fmt.Printf("%s\n%s\nseed=%d\n", f.Broken, strings.Join(f.Trace, "\n"), seed)
+			return errBroken
+		}
+	}
+	fmt.Printf("ways=%d steps=%d met=%+v\n", c.Count, steps, met)
+	return p.ctx.Err()
 }
 
 // fences looks at every order of events of leases and versions.
@@ -203,8 +220,13 @@
 }
 
 func (c *exploreCmd) Run(p *player) error {
-	if c.Fence {
+	switch {
+	case c.Fence && c.Cells:
+		return errors.New("--fence and --cells are two searches: give one")
+	case c.Fence:
 		return c.fences(p)
+	case c.Cells:
+		return c.cells(p)
 	}
 	broken := func(f explore.Found) bool {
 		if f.Broken == "" {
--- a/internal/explore/explore.go
+++ b/internal/explore/explore.go
@@ -504,6 +504,7 @@
 	Broken string   // empty: nothing
 	Trace  []string // the moves that led there
 	Heard  []Heard  // by clients, with Walk
+	Met    Met      // with WalkCells
 }
 
 // Exhaust looks at every order of moves up to a depth, each state once, shallow ones first.
