Cells: a certificate brings the fence along, and a name arrives without its process

A member that moved to a cell which a cut had kept from hearing a fence could act there below the fence that its old cell had agreed on. The certificate bears what the old cell had heard; the new one takes it at the join, and no older word of a relay undoes it.

A move of a name whose process is down for good never ended, and kept the name from being removed and its cell from being split. The cell's leader now has its log agree that the name has arrived, by the certificate, without a member.

TestArrivesWithoutAProcess holds both; seen to fail with the certificate's word not taken, taken and undone by an older one, the old incarnation let in, and the certificate not looked at.

--- a/internal/cells/cells.go
+++ b/internal/cells/cells.go
@@ -123,11 +123,12 @@
 	Move   uint64
 }
 
-// Certificate is a Departure and those before it that still count, oldest first.
+// Certificate is a Departure and those before it that still count, oldest first, with what its cell had heard.
 type Certificate struct {
 	_ struct{} `cbor:",toarray"`
 	Departure
 	Before []Departure
+	Global Global
 }
 
 // Bounds.
--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -384,6 +384,46 @@
 	}
 }
 
+// A name whose process is down for good still arrives, by its certificate: the move ends, and it can be removed. What its old cell had
+// heard counts in the new one, against an older word of a relay too; its old incarnation gets no place there.
+func TestArrivesWithoutAProcess(t *testing.T) {
+	j := newJournal(t)
+	all := seatsOf("r", 0, 5, 3)
+	j.do(Command{Kind: Open, Region: "r", Seats: all[:3]})
+	j.do(Command{Kind: Open, Region: "r", Seats: all[3:]})
+	a, b, name := NewLog(1, Sound), NewLog(2, Sound), all[0].Name
+	j.do(Command{Kind: Move, Names: []string{name}, Cell: 2})
+	apply(t, b, j.told(b))
+	j.do(Command{Kind: Ready, Cell: 2, At: b.Heard.Version})
+	late := j.told(b)
+	j.do(Command{Kind: Target, Number: 4})
+	j.do(Command{Kind: Fence, Number: 4})
+	apply(t, a, j.told(a), &Entry{Kind: Join, Member: member(name, 1)}, &Entry{Kind: Leave, Member: member(name, 0), Move: j.d.Part(1).Seat(name).ToMove})
+	if b.Apply(&Entry{Kind: Expect, Member: member(name, 0)}) || b.Apply(&Entry{Kind: Expect, Member: member(all[1].Name, 0), Came: a.Certificate(name)}) {
+		t.Error("a place without its certificate")
+	}
+	expect := &Entry{Kind: Expect, Member: member(name, 0), Came: a.Certificate(name)}
+	apply(t, b, expect)
+	if b.Apply(expect) || len(b.Living) > 0 {
+		t.Error("twice, or with a process")
+	}
+	apply(t, b, late)
+	if b.Heard.Global.Fence != 4 {
+		t.Errorf("%+v: the fence of the cell that it has left is lost", b.Heard.Global)
+	}
+	if at, ok := b.Start(name); !ok || at != 1 {
+		t.Errorf("an inquiry begins at %d", at)
+	}
+	if b.May(member(name, 1), nil) || !b.May(member(name, 2), nil) {
+		t.Error("the old incarnation may join, or a new one may not")
+	}
+	if err := j.try(Command{Kind: Remove, Names: []string{name}}); !errors.Is(err, ErrMoving) {
+		t.Errorf("removed while it moves: %v", err)
+	}
+	j.do(Command{Kind: Arrived, Cell: 2, Names: []string{name}, Number: b.Arrived[name]})
+	j.do(Command{Kind: Remove, Names: []string{name}})
+}
+
 // A cell that is forgotten goes with a delta, without a whole transfer.
 func TestForgottenCellsGoWithADelta(t *testing.T) {
 	j := newJournal(t)
--- a/internal/cells/log.go
+++ b/internal/cells/log.go
@@ -11,12 +11,13 @@
 type EntryKind uint8
 
 const (
-	Hear  EntryKind = iota + 1 // the directory's word
-	Join                       // a member
-	Out                        // a member: its lease is over
-	Leave                      // a name, for another cell: its leases are over
-	Seal                       // the last: no lease is valid any more
-	Drop                       // a name's former cells, or that it left: the longest deadline has passed
+	Hear   EntryKind = iota + 1 // the directory's word
+	Join                        // a member
+	Out                         // a member: its lease is over
+	Leave                       // a name, for another cell: its leases are over
+	Seal                        // the last: no lease is valid any more
+	Expect                      // a name has arrived, by its certificate, without a process: it may be down for good
+	Drop                        // a name's former cells, or that it left: the longest deadline has passed
 )
 
 // Entry is one of a cell's log.
@@ -25,7 +26,7 @@
 	Kind   EntryKind
 	Told   *Told
 	Member custody.Member // with Leave and Drop its name counts
-	Came   *Certificate   // with Join, of a member that comes from another cell
+	Came   *Certificate   // with Join and Expect, of a name that comes from another cell
 	Move   uint64         // with Leave
 }
 
@@ -75,6 +76,10 @@
 		ok = l.hear(e.Told)
 	case Join:
 		ok = l.join(e)
+	case Expect:
+		if ok = l.comes(e.Member.Name, e.Came); ok {
+			l.arrive(e.Member.Name, e.Came)
+		}
 	case Out:
 		if ok = l.Lives(e.Member); ok {
 			l.out(e.Member)
@@ -121,12 +126,15 @@
 	if !t.Version.Newer(l.Heard.Version) && (l.plant != OlderTaken || t.Version == l.Heard.Version) {
 		return false // Guards against the older side's word after a cut
 	}
-	part := l.Heard.Part
+	part, global := l.Heard.Part, l.Heard.Global
 	if l.Heard = *t; t.Part == nil {
 		l.Heard.Part = part
 	} else {
 		l.sum = sum(t.Part)
 	}
+	if l.plant != OlderTaken && global.Changed.Newer(t.Global.Changed) {
+		l.Heard.Global = global // it came with a member, ahead of the relay
+	}
 	for name := range l.Arrived {
 		if l.Heard.Part.Seat(name) == nil {
 			delete(l.Arrived, name)
@@ -143,13 +151,37 @@
 		return false
 	case l.left(s):
 		return false // it has left since it was given this place
+	case slices.ContainsFunc(l.Came[m.Name], func(d Departure) bool { return d.Member == m }):
+		return false // of another cell
 	case s.From == 0 || l.Arrived[m.Name] == s.Move:
 		return true
 	case l.plant == CertUnread:
 		return true
 	}
-	return cert != nil && cert.Cell == s.From && cert.To == l.ID && cert.Move == s.Move && cert.Member.Name == m.Name &&
-		cert.Member != m && !slices.ContainsFunc(cert.Before, func(d Departure) bool { return d.Cell == l.ID })
+	return l.comes(m.Name, cert) && cert.Member != m
+}
+
+// comes tells whether a certificate is that of a name that this cell expects, and does for the place that it has here.
+func (l *Log) comes(name string, cert *Certificate) bool {
+	s := l.Heard.Part.Seat(name)
+	return s != nil && cert != nil && s.From != 0 && l.Arrived[name] != s.Move && cert.Cell == s.From && cert.To == l.ID && cert.Move == s.Move &&
+		cert.Member.Name == name && !slices.ContainsFunc(cert.Before, func(d Departure) bool { return d.Cell == l.ID })
+}
+
+// arrive gives a name its place. What its cell before had heard counts here too: guards against a member that acts below the fence
+// of a cell which it has left.
+func (l *Log) arrive(name string, cert *Certificate) {
+	l.Arrived[name] = l.Heard.Part.Seat(name).Move
+	delete(l.Left, name)
+	if cert == nil {
+		return
+	}
+	if l.plant != ForwardDropped {
+		l.Came[name] = append(slices.Clone(cert.Before), cert.Departure)
+	}
+	if cert.Global.Changed.Newer(l.Heard.Global.Changed) {
+		l.Heard.Global = cert.Global
+	}
 }
 
 func (l *Log) left(s *Seat) bool {
@@ -161,13 +193,8 @@
 	if !l.May(e.Member, e.Came) {
 		return false
 	}
-	s := l.Heard.Part.Seat(e.Member.Name)
-	if s.From != 0 && l.Arrived[s.Name] != s.Move {
-		l.Arrived[s.Name] = s.Move
-		delete(l.Left, s.Name)
-		if e.Came != nil && l.plant != ForwardDropped {
-			l.Came[s.Name] = append(slices.Clone(e.Came.Before), e.Came.Departure)
-		}
+	if s := l.Heard.Part.Seat(e.Member.Name); s.From != 0 && l.Arrived[s.Name] != s.Move {
+		l.arrive(s.Name, e.Came)
 	}
 	l.Living[e.Member] = l.Epoch + 1
 	return true
@@ -208,7 +235,7 @@
 	if !ok {
 		return nil
 	}
-	return &Certificate{Departure: d, Before: l.Came[name]}
+	return &Certificate{Departure: d, Before: l.Came[name], Global: l.Heard.Global}
 }
 
 // Start is the cell where an inquiry for a request begins whose client asked a name first; false: this cell can't tell. Every
--- a/internal/explore/cells.go
+++ b/internal/explore/cells.go
@@ -141,6 +141,7 @@
 	cells    []*oneCell
 	procs    []*cellProc
 	asks     []cellAsk
+	brought  map[string]fenceAt // of the cells that a name has left
 	requests []*cellRequest
 	ids      uint64
 	settling bool
@@ -150,7 +151,7 @@
 }
 
 func startCells(c *CellsConfig, seed uint64) *cellsWorld {
-	w := &cellsWorld{conf: c, left: c.Budget, random: rand.New(rand.NewPCG(seed, 9)), term: 1}
+	w := &cellsWorld{conf: c, left: c.Budget, random: rand.New(rand.NewPCG(seed, 9)), term: 1, brought: map[string]fenceAt{}}
 	for i := range w.dirs {
 		w.dirs[i], w.relays[i] = cells.NewDirectory(c.Plant), cells.NewRelay(cellRegion, c.Plant)
 	}
@@ -261,6 +262,13 @@
 	before := c.now()
 	c.log = append(c.log, next)
 	c.applied[c.lead] = len(c.log) - 1
+	if e.Kind == cells.Leave || e.Kind == cells.Seal { // what counted for whom it lets go counts on
+		for name, d := range next.Left {
+			if f := len(c.fences); f > 0 && d != before.Left[name] && c.fences[f-1].number >= w.brought[name].number {
+				w.brought[name] = c.fences[f-1]
+			}
+		}
+	}
 	if f := next.Heard.Global.Fence; f > before.Heard.Global.Fence {
 		c.fences = append(c.fences, fenceAt{f, w.now})
 		w.met.Fences++
@@ -276,7 +284,7 @@
 	case cells.Drop:
 		w.met.Drops++
 	}
-	if e.Kind == cells.Join && e.Came != nil {
+	if (e.Kind == cells.Join || e.Kind == cells.Expect) && e.Came != nil {
 		w.met.Moves++
 		c.came[e.Member.Name] = w.now
 	}
@@ -296,6 +304,8 @@
 		return "leave " + e.Member.Name
 	case cells.Seal:
 		return "seal"
+	case cells.Expect:
+		return "a place for " + e.Member.Name
 	}
 	return "drop " + e.Member.Name
 }
@@ -463,6 +473,15 @@
 	return did
 }
 
+// place has a cell give a place to a name whose process does not come, by the certificate of the cell before.
+func (w *cellsWorld) place(c *oneCell) {
+	for _, s := range c.now().Heard.Part.Seats {
+		if o := w.cell(s.From); s.From != 0 && o != nil && !o.cut && !c.cut {
+			w.agree(c, cells.Entry{Kind: cells.Expect, Member: custody.Member{Name: s.Name}, Came: o.now().Certificate(s.Name)})
+		}
+	}
+}
+
 // drop has a cell forget what is too old to be asked for.
 func (w *cellsWorld) drop(c *oneCell) {
 	for _, name := range []string{"a", "b", "c", "d"} {
@@ -732,6 +751,9 @@
 
 // acts looks whether a member that may act does so below its cell's fence, later than a lease after that was agreed.
 func (w *cellsWorld) acts(p *cellProc) {
+	if f := w.brought[p.name]; f.number > p.node.Acts && w.now >= f.at+cellLease {
+		w.breaks("%s may act on %d at %d, a cell that it has left agreed on fence %d at %d", p.name, p.node.Acts, w.now, f.number, f.at)
+	}
 	for _, c := range w.cells {
 		for _, f := range c.fences {
 			if c.id == p.node.Cell && f.number > p.node.Acts && w.now >= f.at+cellLease {
@@ -809,6 +831,9 @@
 	case k < 15:
 		for _, c := range w.cells {
 			add(fmt.Sprintf("turn of cell %d", c.id), func() { w.due(c); w.drop(c) })
+			if w.random.IntN(4) == 0 {
+				add(fmt.Sprintf("cell %d asks for certificates", c.id), func() { w.place(c) })
+			}
 			add(fmt.Sprintf("cell %d hears", c.id), func() { w.hear(c, w.random.IntN(2)) })
 			add(fmt.Sprintf("cell %d reports", c.id), func() { w.report(c) })
 		}
