Cells: names removed and assigned again, forgotten cells, empty cells

The explorer also removes names and assigns them again, which showed: a removed name's requests had no home (its place stays now, marked as gone, until none can be asked for); a merge of a cell that had lost all its names never ended. The last of a cell is neither moved nor removed while its region has another cell.

A way is not held to know what became of a request whose first member was removed for good meanwhile: nobody need know its cell then.

Unit tests for all of it, each seen to fail with its rule taken out.

--- a/internal/cells/cells.go
+++ b/internal/cells/cells.go
@@ -70,6 +70,7 @@
 	To      ID     // the cell that it goes to, once that one expects it; 0: none; or Nowhere
 	ToMove  uint64 // with To: Move of its seat there
 	Was     []ID   // cells that may hold records of its requests
+	Gone    bool   // it has left for Nowhere; the seat stays until none of its requests can be asked for
 }
 
 // Contact is where a cell is asked.
--- a/internal/cells/cells_test.go
+++ b/internal/cells/cells_test.go
@@ -291,6 +291,18 @@
 		t.Errorf("gone by an earlier word: %v", err)
 	}
 	j.do(Command{Kind: Gone, Names: []string{m.Name}, Number: a.Left[m.Name].Move})
+	for _, c := range []Command{{Kind: Open, Region: "r", Seats: all[:1]}, {Kind: Assign, Cell: 1, Seats: all[:1]}} {
+		if err := j.try(c); !errors.Is(err, ErrSeated) {
+			t.Errorf("a place while its requests may be asked for: %v", err)
+		}
+	}
+	apply(t, a, j.told(a))
+	if q := NewInquiry(m.Name, 1); q.Seek(a) != Look {
+		t.Error("its requests can't be asked for")
+	} else if s, _ := q.Nothing(a); s != Look {
+		t.Errorf("%v: what it never began is begun by nobody", s)
+	}
+	j.do(Command{Kind: Forget, Names: []string{m.Name}})
 	j.do(Command{Kind: Open, Region: "r", Seats: all[:1]})
 }
 
@@ -379,6 +391,9 @@
 	if s := q.Seek(b); s != Onward || q.At != 1 || q.Seek(a) != Look {
 		t.Fatalf("it does not look at the first cell: %v %+v", s, q)
 	}
+	if p := *q; p.Forgotten() != Onward || p.At != 2 || p.Forgotten() != Unknown {
+		t.Errorf("a forgotten cell is not passed: %+v", p)
+	}
 	if s, give := q.Nothing(a); s != Onward || give || q.At != 2 || q.Seek(b) != Look {
 		t.Errorf("%v %v %+v", s, give, q)
 	}
@@ -424,6 +439,34 @@
 	j.do(Command{Kind: Remove, Names: []string{name}})
 }
 
+// What a cell before gave away is decided here, whatever this cell knows of the member; a cell that has lost all its names is merged
+// without waiting for anybody.
+func TestGivenAndEmpty(t *testing.T) {
+	j := newJournal(t)
+	all := seatsOf("r", 0, 3, 3)
+	j.do(Command{Kind: Open, Region: "r", Seats: all[:1]})
+	a := NewLog(1, Sound)
+	apply(t, a, j.told(a))
+	if s, _ := Here("elsewhere", 1).Nothing(a); s != Look {
+		t.Errorf("of what was given to this cell: %v", s)
+	}
+	if q := NewInquiry("elsewhere", 1); q.Seek(a) != Unknown {
+		t.Error("it takes itself for the home of an unknown member's requests")
+	}
+	j.do(Command{Kind: Remove, Names: names(all[:1])})
+	j.do(Command{Kind: Gone, Names: names(all[:1]), Number: j.d.Part(1).Seats[0].ToMove})
+	j.do(Command{Kind: Forget, Names: names(all[:1])})
+	j.do(Command{Kind: Open, Region: "r", Seats: all[1:]})
+	j.do(Command{Kind: Merge, Cells: []ID{1, 2}})
+	if p := j.d.Part(1); len(p.Into) != 1 || len(p.Pending) > 0 {
+		t.Errorf("an empty cell waits: %+v", p)
+	}
+	apply(t, a, j.told(a))
+	if due := NewGrants(lease, Sound).Due(0, a); len(due) != 1 || due[0].Kind != Seal {
+		t.Errorf("%+v", due)
+	}
+}
+
 // A cell that is forgotten goes with a delta, without a whole transfer.
 func TestForgottenCellsGoWithADelta(t *testing.T) {
 	j := newJournal(t)
--- a/internal/cells/directory.go
+++ b/internal/cells/directory.go
@@ -24,7 +24,7 @@
 	Sealed                  // a cell's log has ended with Epoch
 	Target                  // the version of the settings to act on
 	Fence                   // below it no lease
-	Forget                  // a name's former cells, or a sealed cell: the longest deadline has passed
+	Forget                  // a name's former cells, a name that is gone, or a sealed cell: the longest deadline has passed
 )
 
 // Command is an entry of the directory's log.
@@ -252,6 +252,12 @@
 	if s.From != 0 || s.To != 0 || len(p.Pending) > 0 || len(p.Into) > 0 {
 		return ErrMoving
 	}
+	if d.alone(p, name) && slices.ContainsFunc(d.Cells(), func(id ID) bool {
+		o := d.parts[id]
+		return o != d.parts[p.ID] && o.Region == p.Region && !o.Sealed
+	}) {
+		return ErrLast
+	}
 	s.To, s.ToMove = Nowhere, d.version.Index
 	d.put(p)
 	return nil
@@ -264,11 +270,11 @@
 		return ErrNoSeat
 	}
 	p := d.edit(d.where[c.Names[0]])
-	if s := p.Seat(c.Names[0]); s.To != Nowhere || s.ToMove != c.Number {
+	s := p.Seat(c.Names[0])
+	if s.To != Nowhere || s.ToMove != c.Number || s.Gone {
 		return ErrNothing
 	}
-	p.Seats = slices.DeleteFunc(p.Seats, func(s Seat) bool { return s.Name == c.Names[0] })
-	delete(d.where, c.Names[0])
+	s.Gone = true // Guards against a place elsewhere, where its cell would take itself for the home of requests begun here
 	d.put(p)
 	return nil
 }
@@ -287,7 +293,7 @@
 		return ErrNothing
 	case s.From != 0 || s.To != 0 || len(from.Pending)+len(from.Into)+len(to.Pending)+len(to.Into) > 0:
 		return ErrMoving
-	case !slices.ContainsFunc(from.Seats, func(o Seat) bool { return o.Name != s.Name && o.From == 0 && o.To == 0 && d.where[o.Name] == from.ID }):
+	case d.alone(from, s.Name):
 		return ErrLast // Guards against obligations that nobody is left to take over
 	case slices.Contains(s.Was, to.ID) || len(s.Was) >= mostWas:
 		return ErrRecent // Guards against a way round in which a request's cell can't be told
@@ -299,6 +305,11 @@
 	return nil
 }
 
+// alone tells whether nobody else stays in a cell.
+func (d *Directory) alone(p *Part, name string) bool {
+	return !slices.ContainsFunc(p.Seats, func(o Seat) bool { return o.Name != name && o.From == 0 && o.To == 0 && d.where[o.Name] == p.ID })
+}
+
 // coming is the seat of a name that comes from a cell.
 func (d *Directory) coming(s *Seat, from ID) Seat {
 	return Seat{Name: s.Name, Address: s.Address, Zone: s.Zone, Move: d.version.Index, From: from, Was: append(slices.Clone(s.Was), from)}
@@ -325,7 +336,9 @@
 			d.where[s.Name] = p.ID
 		}
 		next := d.edit(o.ID)
-		next.Pending = ids
+		if next.Pending = ids; len(o.Seats) == 0 { // nobody to wait for
+			next.Into, next.Pending = ids, nil
+		}
 		d.put(next)
 	}
 	for _, p := range all {
@@ -451,6 +464,12 @@
 		}
 		p := d.edit(d.where[c.Names[0]])
 		s := p.Seat(c.Names[0])
+		if s.Gone {
+			p.Seats = slices.DeleteFunc(p.Seats, func(o Seat) bool { return o.Name == c.Names[0] })
+			delete(d.where, c.Names[0])
+			d.put(p)
+			return nil
+		}
 		if s.From != 0 || s.To != 0 || len(s.Was) == 0 {
 			return ErrNothing
 		}
--- a/internal/cells/inquiry.go
+++ b/internal/cells/inquiry.go
@@ -7,13 +7,16 @@
 	At      ID
 	path    []ID // cells after At, by who has set out
 	started bool // At is the oldest, or comes after it
+	given   bool // a cell before has given the request to At
 }
 
 // NewInquiry begins one at a cell that knows its former member, or may.
 func NewInquiry(former string, at ID) *Inquiry { return &Inquiry{Former: former, At: at} }
 
-// Here begins one at a cell that is known to have the record.
-func Here(former string, at ID) *Inquiry { return &Inquiry{Former: former, At: at, started: true} }
+// Here begins one at a cell that has the record, or that a cell before has given the request to.
+func Here(former string, at ID) *Inquiry {
+	return &Inquiry{Former: former, At: at, started: true, given: true}
+}
 
 // Seek is what an inquiry does next.
 type Seek uint8
@@ -51,16 +54,16 @@
 // Nothing tells what to do where the cell's holders know nothing of the request: Look: a member of this cell may begin it;
 // Onward: with give the holders are told first that it is At's, for good.
 func (q *Inquiry) Nothing(l *Log) (s Seek, give bool) {
-	if d, ok := l.Left[q.Former]; ok {
-		if q.At = d.To; q.At == Nowhere {
-			return Unknown, false
-		}
-		if len(q.path) > 0 && q.path[0] == q.At {
+	_, left := l.Left[q.Former]
+	here := left || q.given || l.Heard.Part.Seat(q.Former) != nil
+	if to := l.Heir(q.Former); here && to != l.ID {
+		q.At, q.given = to, true
+		if len(q.path) > 0 && q.path[0] == to {
 			q.path = q.path[1:]
 		}
 		return Onward, true
 	}
-	if l.Heard.Part.Seat(q.Former) != nil && !l.Sealed {
+	if here {
 		return Look, false
 	}
 	if len(q.path) > 0 { // it left this cell longer ago than any request lives
@@ -69,3 +72,13 @@
 	}
 	return Unknown, false
 }
+
+// Forgotten tells what to do where the directory has forgotten the cell At: it was sealed, and its last name arrived elsewhere, longer
+// ago than any request lives.
+func (q *Inquiry) Forgotten() Seek {
+	if len(q.path) == 0 {
+		return Unknown
+	}
+	q.At, q.path = q.path[0], q.path[1:]
+	return Onward
+}
--- a/internal/cells/log.go
+++ b/internal/cells/log.go
@@ -256,8 +256,18 @@
 	return l.ID, true
 }
 
-// Next is the cell that a name has gone to; 0: it has not left.
-func (l *Log) Next(name string) ID { return l.Left[name].To }
+// Heir is the cell that what a name had in hand here goes to: where it went, this one where it went nowhere, the first successor of
+// a sealed one then.
+func (l *Log) Heir(name string) ID {
+	to, ok := l.Left[name]
+	switch {
+	case ok && to.To != Nowhere:
+		return to.To
+	case l.Sealed:
+		return l.Heard.Part.Into[0]
+	}
+	return l.ID
+}
 
 // Bytes is the length of all that a member holds of its cell, encoded.
 func (l *Log) Bytes() int {
