Explorer of cells: a forgotten cell does not come back empty

A node of the directory that lags still lists a cell which the leader has forgotten; the world opened it again, with an empty log, and a late ask of long ago then ended the search (index out of range, in ways of 1,200 steps). Cells open once, in the order of their numbers.

--- a/internal/explore/cells.go
+++ b/internal/explore/cells.go
@@ -139,6 +139,7 @@
 	have     [2]int
 	relays   [2]*cells.Relay
 	cells    []*oneCell
+	opened   cells.ID // the last one that was
 	procs    []*cellProc
 	asks     []cellAsk
 	brought  map[string]fenceAt // of the cells that a name has left
@@ -228,9 +229,8 @@
 		c := w.commands[w.have[i]]
 		w.dirs[i].Apply(c.at, &c.do)
 		for _, id := range w.dirs[i].Cells() {
-			if w.cell(id) == nil && id > 0 && !slices.ContainsFunc(w.commands[:w.have[i]], func(o agreedCommand) bool {
-				return o.do.Kind == cells.Forget && o.do.Cell == id
-			}) {
+			if id > w.opened { // cells are numbered in the order of their opening
+				w.opened = id
 				w.cells = append(w.cells, &oneCell{
 					id: id, log: []*cells.Log{cells.NewLog(id, w.conf.Plant)}, records: map[int]*cellRecord{}, came: map[string]int64{},
 					books: [2]*cells.Grants{cells.NewGrants(cellLease, w.conf.Plant), cells.NewGrants(cellLease, w.conf.Plant)},
