--- /dev/null
+++ b/internal/explore/cells_test.go
@@ -0,0 +1,56 @@
+package explore
+
+import (
+	"strings"
+	"testing"
+
+	"damsonscale/internal/cells"
+)
+
+// No way through moves, splits, merges, late and cut directories, two leaders, kills and stops breaks a promise.
+func TestCellsKeepTheirPromises(t *testing.T) {
+	steps, met := 0, Met{}
+	for seed := range uint64(1000) {
+		f := WalkCells(CellsOf(seed), seed, 300)
+		if steps += f.States; f.Broken != "" {
+			t.Fatalf("seed %d: %s\n%s", seed, f.Broken, strings.Join(f.Trace, "\n"))
+		}
+		met = met.Add(f.Met)
+	}
+	t.Logf("%d steps, %+v", steps, met)
+	for _, n := range []int{met.Moves, met.Seals, met.Fences, met.Drops, met.Forgotten, met.Given, met.HandedOn, met.Answers, met.Failed, met.Unknown, met.Wholes} {
+		if n < 20 {
+			t.Errorf("hardly met: %+v", met)
+		}
+	}
+}
+
+// Each planted fault is found, by the promise that it breaks. Guards against an explorer that can find nothing.
+func TestPlantedFaultsOfCellsAreFound(t *testing.T) {
+	for _, c := range []struct {
+		plant      cells.Plant
+		name, want string
+	}{
+		{cells.EarlyLeave, "certified as departed while its lease may run", "says that it is out"},
+		{cells.SealGrants, "a cell that is sealed grants on", "says that it is out"},
+		{cells.ForwardDropped, "former cells forgotten", "runs twice"},
+		{cells.FirstUnasked, "a first ask after a move does not look back", "runs twice"},
+		{cells.OlderTaken, "the older word is taken", "agreed on fence"},
+		{cells.DigestUnread, "digests not compared", "after all was mended"},
+		{cells.TermUnread, "two directories assign", "after all was mended"},
+		{cells.CertUnread, "joined without a certificate", "may act in cells"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			for seed := range uint64(6_000) {
+				conf := CellsOf(seed)
+				conf.Plant = c.plant
+				if f := WalkCells(conf, seed, 300); strings.Contains(f.Broken, c.want) {
+					t.Logf("seed %d: %s", seed, f.Broken)
+					return
+				}
+			}
+			t.Fatal("not found")
+		})
+	}
+}
