--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -35,6 +35,8 @@
 	Search   searchCmd   `cmd:"" help:"Play drawn timelines, and keep those that break a rule."`
 	Shrink   shrinkCmd   `cmd:"" help:"Look for a smaller timeline that still breaks a rule."`
 
+	Scale scaleCmd `cmd:"" help:"What control costs by the number of members, real and hollow."`
+
 	Explore exploreCmd `cmd:"" help:"Look for orders of events that break a promise of custody, without processes."`
 }
 
@@ -244,6 +246,14 @@
 type player struct {
 	ctx         context.Context
 	binary, dir string
+	own         bool // the directory is this run's own
+}
+
+// forget removes the run's own directory, also after an error or an interrupt.
+func (p *player) forget() {
+	if p.own {
+		os.RemoveAll(p.dir)
+	}
 }
 
 func (p *player) setup(dir string) rig.Setup { return rig.Setup{Binary: p.binary, Dir: dir} }
@@ -291,7 +301,7 @@
 		dir, err = os.MkdirTemp("", "rig-")
 	}
 	if err == nil {
-		err = k.Run(&player{ctx: ctx, binary: binary, dir: dir})
+		err = k.Run(&player{ctx: ctx, binary: binary, dir: dir, own: c.Dir == ""})
 	}
 	if err == nil && c.Dir == "" {
 		err = os.RemoveAll(dir)
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -24,15 +24,16 @@
 	readyStep   = 10 * time.Millisecond
 )
 
-// starter starts processes from one thread that lives as long as it does: the kernel ends them when that thread does,
+// Starter starts processes from one thread that lives as long as it does: the kernel ends them when that thread does,
 // also where this program is killed. Guards against processes that are left behind.
-type starter struct {
+type Starter struct {
 	asks chan func()
 	done chan struct{}
 }
 
-func newStarter() *starter {
-	s := &starter{asks: make(chan func()), done: make(chan struct{})}
+// NewStarter makes one. Close ends it, and with it all processes that it started.
+func NewStarter() *Starter {
+	s := &Starter{asks: make(chan func()), done: make(chan struct{})}
 	go func() {
 		runtime.LockOSThread()
 		for {
@@ -47,19 +48,23 @@
 	return s
 }
 
-func (s *starter) start(cmd *exec.Cmd) error {
+// Start starts a process in a group of its own. It may not be called after Close.
+func (s *Starter) Start(cmd *exec.Cmd) error {
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
 	back := make(chan error, 1)
 	s.asks <- func() { back <- cmd.Start() }
 	return <-back
 }
 
+// Close ends the thread.
+func (s *Starter) Close() { close(s.done) }
+
 // process is one sidecar; at times two processes of the program are it.
 type process struct {
 	name, binary, listen, dir string
 	config                    map[string]any
 	env                       []string
-	starter                   *starter
+	starter                   *Starter
 	log                       *os.File
 
 	mu      sync.Mutex
@@ -101,7 +106,7 @@
 	cmd := exec.Command(p.binary)
 	cmd.Dir, cmd.Stdout, cmd.Stderr = p.dir, p.log, p.log
 	cmd.Env = append(os.Environ(), p.env...)
-	if err := p.starter.start(cmd); err != nil {
+	if err := p.starter.Start(cmd); err != nil {
 		return fmt.Errorf("%s: %w", p.name, err)
 	}
 	s := &started{cmd: cmd, done: make(chan struct{})}
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -40,7 +40,7 @@
 type play struct {
 	set       Setup
 	line      *Timeline
-	starter   *starter
+	starter   *Starter
 	servers   *servers
 	registry  *registry
 	processes []*process
@@ -57,14 +57,14 @@
 }
 
 func (p *play) begin(ctx context.Context) (err error) {
-	p.starter, p.links = newStarter(), map[[2]int]*link{}
+	p.starter, p.links = NewStarter(), map[[2]int]*link{}
 	if p.servers, err = startServers(p.line.Servers, p.line.Seed); err != nil {
 		return err
 	}
 	if p.registry, err = startRegistry(&p.servers.list); err != nil {
 		return err
 	}
-	fleet, err := freeAddrs(2 * p.line.Processes)
+	fleet, err := FreeAddrs(2 * p.line.Processes)
 	if err != nil {
 		return err
 	}
@@ -91,9 +91,9 @@
 	return ctx.Err()
 }
 
-// freeAddrs finds addresses that are free now, all different, on a loopback host of their own. Guards against a port that
+// FreeAddrs finds addresses that are free now, all different, on a loopback host of their own. Guards against a port that
 // some connection from 127.0.0.1 takes before the process listens, or while it is down.
-func freeAddrs(n int) ([]string, error) {
+func FreeAddrs(n int) ([]string, error) {
 	var out []string
 	host := fmt.Sprintf("127.%d.%d.%d:0", 1+rand.IntN(254), rand.IntN(256), 1+rand.IntN(254))
 	for range n {
@@ -394,7 +394,7 @@
 	if p.servers != nil {
 		p.servers.close()
 	}
-	close(p.starter.done)
+	p.starter.Close()
 }
 
 // Save writes a timeline and what it came to beside each other.
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,91 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"time"
+
+	"damsonscale/internal/config"
+	"damsonscale/internal/custody"
+	"damsonscale/internal/discovery"
+	"damsonscale/internal/fleet"
+	"damsonscale/internal/options"
+)
+
+// askAgain is the time within which a hollow member asks for the list again after a call that failed, as the settings of a real one say.
+const askAgain = 10 * time.Second
+
+// hollow is a member without a data path: its fleet, custody, account, versions and list are the program's own.
+type hollow struct {
+	name string
+	tell func(Event)
+	list *discovery.Client
+
+	mu   sync.Mutex
+	conf *config.Config
+}
+
+var errHollow = errors.New("a hollow member runs nothing")
+
+// Unasked refuses: nobody sends requests in such a run.
+func (h *hollow) Unasked(*custody.Record, *custody.Stored) (func(custody.Leave) custody.Result, error) {
+	return nil, errHollow
+}
+
+// Unheard is never called with anything.
+func (h *hollow) Unheard(any) {}
+
+// Adopt puts a version in force, by the checks of the program.
+func (h *hollow) Adopt(number uint64, text []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	next, err := h.conf.Adopt(text, os.Getenv)
+	if err != nil {
+		return err
+	}
+	h.conf = next
+	h.tell(Event{Kind: Adopted, Member: h.name, Number: int64(number), At: time.Now()})
+	return nil
+}
+
+// Check tells what Adopt would say.
+func (h *hollow) Check(text []byte) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, err := h.conf.Adopt(text, os.Getenv)
+	return err
+}
+
+// Rest has nothing to close.
+func (h *hollow) Rest() {}
+
+// Listed tells of a list in force.
+func (h *hollow) Listed(l *discovery.List) {
+	h.tell(Event{Kind: Listed, Member: h.name, Number: l.Seq, At: time.Now()})
+}
+
+// ListFailed asks again, at some moment within the time that the settings give.
+func (h *hollow) ListFailed() {
+	time.AfterFunc(rand.N(askAgain), func() { h.list.Watch(true) })
+}
+
+// startHollow joins a member to its fleet and to the list service.
+func startHollow(ctx context.Context, o *options.Options, name string, conf *config.Config, list string, tell func(Event)) error {
+	h := &hollow{name: name, tell: tell, conf: conf}
+	const longest = 2 * time.Second
+	f, err := fleet.New(o, name, longest, h, h)
+	if err == nil {
+		err = f.Run(ctx)
+	}
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	h.list = discovery.New(list, nil, false, h)
+	go h.list.Run(ctx)
+	h.list.Watch(true)
+	return nil
+}
--- /dev/null
+++ b/internal/scale/list.go
@@ -0,0 +1,180 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"damsonscale/internal/discovery"
+)
+
+const (
+	beat       = 2 * time.Second // of a watch
+	deltasKept = 1024            // changes that a watch may begin behind; one further behind gets the whole list
+)
+
+// listService is the stand-in of discovery's list: whole lists first, then what changes.
+type listService struct {
+	addr string
+	http *http.Server
+
+	calls, words, in, out atomic.Int64 // watches asked for; lists and beats told; bytes both ways
+	open                  atomic.Int64 // watches
+	deltasTold            atomic.Int64 // changes told, each to each watch
+
+	mu     sync.Mutex
+	list   discovery.List
+	deltas []discovery.List // the latest, in order
+	change chan struct{}    // closed and replaced at each change
+	told   map[int64]time.Time
+}
+
+// startList serves a list of so many servers, all of which are at dial.
+func startList(servers int, dial string) (*listService, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &listService{addr: ln.Addr().String(), change: make(chan struct{}), told: map[int64]time.Time{}}
+	s.list = discovery.List{Seq: 1, Whole: true}
+	for i := range servers {
+		s.list.Hosts = append(s.list.Hosts, discovery.Entry{
+			Host: fmt.Sprintf("server-%05d", i), Dial: dial, Zone: "a", Health: discovery.Ready, Share: 1, Kind: "plain",
+		})
+	}
+	s.http = &http.Server{Handler: s}
+	go s.http.Serve(&counted{ln, s})
+	return s, nil
+}
+
+func (s *listService) close() { s.http.Close() }
+
+// whole copies the list.
+func (s *listService) whole() *discovery.List {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.list
+	l.Hosts = slices.Clone(l.Hosts)
+	return &l
+}
+
+// alter changes the share of one server, and returns the list's new number.
+func (s *listService) alter() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.list.Seq++
+	one := &s.list.Hosts[int(s.list.Seq)%len(s.list.Hosts)]
+	one.Share = 1 + float64(s.list.Seq%7)/10
+	s.deltas = append(s.deltas, discovery.List{Seq: s.list.Seq, Hosts: []discovery.Entry{*one}})
+	if len(s.deltas) > deltasKept {
+		s.deltas = slices.Clone(s.deltas[len(s.deltas)-deltasKept:])
+	}
+	s.told[s.list.Seq] = time.Now()
+	close(s.change)
+	s.change = make(chan struct{})
+	return s.list.Seq
+}
+
+// changes tells when each change was made.
+func (s *listService) changes() map[int64]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.told)
+}
+
+// news returns what a watch that has seen from is to be told, and what is closed at the next change.
+func (s *listService) news(from int64) (out []discovery.List, next <-chan struct{}, seq int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch behind := int(s.list.Seq - from); {
+	case from < 0 || behind < 0 || behind > len(s.deltas):
+		l := s.list
+		l.Hosts = slices.Clone(l.Hosts)
+		out = []discovery.List{l}
+	default:
+		out = slices.Clone(s.deltas[len(s.deltas)-behind:])
+	}
+	return out, s.change, s.list.Seq
+}
+
+// ServeHTTP answers one watch.
+func (s *listService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		from = -1
+	}
+	s.calls.Add(1)
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	tick := time.NewTicker(beat)
+	defer tick.Stop()
+	out := json.NewEncoder(w)
+	for {
+		news, next, seq := s.news(from)
+		from = seq
+		for i := range news {
+			s.words.Add(1)
+			if !news[i].Whole {
+				s.deltasTold.Add(1)
+			}
+			if out.Encode(&news[i]) != nil {
+				return
+			}
+		}
+		w.(http.Flusher).Flush()
+		if r.URL.Query().Get("watch") != "1" {
+			return
+		}
+		for quiet := true; quiet; {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-next:
+				quiet = false
+			case <-tick.C:
+				s.words.Add(1)
+				io.WriteString(w, "\n")
+				w.(http.Flusher).Flush()
+			}
+		}
+	}
+}
+
+// counted counts the bytes of its connections.
+type counted struct {
+	net.Listener
+	s *listService
+}
+
+func (c *counted) Accept() (net.Conn, error) {
+	conn, err := c.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{conn, c.s}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	s *listService
+}
+
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.s.in.Add(int64(n))
+	return n, err
+}
+
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.s.out.Add(int64(n))
+	return n, err
+}
--- /dev/null
+++ b/internal/scale/lists.go
@@ -0,0 +1,212 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"damsonscale/internal/rig"
+)
+
+const mostLists = 32 // sizes of one run
+
+// ListsConfig is a run of one idle sidecar without a fleet, for each length of the list.
+type ListsConfig struct {
+	Sizes   []int
+	For     time.Duration // measured, idle, and once more under changes
+	Changes float64       // of the list, a second; 0: none
+	Binary  string
+	Dir     string // which exists
+}
+
+// Validate refuses what is out of range, by the name of its argument.
+func (c *ListsConfig) Validate() error {
+	var all []error
+	if len(c.Sizes) == 0 || len(c.Sizes) > mostLists {
+		all = append(all, fmt.Errorf("--sizes: %d of them, not 1 to %d", len(c.Sizes), mostLists))
+	}
+	for _, n := range c.Sizes {
+		if n < 1 || n > MostServers {
+			all = append(all, fmt.Errorf("--sizes: %d is not within 1 to %d", n, MostServers))
+		}
+	}
+	if c.For < LeastFor || c.For > MostFor {
+		all = append(all, fmt.Errorf("--for: %v is not within %v to %v", c.For, LeastFor, MostFor))
+	}
+	if !(c.Changes >= 0 && c.Changes <= MostRate) {
+		all = append(all, fmt.Errorf("--changes: %v is not within 0 to %v a second", c.Changes, MostRate))
+	}
+	return errors.Join(all...)
+}
+
+// ListFigure is one length's.
+type ListFigure struct {
+	Servers      int
+	Idle         Over
+	Changing     Over    // where there were changes
+	Told         float64 // changes that the sidecar was told, a second
+	Changes      int64   // made in all
+	Untold       int64   // of these, that it was not told of soon after
+	CPUMsAChange float64 // above idle
+}
+
+// Over is a process's use over a time.
+type Over struct {
+	CPU         float64 // % of a core
+	MemoryMB    float64 // at its end
+	Descriptors int
+	Watches     int64   // held open at its end
+	KBIn        float64 // a second from the list service
+}
+
+// Lists measures. It ends all that it started, also when ctx ends before.
+func Lists(ctx context.Context, c ListsConfig) (out []ListFigure, err error) {
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	h := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})}
+	go h.Serve(server)
+	defer h.Close()
+	for _, n := range c.Sizes {
+		one, err := c.one(ctx, n, server.Addr().String())
+		if ctx.Err() != nil {
+			return nil, fmt.Errorf("%w: %w", ErrInterrupted, context.Cause(ctx))
+		}
+		if err != nil {
+			return nil, fmt.Errorf("a list of %d: %w", n, err)
+		}
+		out = append(out, *one)
+	}
+	return out, nil
+}
+
+func (c *ListsConfig) one(ctx context.Context, n int, dial string) (*ListFigure, error) {
+	list, err := startList(n, dial)
+	if err != nil {
+		return nil, err
+	}
+	defer list.close()
+	addrs, err := rig.FreeAddrs(1)
+	if err != nil {
+		return nil, err
+	}
+	conf, err := json.Marshal(map[string]any{
+		"name": "alone", "listen": addrs[0], "discovery": list.addr, "seed": "0000000000000001",
+		"limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": 1024}, "settings": settings(1, 0),
+	})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(c.Dir, fmt.Sprintf("list-%d.json", n))
+	if err := os.WriteFile(path, conf, 0o644); err != nil {
+		return nil, err
+	}
+	all := newChildren(c.Dir, func(*child, Event) {})
+	defer all.close()
+	one, err := all.real(fmt.Sprintf("list-%d", n), 0, c.Binary, []string{"PROXY_CONFIG=" + path, "DAMSONSCALE_OPTIONS="})
+	if err != nil {
+		return nil, err
+	}
+	if err := ready(ctx, all, addrs[0]); err != nil {
+		return nil, err
+	}
+	sleep(ctx, 3*time.Second) // the start's garbage
+	f := &ListFigure{Servers: n}
+	if f.Idle, _, err = c.over(ctx, one, list); err != nil || c.Changes == 0 {
+		return f, err
+	}
+	changing, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() { defer close(done); every(changing, c.Changes, func(int) { list.alter() }) }()
+	f.Changing, f.Told, err = c.over(ctx, one, list)
+	stop()
+	<-done
+	f.Changes = int64(len(list.changes()))
+	for end := time.Now().Add(lastWithin); ; sleep(ctx, 10*time.Millisecond) {
+		if f.Untold = f.Changes - list.deltasTold.Load(); f.Untold == 0 || time.Now().After(end) || ctx.Err() != nil {
+			break
+		}
+	}
+	if f.Told > 0 {
+		f.CPUMsAChange = 10 * (f.Changing.CPU - f.Idle.CPU) / f.Told
+	}
+	return f, err
+}
+
+// over reads a process's use over the time of a run.
+func (c *ListsConfig) over(ctx context.Context, one *child, list *listService) (u Over, told float64, err error) {
+	before, err := usageOf(one.cmd.Process.Pid)
+	if err != nil {
+		return u, 0, err
+	}
+	at, bytes, changes := time.Now(), list.out.Load(), list.deltasTold.Load()
+	sleep(ctx, c.For)
+	after, err := usageOf(one.cmd.Process.Pid)
+	seconds := time.Since(at).Seconds()
+	u = Over{
+		CPU: 100 * (after.CPU - before.CPU).Seconds() / seconds, MemoryMB: float64(after.RSS) / (1 << 20), Descriptors: after.Descriptors,
+		Watches: list.open.Load(), KBIn: float64(list.out.Load()-bytes) / 1000 / seconds,
+	}
+	return u, float64(list.deltasTold.Load()-changes) / seconds, errors.Join(err, ctx.Err())
+}
+
+// ready waits until a sidecar serves.
+func ready(ctx context.Context, all *children, addr string) error {
+	ctx, cancel := context.WithTimeout(ctx, startWithin)
+	defer cancel()
+	for {
+		ask, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/health/ready", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := http.DefaultClient.Do(ask); err == nil {
+			io.Copy(io.Discard, resp.Body)
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if err := errors.Join(all.alive(), ctx.Err()); err != nil {
+			return err
+		}
+		sleep(ctx, 10*time.Millisecond)
+	}
+}
+
+// PrintLists tells figures by the length of the list, with the slopes of an idle sidecar.
+func PrintLists(out io.Writer, all []ListFigure) {
+	t := newTable(out, "servers", "idle, % of a core", "idle MB", "watches", "changing, % of a core", "MB", "KB/s in", "changes told/s", "CPU ms a change")
+	var cpu, mb, change []Point
+	for _, f := range all {
+		row := []any{f.Servers, figure(f.Idle.CPU), figure(f.Idle.MemoryMB), f.Idle.Watches, "-", "-", "-", "-", "-"}
+		x := float64(f.Servers)
+		cpu, mb = append(cpu, Point{x, f.Idle.CPU}), append(mb, Point{x, f.Idle.MemoryMB})
+		if f.Told > 0 {
+			row = append(row[:4], figure(f.Changing.CPU), figure(f.Changing.MemoryMB), figure(f.Changing.KBIn), figure(f.Told), figure(f.CPUMsAChange))
+			change = append(change, Point{x, f.CPUMsAChange})
+		}
+		t.AppendRow(row)
+	}
+	t.Render()
+	for _, q := range []struct {
+		name   string
+		points []Point
+	}{{"% of a core, idle", cpu}, {"MB, idle", mb}, {"CPU ms a change", change}} {
+		if l, err := Fit(q.points); err == nil {
+			fmt.Fprintf(out, "%s: slope %s a server, intercept %s, residual %s, at %d %s\n", q.name, figure(l.Slope), figure(l.Intercept), figure(l.Residual),
+				Target, strings.TrimSpace(figure(l.At(Target))))
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/proc.go
@@ -0,0 +1,71 @@
+package scale
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// tick is the kernel's account of CPU time.
+const tick = 10 * time.Millisecond
+
+// Usage is what the system tells of one process.
+type Usage struct {
+	CPU         time.Duration // used since its start, in steps of 10 ms
+	RSS         int64         // resident bytes
+	Descriptors int
+}
+
+var errStat = errors.New("/proc tells nothing readable of the process")
+
+// usageOf reads a process's usage.
+func usageOf(pid int) (u Usage, err error) {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return u, err
+	}
+	_, after, _ := strings.Cut(string(text), ") ")
+	f := strings.Fields(after)
+	if len(f) < 22 {
+		return u, errStat
+	}
+	var n [3]int64
+	for i, at := range []int{11, 12, 21} {
+		if n[i], err = strconv.ParseInt(f[at], 10, 64); err != nil {
+			return u, fmt.Errorf("%w: %w", errStat, err)
+		}
+	}
+	u.CPU, u.RSS = time.Duration(n[0]+n[1])*tick, n[2]*int64(os.Getpagesize())
+	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	u.Descriptors = len(fds)
+	return u, err
+}
+
+// machineMemory is all of the machine's, in bytes; 0: not told.
+func machineMemory() int64 {
+	text, err := os.ReadFile("/proc/meminfo")
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "MemTotal:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
+// machineLoad is the load of the last minute, as the system tells it.
+func machineLoad() float64 {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	load, _ := strconv.ParseFloat(first, 64)
+	return load
+}
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,249 @@
+package scale
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+
+	"github.com/jedib0t/go-pretty/v6/table"
+)
+
+// Roles of members.
+const (
+	Leader     = "leader"        // of the first fleet, a real process
+	Voter      = "voter"         // others of the first fleet that keep its log, real processes
+	HollowLead = "hollow leader" // the same, hollow, in a process of its own
+	HollowVote = "hollow voter"
+	RealMember = "real member" // of any fleet, that does not keep the log of the first
+	Member     = "member"      // hollow, in a shared process, of the first fleet: none of them votes
+	CellMember = "cell member" // hollow, in a shared process, of the other fleets: those who lead and vote among them
+	Links      = "links"       // the run's own processes between the members
+)
+
+// Roles are those that a report may have, in their order.
+var Roles = []string{Leader, Voter, HollowLead, HollowVote, RealMember, Member, CellMember, Links}
+
+// Role is what one member of a role takes: the mean of all. Of a shared process it is the process's divided by its members, so that the
+// runtime and the program are shared too.
+type Role struct {
+	Name        string
+	Members     int
+	Processes   int
+	CPU         float64 // % of a core
+	MemoryMB    float64
+	Descriptors float64
+	Counted     int     // members whose links were counted: those behind the next figures
+	KBIn, KBOut float64 // a second
+	In, Out     float64 // frames a second
+	OutOf       map[string]float64
+}
+
+// ListFigures are the list service's, a second; its own CPU and memory are the run's and not measured.
+type ListFigures struct {
+	Open                      int64 // watches at the end
+	Calls, Words, KBIn, KBOut float64
+}
+
+// Report is what a run came to.
+type Report struct {
+	Real, Hollow, CellSize, Fleets int
+	Members                        int
+	ForS, LeaseMs                  float64
+	Audit                          bool
+	Servers                        int
+	StartS                         float64 // until each member had a lease and a list
+	Leases                         int     // members that have had one
+	PutOut                         int     // that were put out, over all of the run
+	Roles                          []Role
+	ListService                    ListFigures
+	Sent, Received, Lost           int64 // frames on the counted links from the start to the members' end; lost: their receiver had gone
+	OpenLinks                      int64 // connections there after that end: what they carried is not all counted
+	Settings, List                 InForce
+	Fault                          *FaultReport `json:",omitempty"`
+	LoadBefore, LoadAfter          float64      // of the machine, all of it: others may have used it too
+	PeakMB                         float64      // resident, of all processes together
+}
+
+// role finds a process's.
+func (r *run) role(one, leader *child) string {
+	if one.links {
+		return Links
+	}
+	m := &r.lay.members[one.members[0]]
+	voter := m.fleet == 0 && one.members[0] < votersOf(len(r.lay.fleets[0].members))
+	switch {
+	case one == leader && m.real:
+		return Leader
+	case one == leader:
+		return HollowLead
+	case voter && m.real:
+		return Voter
+	case voter:
+		return HollowVote
+	case m.real:
+		return RealMember
+	case m.fleet == 0:
+		return Member
+	}
+	return CellMember
+}
+
+func (r *run) report(before, after *sample) *Report {
+	c := &r.conf
+	out := &Report{
+		Real: c.Real, Hollow: c.Hollow, CellSize: c.CellSize, Fleets: len(r.lay.fleets), Members: c.Real + c.Hollow,
+		ForS: after.at.Sub(before.at).Seconds(), LeaseMs: float64(c.Lease.Milliseconds()), Audit: c.Audit, Servers: c.Servers,
+	}
+	seconds := out.ForS
+	leader, _ := r.book.leader(r.first)
+	byName := map[string]*Role{}
+	for _, one := range r.children.all {
+		u, ok := after.usage[one]
+		was, had := before.usage[one]
+		if !ok || !had || one.killed {
+			continue
+		}
+		name := r.role(one, leader)
+		role := byName[name]
+		if role == nil {
+			role = &Role{Name: name, OutOf: map[string]float64{}}
+			byName[name] = role
+		}
+		role.Members += len(one.members)
+		role.Processes++
+		role.CPU += 100 * (u.CPU - was.CPU).Seconds() / seconds
+		role.MemoryMB += float64(u.RSS) / (1 << 20)
+		role.Descriptors += float64(u.Descriptors)
+		if name == Links {
+			continue
+		}
+		for _, i := range one.members {
+			m := &r.lay.members[i]
+			if !r.lay.fleets[m.fleet].counted {
+				continue
+			}
+			t := after.counts[m.name].since(before.counts[m.name])
+			role.Counted++
+			role.KBIn, role.KBOut = role.KBIn+float64(t.InBytes)/1000/seconds, role.KBOut+float64(t.OutBytes)/1000/seconds
+			role.In, role.Out = role.In+float64(t.InFrames)/seconds, role.Out+float64(t.OutFrames)/seconds
+			for k, n := range t.Out {
+				if n > 0 {
+					role.OutOf[k] += float64(n) / seconds
+				}
+			}
+		}
+	}
+	for _, name := range Roles {
+		role := byName[name]
+		if role == nil {
+			continue
+		}
+		n := float64(role.Members)
+		role.CPU, role.MemoryMB, role.Descriptors = role.CPU/n, role.MemoryMB/n, role.Descriptors/n
+		if k := float64(role.Counted); k > 0 {
+			role.KBIn, role.KBOut, role.In, role.Out = role.KBIn/k, role.KBOut/k, role.In/k, role.Out/k
+			for kind := range role.OutOf {
+				role.OutOf[kind] /= k
+			}
+		}
+		out.Roles = append(out.Roles, *role)
+	}
+	a, b := after.list, before.list
+	out.ListService = ListFigures{
+		Open: a.Open, Calls: float64(a.Calls-b.Calls) / seconds, Words: float64(a.Words-b.Words) / seconds,
+		KBIn: float64(a.BytesIn-b.BytesIn) / 1000 / seconds, KBOut: float64(a.BytesOut-b.BytesOut) / 1000 / seconds,
+	}
+	r.book.mu.Lock()
+	out.Leases, out.PutOut = len(r.book.leased), len(r.book.out)
+	r.book.mu.Unlock()
+	return out
+}
+
+// Write puts a report, or any figures, into a file.
+func Write(path string, v any) error {
+	text, err := json.MarshalIndent(v, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(text, '\n'), 0o644)
+}
+
+// Read reads files of one report or of several.
+func Read(paths []string) (out []*Report, err error) {
+	for _, path := range paths {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, err
+		}
+		var all []*Report
+		if err := json.Unmarshal(text, &all); err != nil {
+			one := new(Report)
+			if err := json.Unmarshal(text, one); err != nil {
+				return nil, fmt.Errorf("%s: %w", path, err)
+			}
+			all = []*Report{one}
+		}
+		out = append(out, all...)
+	}
+	return out, nil
+}
+
+func newTable(out io.Writer, head ...any) table.Writer {
+	t := table.NewWriter()
+	t.SetOutputMirror(out)
+	t.SetStyle(table.StyleLight)
+	t.AppendHeader(head)
+	return t
+}
+
+func figure(x float64) string { return fmt.Sprintf("%.3g", x) }
+
+// Print tells a report.
+func (r *Report) Print(out io.Writer) {
+	fmt.Fprintf(out, "%d members (%d real, %d hollow) in %d fleets, lease %.0f ms, account %t, a list of %d, measured for %.1f s; all had a lease and a list after %.1f s\n",
+		r.Members, r.Real, r.Hollow, r.Fleets, r.LeaseMs, r.Audit, r.Servers, r.ForS, r.StartS)
+	t := newTable(out, "role", "members", "processes", "% of a core", "MB", "descriptors", "KB/s in", "KB/s out", "frames/s in", "frames/s out", "counted")
+	for _, o := range r.Roles {
+		row := table.Row{o.Name, o.Members, o.Processes, figure(o.CPU), figure(o.MemoryMB), figure(o.Descriptors)}
+		if o.Counted > 0 {
+			row = append(row, figure(o.KBIn), figure(o.KBOut), figure(o.In), figure(o.Out), o.Counted)
+		} else {
+			row = append(row, "-", "-", "-", "-", 0)
+		}
+		t.AppendRow(row)
+	}
+	t.Render()
+	fmt.Fprintln(out, "figures are of one member; where a process has several, the process's divided by them")
+	for _, o := range r.Roles {
+		var parts []string
+		for k, n := range o.OutOf {
+			parts = append(parts, fmt.Sprintf("%s %s", k, figure(n)))
+		}
+		if slices.Sort(parts); len(parts) > 0 {
+			fmt.Fprintf(out, "%s sends, frames a second: %s\n", o.Name, strings.Join(parts, ", "))
+		}
+	}
+	l := r.ListService
+	fmt.Fprintf(out, "list service: %d watches, %s calls/s, %s lists and beats/s, %s KB/s in, %s KB/s out\n", l.Open, figure(l.Calls), figure(l.Words), figure(l.KBIn), figure(l.KBOut))
+	r.Settings.print(out, "versions of the settings, of each fleet")
+	r.List.print(out, "changes of the list, at hollow members")
+	switch f := r.Fault; {
+	case f == nil:
+	case f.Name == ListDown:
+		fmt.Fprintf(out, "fault %s: %d calls on the list service in the second after its return\n", f.Name, f.Calls)
+	default:
+		fmt.Fprintf(out, "fault %s, %s: another leader after %.0f ms, %d put out, whole again after %.0f ms\n", f.Name, f.Who, f.NewLeaderMs, f.PutOut, f.WholeMs)
+	}
+	fmt.Fprintf(out, "frames on counted links: %d sent, %d received, %d lost at the end; put out in all: %d; the machine's load before %.1f, after %.1f; %.0f MB at most, of all processes\n",
+		r.Sent, r.Received, r.Lost, r.PutOut, r.LoadBefore, r.LoadAfter, r.PeakMB)
+}
+
+func (f *InForce) print(out io.Writer, what string) {
+	if f.Changes+f.Refused > 0 {
+		fmt.Fprintf(out, "%s: %d changes (%s/s), %d not agreed; in force after %.0f ms (p50), %.0f ms (p99), %.0f ms (most); missing %d of %d\n",
+			what, f.Changes, figure(f.PerSecond), f.Refused, f.P50, f.P99, f.Most, f.Missing, f.Expected)
+	}
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,442 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"damsonscale/internal/discovery"
+	"damsonscale/internal/frame"
+	"damsonscale/internal/standin"
+)
+
+// program is where the program was built, once for all tests.
+var program string
+
+func TestMain(m *testing.M) {
+	if len(os.Args) == 2 && os.Args[1] == "worker" {
+		if err := WorkerMain(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	dir, err := os.MkdirTemp("", "scale-test-")
+	if err == nil {
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", dir+"/", "damsonscale/cmd/damsonscale", "damsonscale/cmd/damsonscale-fleet").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	program = filepath.Join(dir, "damsonscale")
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// small is a run for tests. The lease is long, so that a busy machine puts nobody out.
+func small(t *testing.T, real, hollow, cell int) Config {
+	return Config{
+		Real: real, Hollow: hollow, CellSize: cell, For: time.Second, Lease: 3 * time.Second, CountedCells: 2, MemoryMB: 2000,
+		Binary: program, Dir: t.TempDir(), Worker: []string{os.Args[0], "worker"},
+	}.Defaults()
+}
+
+// left lists processes of a run: each of them has its directory in its environment.
+func left(t *testing.T, dir string) (out []string) {
+	t.Helper()
+	all, err := filepath.Glob("/proc/[0-9]*/environ")
+	if err != nil || len(all) == 0 {
+		t.Fatal("no processes are told", err)
+	}
+	for _, path := range all {
+		if text, err := os.ReadFile(path); err == nil && bytes.Contains(text, []byte("TMPDIR="+dir+"\x00")) {
+			out = append(out, path)
+		}
+	}
+	return out
+}
+
+func TestArguments(t *testing.T) {
+	good := Config{Hollow: 3, For: time.Second, MemoryMB: 500}.Defaults()
+	if err := good.Validate(); err != nil {
+		t.Fatal(err)
+	}
+	for name, spoil := range map[string]func(c *Config){
+		"--real": func(c *Config) { c.Real = MostReal + 1 }, "--hollow": func(c *Config) { c.Hollow = -1 },
+		"--hollow: no members":       func(c *Config) { c.Hollow = 0 },
+		"--hollow: 1025 members":     func(c *Config) { c.Hollow = MostFleet + 1 },
+		"--cell-size: 2":             func(c *Config) { c.CellSize = 2 },
+		"--cell-size: 3 members are": func(c *Config) { c.CellSize = 4 },
+		"--for":                      func(c *Config) { c.For = time.Hour },
+		"--changes":                  func(c *Config) { c.Changes = -1 },
+		"--list-changes":             func(c *Config) { c.ListChanges = MostRate + 1 },
+		"--servers":                  func(c *Config) { c.Servers = 0 },
+		"--lease":                    func(c *Config) { c.Lease = time.Millisecond },
+		"--fault":                    func(c *Config) { c.Fault = "flood" },
+		"--memory-mb":                func(c *Config) { c.MemoryMB = 1 << 30 },
+		"--per-process":              func(c *Config) { c.PerProcess = 0 },
+		"--counted-cells":            func(c *Config) { c.CountedCells = -1 },
+		"--cores":                    func(c *Config) { c.Cores = 0 },
+	} {
+		bad := good
+		spoil(&bad)
+		if err := bad.Validate(); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	for name, c := range map[string]ListsConfig{
+		"--sizes: 0 of them": {For: time.Second}, "--sizes: 0 is": {Sizes: []int{0}, For: time.Second},
+		"--for": {Sizes: []int{1}}, "--changes": {Sizes: []int{1}, For: time.Second, Changes: -1},
+	} {
+		if err := c.Validate(); err == nil || !strings.Contains(err.Error(), name) {
+			t.Errorf("lists: %s: %v", name, err)
+		}
+	}
+}
+
+// What would not fit is refused with the reason, and nothing is started.
+func TestNoRoom(t *testing.T) {
+	c := small(t, 0, 18_000, 30)
+	if _, err := Run(context.Background(), c); !errors.Is(err, ErrNoRoom) || !strings.Contains(err.Error(), "--hollow") {
+		t.Error(err)
+	}
+	c = small(t, 0, 1000, 0)
+	c.MemoryMB, c.PerProcess = int(machineMemory()>>20)/2, 1000
+	l := lay(&c)
+	if _, files := c.Estimate(l); files < 10_000 {
+		t.Errorf("%d descriptors for a thousand members in a process", files)
+	}
+	if used, err := os.ReadDir(c.Dir); err != nil || len(used) > 0 {
+		t.Error("something was begun", used, err)
+	}
+}
+
+func TestLayout(t *testing.T) {
+	for _, c := range []struct {
+		real, hollow, cell, per int
+		own, shared, links      int
+	}{
+		{0, 5, 0, 10, 5, 0, 1}, {5, 20, 0, 10, 0, 2, 1}, {3, 6, 0, 10, 2, 1, 1}, {0, 30, 10, 100, 5, 2, 1}, {0, 40, 10, 20, 5, 3, 1}, {0, 2, 0, 9, 1, 1, 1},
+	} {
+		conf := Config{Real: c.real, Hollow: c.hollow, CellSize: c.cell, PerProcess: c.per, CountedCells: 2}.Defaults()
+		l := lay(&conf)
+		if len(l.own) != c.own || len(l.shared) != c.shared || len(l.links) != c.links {
+			t.Errorf("%+v: %d own, %d shared, %d links", c, len(l.own), len(l.shared), len(l.links))
+		}
+		times := map[int]int{}
+		for _, p := range append(l.own, l.shared...) {
+			for _, i := range p.members {
+				if times[i]++; l.members[i].real {
+					t.Errorf("%+v: member %d is real and hollow", c, i)
+				}
+			}
+			if c.cell > 0 && l.members[p.members[0]].fleet != l.members[p.members[len(p.members)-1]].fleet && l.members[p.members[0]].fleet == 0 {
+				t.Errorf("%+v: a process has members of the first fleet and of others", c)
+			}
+		}
+		if len(times) != c.hollow {
+			t.Errorf("%+v: %d hollow members have a process", c, len(times))
+		}
+		for i, n := range times {
+			if n != 1 {
+				t.Errorf("%+v: member %d is in %d processes", c, i, n)
+			}
+		}
+	}
+}
+
+// Slopes through made-up points are what was made up.
+func TestSlopes(t *testing.T) {
+	reports := []*Report{}
+	for _, n := range []int{5, 20, 60, 120} {
+		reports = append(reports, &Report{Members: n, Roles: []Role{
+			{Name: Leader, Members: 1, Counted: 1, CPU: 0.5 + 0.125*float64(n), MemoryMB: 20, KBIn: float64(n), KBOut: float64(2 * n)},
+			{Name: Member, Members: n - 1, CPU: 0.25},
+		}})
+	}
+	all, err := Slopes(reports)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := map[string][3]float64{ // slope, intercept, at the target
+		"leader/% of a core": {0.125, 0.5, 2250.5}, "leader/MB": {0, 20, 20}, "leader/KB/s in and out": {3, 0, 54_000}, "member/% of a core": {0, 0.25, 0.25},
+	}
+	const close = 1e-9
+	off := func(a, b float64) bool { return a-b > close || b-a > close }
+	for _, s := range all {
+		w, ok := want[s.Role+"/"+s.Quantity]
+		if !ok {
+			continue
+		}
+		delete(want, s.Role+"/"+s.Quantity)
+		if off(s.Slope, w[0]) || off(s.Intercept, w[1]) || off(s.AtTarget/w[2], 1) || off(s.Residual, 0) || len(s.Points) != 4 {
+			t.Errorf("%s, %s: %+v", s.Role, s.Quantity, s)
+		}
+	}
+	if len(want) > 0 {
+		t.Errorf("no slope for %v", want)
+	}
+	for _, s := range all {
+		if s.Role == Member && strings.Contains(s.Quantity, "/s") {
+			t.Errorf("a slope of what was not counted: %+v", s)
+		}
+	}
+	l, err := Fit([]Point{{0, 1}, {0, -1}, {2, 1}, {2, -1}})
+	if err != nil || off(l.Slope, 0) || off(l.Intercept, 0) || off(l.Residual, 1) {
+		t.Errorf("%+v %v", l, err)
+	}
+	if _, err := Fit([]Point{{3, 1}, {3, 2}}); !errors.Is(err, ErrPoints) {
+		t.Error("a line through one size:", err)
+	}
+	var out strings.Builder
+	PrintSlopes(&out, all)
+	if !strings.Contains(out.String(), "54000") && !strings.Contains(out.String(), "5.4e+04") {
+		t.Error(out.String())
+	}
+}
+
+// A change is in force where it, or a later one, was seen after it was made; the rest is missing.
+func TestInForce(t *testing.T) {
+	at := func(ms int) time.Time { return time.UnixMilli(1_000_000 + int64(ms)) }
+	made := []mark{{1, at(0)}, {2, at(100)}}
+	marks := map[string][]mark{"a": {{1, at(10)}, {2, at(130)}}, "b": {{2, at(150)}}, "c": {{1, at(40)}}}
+	ms, f := inForce(made, []string{"a", "b", "c"}, marks)
+	f.ranks(ms)
+	if f.Expected != 6 || f.Missing != 1 || f.WorstMember != "c" || f.P50 != 40 || f.Most != 150 {
+		t.Errorf("%+v of %v", f, ms)
+	}
+}
+
+// The tallies of links are those of who sends and who receives.
+func TestLinks(t *testing.T) {
+	heard := make(chan int, 1)
+	target := standin.Listen(t, func(c *net.TCPConn, _ int) {
+		n, _ := io.Copy(io.Discard, c)
+		heard <- int(n)
+	})
+	l := newLinks()
+	defer l.close()
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := front.Addr().String()
+	front.Close()
+	if err := l.open("b", addr, target); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	who, err := cbor.Marshal([]any{uint64(7), []any{"a", uint64(1)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	bytes := 0
+	for i, kind := range []byte{hello, 1, 1, 3, 200} {
+		payload := make([]byte, 100*i)
+		if kind == hello {
+			payload = who
+		}
+		one, err := frame.Append(nil, kind, payload)
+		if err != nil {
+			t.Fatal(err)
+		}
+		bytes += len(one)
+		if _, err := c.Write(one); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c.Close()
+	if n := <-heard; n != bytes {
+		t.Errorf("%d bytes heard of %d", n, bytes)
+	}
+	standin.Eventually(t, "all connections closed", func() bool { _, open := l.tallies(); return open == 0 })
+	all, _ := l.tallies()
+	a, b := all["a"], all["b"]
+	if a.OutFrames != 5 || a.OutBytes != int64(bytes) || b.InFrames != 5 || b.InBytes != int64(bytes) || a.InFrames+b.OutFrames+b.LostFrames != 0 ||
+		a.Out["raft"] != 2 || a.Out["ask"] != 1 || a.Out["other"] != 1 {
+		t.Errorf("%+v", all)
+	}
+}
+
+// The list service tells whole lists first, then what changes, to a watch that is not too far behind.
+func TestListService(t *testing.T) {
+	s, err := startList(5, "127.0.0.1:9")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	told := make(chan *discovery.List, 10)
+	c := discovery.New(s.addr, nil, false, listener(told))
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go c.Run(ctx)
+	c.Watch(true)
+	if l := <-told; !l.Whole || len(l.Hosts) != 5 || l.Seq != 1 {
+		t.Fatalf("%+v", l)
+	}
+	if seq := s.alter(); seq != 2 {
+		t.Fatal(seq)
+	}
+	if l := <-told; l.Whole || len(l.Hosts) != 1 || l.Seq != 2 {
+		t.Fatalf("%+v", l)
+	}
+	if s.calls.Load() != 1 || s.deltasTold.Load() != 1 || s.open.Load() != 1 || s.out.Load() == 0 || s.in.Load() == 0 {
+		t.Error("counted wrongly")
+	}
+	for from, want := range map[int64]int{1: 1, 2: 0} {
+		if l, _, _ := s.news(from); len(l) != want {
+			t.Errorf("%d: told %+v", from, l)
+		}
+	}
+	for _, from := range []int64{-1, 0, 3} {
+		if l, _, _ := s.news(from); len(l) != 1 || !l[0].Whole {
+			t.Errorf("%d: told %+v", from, l)
+		}
+	}
+}
+
+type listener chan *discovery.List
+
+func (l listener) Listed(list *discovery.List) { l <- list }
+func (l listener) ListFailed()                 {}
+
+// Each member has a lease and the list, versions and lists come into force at all of them, what was sent is what was received, and
+// nothing is left behind.
+func TestSmall(t *testing.T) {
+	for _, c := range []struct{ real, hollow, cell, fleets int }{{3, 6, 0, 1}, {0, 6, 3, 2}} {
+		t.Run(fmt.Sprintf("%d real, %d hollow, fleets of %d", c.real, c.hollow, c.cell), func(t *testing.T) {
+			t.Parallel()
+			conf := small(t, c.real, c.hollow, c.cell)
+			conf.Changes, conf.ListChanges = 3, 3
+			r, err := Run(context.Background(), conf)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Leases != c.real+c.hollow || r.Fleets != c.fleets {
+				t.Errorf("%d leases in %d fleets", r.Leases, r.Fleets)
+			}
+			if least := int64(2 * (c.real + c.hollow - c.fleets)); r.Sent < least || r.Sent != r.Received+r.Lost || r.OpenLinks != 0 { // each but those who lead says hello and asks for a lease
+				t.Errorf("%d frames sent, %d received, %d lost, %d links open at the end", r.Sent, r.Received, r.Lost, r.OpenLinks)
+			}
+			if s := r.Settings; s.Changes == 0 || s.Missing > 0 || s.Expected != s.Changes*(c.real+c.hollow)/c.fleets {
+				t.Errorf("settings: %+v", s)
+			}
+			if s := r.List; s.Changes == 0 || s.Missing > 0 || s.Expected != s.Changes*c.hollow {
+				t.Errorf("lists: %+v", s)
+			}
+			members, leaders := 0, 0
+			for _, o := range r.Roles {
+				if o.Name == Links {
+					continue
+				}
+				if members += o.Members; o.Name == Leader || o.Name == HollowLead {
+					leaders += o.Members
+				}
+				if o.Counted != o.Members || o.In < 0 || o.Out < 0 || o.Descriptors <= 0 || o.MemoryMB <= 0 {
+					t.Errorf("%+v", o)
+				}
+			}
+			if members != c.real+c.hollow || leaders != 1 {
+				t.Errorf("%d members, %d leaders in %+v", members, leaders, r.Roles)
+			}
+			if l := left(t, conf.Dir); len(l) > 0 {
+				t.Error("left behind:", l)
+			}
+		})
+	}
+}
+
+// A leader that is killed is put out and followed by another; nothing is expected of it.
+func TestLeaderKilled(t *testing.T) {
+	t.Parallel()
+	conf := small(t, 0, 5, 0)
+	conf.Fault, conf.Lease, conf.Changes = KillLeader, time.Second, 2
+	r, err := Run(context.Background(), conf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := r.Fault
+	if f == nil || f.Member == "" || f.NewLeaderMs <= 0 || f.PutOut < 1 || r.Settings.Missing > 0 {
+		t.Errorf("%+v, %+v", f, r.Settings)
+	}
+}
+
+// An interrupt ends a run cleanly, whatever it is at.
+func TestInterrupt(t *testing.T) {
+	for _, what := range []string{"voter-1.log", "shared-1.log"} {
+		t.Run(what, func(t *testing.T) {
+			t.Parallel()
+			conf := small(t, 1, 8, 0)
+			conf.For = time.Minute
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { _, err := Run(ctx, conf); done <- err }()
+			standin.Eventually(t, what, func() bool { _, err := os.Stat(filepath.Join(conf.Dir, what)); return err == nil })
+			cancel()
+			if err := <-done; !errors.Is(err, ErrInterrupted) {
+				t.Error(err)
+			}
+			if l := left(t, conf.Dir); len(l) > 0 {
+				t.Error("left behind:", l)
+			}
+		})
+	}
+}
+
+// A run that takes more memory than it may ends itself.
+func TestMemoryBound(t *testing.T) {
+	t.Parallel()
+	conf := small(t, 0, 6, 0)
+	conf.MemoryMB, conf.For = 10, time.Minute
+	if _, err := play(context.Background(), conf, lay(&conf)); !errors.Is(err, ErrMemory) {
+		t.Error(err)
+	}
+	if l := left(t, conf.Dir); len(l) > 0 {
+		t.Error("left behind:", l)
+	}
+}
+
+// One idle sidecar for each length of the list is told each change.
+func TestLists(t *testing.T) {
+	t.Parallel()
+	dir := t.TempDir()
+	all, err := Lists(context.Background(), ListsConfig{Sizes: []int{3, 50}, For: LeastFor, Changes: 10, Binary: program, Dir: dir})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(all) != 2 || all[1].Servers != 50 || all[0].Idle.MemoryMB <= 0 {
+		t.Errorf("%+v", all)
+	}
+	for _, f := range all {
+		if f.Changes == 0 || f.Untold != 0 {
+			t.Errorf("%d servers: not told of %d of %d changes", f.Servers, f.Untold, f.Changes)
+		}
+	}
+	if l := left(t, dir); len(l) > 0 {
+		t.Error("left behind:", l)
+	}
+	var out strings.Builder
+	PrintLists(&out, all)
+	if !strings.Contains(out.String(), "a server") {
+		t.Error(out.String())
+	}
+}
--- /dev/null
+++ b/internal/scale/worker.go
@@ -0,0 +1,193 @@
+package scale
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"damsonscale/internal/config"
+	"damsonscale/internal/options"
+)
+
+// EventKind is what is seen of a member.
+type EventKind string
+
+const (
+	Serves  EventKind = "serves"  // the process has all its members, or links, listening
+	Leased  EventKind = "leased"  // a member has its first lease of an incarnation
+	Leads   EventKind = "leads"   // a member of the process grants leases from now on
+	Evicted EventKind = "evicted" // an incarnation of a member was put out, as each who votes sees it
+	Adopted EventKind = "adopted" // a version of the settings is in force
+	Listed  EventKind = "listed"  // a list is in force
+	Counted EventKind = "counted" // the links' counts so far
+	Failed  EventKind = "failed"  // the process can't do what it was told
+)
+
+// Event is what was seen, by a hollow member's hooks or in a real one's log.
+type Event struct {
+	Kind   EventKind
+	Member string           `json:",omitempty"`
+	Which  string           `json:",omitempty"` // incarnation
+	Number int64            `json:",omitempty"` // of the version, the list, or open connections of links
+	At     time.Time        `json:",omitzero"`
+	Counts map[string]Tally `json:",omitempty"`
+	Why    string           `json:",omitempty"`
+}
+
+// work is what a worker is told on the first line of its input. Each further line asks for the links' counts; the end of the input ends
+// it.
+type work struct {
+	Cores  int
+	Links  []linkWork
+	Fleets []fleetWork
+	Config json.RawMessage // of hollow members
+	List   string          // the list service's address
+}
+
+type linkWork struct{ Member, Front, Target string }
+
+// fleetWork is this process's part of one fleet. Options are those of its first member; of the others address and directory differ.
+type fleetWork struct {
+	Options string
+	Members []seatWork
+}
+
+type seatWork struct{ Name, Address, StateDir string }
+
+// Worker is the program of a process with hollow members or links, until its input ends.
+func Worker(in io.Reader, out, errs io.Writer) error {
+	lines := bufio.NewReader(in)
+	first, err := lines.ReadBytes('\n')
+	if err != nil {
+		return fmt.Errorf("a worker is told its work on its input: %w", err)
+	}
+	var w work
+	if err := json.Unmarshal(first, &w); err != nil {
+		return fmt.Errorf("a worker's work: %w", err)
+	}
+	runtime.GOMAXPROCS(max(1, w.Cores))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	tell := teller(out)
+	log.SetFlags(log.LstdFlags | log.Lmicroseconds | log.LUTC)
+	log.SetOutput(io.MultiWriter(errs, seen(func(line string) {
+		if e, ok := eventOf(line); ok && e.Kind != Adopted {
+			tell(e)
+		}
+	})))
+	l := newLinks()
+	defer l.close()
+	if err := w.begin(ctx, l, tell); err != nil {
+		tell(Event{Kind: Failed, Why: err.Error()})
+		return err
+	}
+	tell(Event{Kind: Serves, At: time.Now()})
+	for {
+		if _, err := lines.ReadBytes('\n'); err != nil {
+			return nil
+		}
+		counts, open := l.tallies()
+		tell(Event{Kind: Counted, Number: int64(open), At: time.Now(), Counts: counts})
+	}
+}
+
+func (w *work) begin(ctx context.Context, l *links, tell func(Event)) error {
+	for _, one := range w.Links {
+		if err := l.open(one.Member, one.Front, one.Target); err != nil {
+			return err
+		}
+	}
+	if len(w.Fleets) == 0 {
+		return nil
+	}
+	conf, err := config.Parse(w.Config, func(string) string { return "" })
+	if err != nil {
+		return err
+	}
+	for _, f := range w.Fleets {
+		o, err := options.Parse([]byte(f.Options), f.Members[0].Name)
+		if err != nil {
+			return err
+		}
+		for _, m := range f.Members {
+			mine := *o
+			mine.Fleet.Address, mine.Fleet.StateDir = m.Address, m.StateDir
+			if err := startHollow(ctx, &mine, m.Name, conf, w.List, tell); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// teller writes events, one a line, by any goroutine.
+func teller(out io.Writer) func(Event) {
+	var mu sync.Mutex
+	return func(e Event) {
+		text, err := json.Marshal(e)
+		if err != nil {
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		out.Write(append(text, '\n'))
+	}
+}
+
+// seen hands each line of a log on.
+type seen func(line string)
+
+func (s seen) Write(p []byte) (int, error) {
+	s(string(bytes.TrimSuffix(p, []byte("\n"))))
+	return len(p), nil
+}
+
+// logKinds are the lines of the program's log that tell an event.
+var logKinds = map[string]EventKind{
+	"event=fleet_lease": Leased, "event=fleet_leads": Leads, "event=fleet_epoch": Evicted, "event=adopted": Adopted,
+}
+
+const logTime = "2006/01/02 15:04:05.000000"
+
+// eventOf reads a line of the program's log.
+func eventOf(line string) (e Event, ok bool) {
+	f := strings.Fields(line)
+	if len(f) < 3 {
+		return e, false
+	}
+	if e.Kind, ok = logKinds[f[2]]; !ok {
+		return e, false
+	}
+	at, err := time.Parse(logTime, f[0]+" "+f[1])
+	if err != nil {
+		return e, false
+	}
+	e.At = at
+	out := false
+	for _, field := range f[3:] {
+		switch key, value, _ := strings.Cut(field, "="); key {
+		case "name", "member":
+			e.Member = value
+		case "incarnation":
+			e.Which = value
+		case "out":
+			out = value == "true"
+		case "number":
+			e.Number, _ = strconv.ParseInt(value, 10, 64)
+		}
+	}
+	return e, e.Kind != Evicted || out
+}
+
+// WorkerMain is Worker over the process's own streams.
+func WorkerMain() error { return Worker(os.Stdin, os.Stdout, os.Stderr) }
