--- a/cmd/damsonscale-rig/scale.go
+++ b/cmd/damsonscale-rig/scale.go
@@ -45,7 +45,7 @@
 	c := scale.Config{
 		Real: f.Real, Hollow: hollow, CellSize: f.CellSize, For: f.For, Changes: f.Changes, ListChanges: f.ListChanges, Servers: f.Servers,
 		Lease: f.Lease, Audit: f.Audit, Fault: f.Fault, MemoryMB: f.MemoryMB, PerProcess: f.PerProcess, CountedCells: f.CountedCells, Cores: f.Cores,
-		Binary: p.binary, Dir: dir, Worker: []string{here, "scale", "worker"},
+		Binary: p.binary, Dir: dir, Worker: []string{here, "--binary", p.binary, "scale", "worker"},
 	}.Defaults()
 	return c, os.MkdirAll(dir, 0o755)
 }
@@ -103,11 +103,11 @@
 		}
 		p.forget()
 	}
-	slopes, err := scale.Slopes(all)
+	slopes, left, err := scale.Slopes(all)
 	if err != nil {
 		return err
 	}
-	scale.PrintSlopes(os.Stdout, slopes)
+	scale.PrintSlopes(os.Stdout, slopes, left)
 	return nil
 }
 
@@ -121,11 +121,11 @@
 	if err != nil {
 		return err
 	}
-	slopes, err := scale.Slopes(all)
+	slopes, left, err := scale.Slopes(all)
 	if err != nil {
 		return err
 	}
-	scale.PrintSlopes(os.Stdout, slopes)
+	scale.PrintSlopes(os.Stdout, slopes, left)
 	return nil
 }
 
--- a/internal/scale/lists.go
+++ b/internal/scale/lists.go
@@ -205,7 +205,7 @@
 		points []Point
 	}{{"% of a core, idle", cpu}, {"MB, idle", mb}, {"CPU ms a change", change}} {
 		if l, err := Fit(q.points); err == nil {
-			fmt.Fprintf(out, "%s: slope %s a server, intercept %s, residual %s, at %d %s\n", q.name, figure(l.Slope), figure(l.Intercept), figure(l.Residual),
+			fmt.Fprintf(out, "%s: slope %s a server (error %s), intercept %s, residual %s, at %d %s\n", q.name, figure(l.Slope), figure(l.Error), figure(l.Intercept), figure(l.Residual),
 				Target, strings.TrimSpace(figure(l.At(Target))))
 		}
 	}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -7,6 +7,7 @@
 	"os"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/jedib0t/go-pretty/v6/table"
 )
@@ -56,7 +57,8 @@
 	Servers                        int
 	StartS                         float64 // until each member had a lease and a list
 	Leases                         int     // members that have had one
-	PutOut                         int     // that were put out, over all of the run
+	PutOut                         int     // incarnations that were put out, over all of the run
+	Unrest                         int     // incarnations put out and new leaders of the first fleet while it was measured
 	Roles                          []Role
 	ListService                    ListFigures
 	Sent, Received, Lost           int64 // frames on the counted links from the start to the members' end; lost: their receiver had gone
@@ -157,11 +159,29 @@
 		KBIn: float64(a.BytesIn-b.BytesIn) / 1000 / seconds, KBOut: float64(a.BytesOut-b.BytesOut) / 1000 / seconds,
 	}
 	r.book.mu.Lock()
+	defer r.book.mu.Unlock()
 	out.Leases, out.PutOut = len(r.book.leased), len(r.book.out)
-	r.book.mu.Unlock()
+	within := func(at time.Time) int {
+		if at.Before(before.at) || at.After(after.at) {
+			return 0
+		}
+		return 1
+	}
+	for _, at := range r.book.out {
+		out.Unrest += within(at)
+	}
+	for _, l := range r.book.leads {
+		if r.first(l.by) {
+			out.Unrest += within(l.at)
+		}
+	}
 	return out
 }
 
+// Calm tells whether a run was of members that live on: nobody was put out and no other led while it was measured. A run that is not was starved
+// of CPU, or had a fault.
+func (r *Report) Calm() bool { return r.Unrest == 0 }
+
 // Write puts a report, or any figures, into a file.
 func Write(path string, v any) error {
 	text, err := json.MarshalIndent(v, "", " ")
@@ -237,6 +257,9 @@
 	default:
 		fmt.Fprintf(out, "fault %s, %s: another leader after %.0f ms, %d put out, whole again after %.0f ms\n", f.Name, f.Who, f.NewLeaderMs, f.PutOut, f.WholeMs)
 	}
+	if !r.Calm() {
+		fmt.Fprintf(out, "NOT CALM: %d members put out or new leaders while it was measured; slopes leave this run out\n", r.Unrest)
+	}
 	fmt.Fprintf(out, "frames on counted links: %d sent, %d received, %d lost at the end; put out in all: %d; the machine's load before %.1f, after %.1f; %.0f MB at most, of all processes\n",
 		r.Sent, r.Received, r.Lost, r.PutOut, r.LoadBefore, r.LoadAfter, r.PeakMB)
 }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -22,7 +22,7 @@
 
 const (
 	startWithin = 2 * time.Minute  // until each member has a lease and a list
-	lastWithin  = 10 * time.Second // of the end, for changes to be in force: the users' own bound
+	lastWithin  = 30 * time.Second // of the end, for changes to be in force; past it they are missing
 	watchEvery  = 250 * time.Millisecond
 	orderWithin = 5 * time.Second // of the end of the measured time, for an order that is under way
 	orderAgain  = 20 * time.Millisecond
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -16,6 +16,7 @@
 	Slope     float64 // of Y for one more of X
 	Intercept float64
 	Residual  float64 // root of the mean square of what the points are off the line
+	Error     float64 // standard error of Slope; 0 with two points, of which it can't be told
 }
 
 // At is the line's height.
@@ -42,5 +43,8 @@
 		sum += (p.Y - l.At(p.X)) * (p.Y - l.At(p.X))
 	}
 	l.Residual = math.Sqrt(sum / float64(len(points)))
+	if free := float64(len(points) - 2); free > 0 {
+		l.Error = math.Sqrt(sum / free / (stat.Variance(x, nil) * float64(len(points)-1)))
+	}
 	return l, nil
 }
--- a/internal/scale/sweep.go
+++ b/internal/scale/sweep.go
@@ -1,7 +1,6 @@
 package scale
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"strings"
@@ -10,6 +9,9 @@
 // Target is the size that slopes are followed to.
 const Target = 18_000
 
+// inForceMs is the time within which a change is to be in force everywhere, from the users' page.
+const inForceMs = 10_000
+
 // Quantity is one of what a member takes.
 type Quantity struct {
 	Name   string
@@ -35,37 +37,58 @@
 	Budget   float64 // 0: none
 }
 
-// Slopes draws a line for each role and quantity that reports of two sizes at least have.
-func Slopes(reports []*Report) (out []Slope, err error) {
+// Slopes draws a line for each role and quantity that calm reports of two sizes at least have; left are the sizes of the others.
+func Slopes(reports []*Report) (out []Slope, left []int, err error) {
+	var calm []*Report
+	for _, r := range reports {
+		if r.Calm() {
+			calm = append(calm, r)
+		} else {
+			left = append(left, r.Members)
+		}
+	}
+	draw := func(role, quantity string, budget float64, of func(*Report) (float64, bool)) {
+		var points []Point
+		for _, r := range calm {
+			if y, ok := of(r); ok {
+				points = append(points, Point{float64(r.Members), y})
+			}
+		}
+		if l, err := Fit(points); err == nil {
+			out = append(out, Slope{role, quantity, *l, l.At(Target), budget})
+		}
+	}
 	for _, role := range Roles {
 		for _, q := range Quantities {
-			var points []Point
-			for _, r := range reports {
+			draw(role, q.Name, q.Budget, func(r *Report) (float64, bool) {
 				for i := range r.Roles {
-					if o := &r.Roles[i]; o.Name == role && (o.Counted > 0 || !strings.Contains(q.Name, "/s")) {
-						points = append(points, Point{float64(r.Members), q.of(o)})
+					if o := &r.Roles[i]; o.Name == role && role != Links && (o.Counted > 0 || !strings.Contains(q.Name, "/s")) {
+						return q.of(o), true
 					}
 				}
-			}
-			l, err := Fit(points)
-			if errors.Is(err, ErrPoints) {
-				continue
-			}
-			if err != nil {
-				return nil, err
-			}
-			out = append(out, Slope{role, q.Name, *l, l.At(Target), q.Budget})
+				return 0, false
+			})
 		}
 	}
+	draw("list service", "watches", 0, func(r *Report) (float64, bool) { return float64(r.ListService.Open), true })
+	draw("list service", "lists and beats/s", 0, func(r *Report) (float64, bool) { return r.ListService.Words, true })
+	draw("list service", "KB/s out", 0, func(r *Report) (float64, bool) { return r.ListService.KBOut, true })
+	for _, k := range []struct {
+		name string
+		of   func(*Report) *InForce
+	}{{"versions", func(r *Report) *InForce { return &r.Settings }}, {"lists", func(r *Report) *InForce { return &r.List }}} {
+		draw(k.name, "ms to in force, p50", inForceMs, func(r *Report) (float64, bool) { f := k.of(r); return f.P50, f.Expected > f.Missing })
+		draw(k.name, "ms to in force, p99", inForceMs, func(r *Report) (float64, bool) { f := k.of(r); return f.P99, f.Expected > f.Missing })
+	}
 	if len(out) == 0 {
-		return nil, ErrPoints
+		return nil, left, fmt.Errorf("%w; not calm: %v", ErrPoints, left)
 	}
-	return out, nil
+	return out, left, nil
 }
 
 // PrintSlopes tells slopes.
-func PrintSlopes(out io.Writer, all []Slope) {
-	t := newTable(out, "role", "quantity", "points (members: figure)", "slope a member", "intercept", "residual", fmt.Sprintf("at %d", Target), "budget", "times")
+func PrintSlopes(out io.Writer, all []Slope, left []int) {
+	t := newTable(out, "role", "quantity", "points (members: figure)", "slope a member", "its error", "intercept", "residual", fmt.Sprintf("at %d", Target), "budget", "times")
 	for _, s := range all {
 		var points []string
 		for _, p := range s.Points {
@@ -75,7 +98,10 @@
 		if s.Budget > 0 {
 			budget, times = figure(s.Budget), figure(s.AtTarget/s.Budget)
 		}
-		t.AppendRow([]any{s.Role, s.Quantity, strings.Join(points, ", "), figure(s.Slope), figure(s.Intercept), figure(s.Residual), figure(s.AtTarget), budget, times})
+		t.AppendRow([]any{s.Role, s.Quantity, strings.Join(points, ", "), figure(s.Slope), figure(s.Error), figure(s.Intercept), figure(s.Residual), figure(s.AtTarget), budget, times})
 	}
 	t.Render()
+	if len(left) > 0 {
+		fmt.Fprintf(out, "left out, not calm: runs of %v members\n", left)
+	}
 }
