Fleet: a version's bytes are asked of those who vote, who have them

Cause, measured by the scale tests: a version was in force after a time that grew with the fleet, 120 ms a member, over 10 s from some 90 members on. A member that had heard of a version asked one name after the other for its bytes, a name each 120 ms, going on at the next version where it had left off: most names have nothing yet. The test fails where all names are asked alike.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -402,3 +403,37 @@
 	k.f.opts.Fleet.Lease = time.Millisecond
 	k.await(&Lease{shut: new(atomic.Bool), start: time.Now(), over: make(chan struct{})})
 }
+
+// A version's bytes are asked of those who vote first, and of one of them at every second ask, never of the member itself; the
+// others come in as well. Guards against a version that is in force only after a turn through all names.
+func TestBytesOfAVersionAreAskedOfThoseWhoVote(t *testing.T) {
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprintf("n%03d", i))
+	}
+	voters := votersOf(names)
+	for _, me := range []string{"n000", "n004", "n099"} {
+		asked := map[string]int{}
+		for asks := range 20_000 {
+			name, ok := whoHas(voters, names, me, asks, rand.IntN)
+			if !ok || name == me {
+				t.Fatalf("%s asks %q", me, name)
+			}
+			if asks%2 == 0 && !slices.Contains(voters, name) {
+				t.Fatalf("%s: ask %d goes to %s", me, asks, name)
+			}
+			asked[name]++
+		}
+		for _, name := range names {
+			if want := name != me; (asked[name] > 0) != want {
+				t.Errorf("%s asks %s %d times", me, name, asked[name])
+			}
+		}
+	}
+	if name, ok := whoHas([]string{"a"}, []string{"a", "b"}, "a", 0, rand.IntN); !ok || name != "b" {
+		t.Errorf("the only one that votes asks %q", name)
+	}
+	if name, ok := whoHas([]string{"a"}, []string{"a"}, "a", 0, rand.IntN); ok {
+		t.Errorf("one alone asks %q", name)
+	}
+}
--- a/internal/fleet/orders.go
+++ b/internal/fleet/orders.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"log"
+	"math/rand/v2"
 	"time"
 
 	"damsonscale/internal/custody"
@@ -92,7 +93,8 @@
 	texts   map[string][]byte // of versions, by digest, as far as they are known here
 	under   bool              // a version is being adopted
 	asked   time.Time         // when a version's bytes were last asked for
-	turn    int               // whom
+	wanted  uint64            // version that they are asked for
+	asks    int               // for them
 }
 
 // haveText answers who asks for a version's bytes.
@@ -141,20 +143,40 @@
 	f.ask() // whoever leads should hear it soon
 }
 
-// fetch asks one member after the other for the bytes of a version.
+// fetch asks for the bytes of a version.
 func (f *Fleet) fetch(v rollout.Version) {
 	t := &f.tuned
-	if time.Since(t.asked) < f.opts.Fleet.Lease/asksALease/2 {
+	if t.wanted != v.Number {
+		t.wanted, t.asks = v.Number, 0
+	}
+	if t.asks > 0 && time.Since(t.asked) < f.opts.Fleet.Lease/asksALease/2 {
+		return
+	}
+	name, ok := whoHas(f.voters, f.names, f.name, t.asks, rand.IntN)
+	if !ok {
 		return
 	}
 	t.asked = time.Now()
-	for range f.names {
-		t.turn++
-		if name := f.names[t.turn%len(f.names)]; name != f.name {
-			f.send(name, kindWant, v.Digest[:])
-			return
+	t.asks++
+	f.send(name, kindWant, v.Digest[:])
+}
+
+// whoHas is whom a member asks for the bytes of a version, after so many asks in vain: by turns one of those who vote, who have
+// them with the log, and one of all, who may be reached where those are not. Guards against members that ask all names in
+// order, most of whom have nothing yet: a version then took a turn through the fleet.
+func whoHas(voters, names []string, me string, asks int, draw func(int) int) (name string, ok bool) {
+	for _, among := range [][]string{voters, names} {
+		if asks%2 == 1 {
+			among = names
+		}
+		from := draw(len(among))
+		for i := range among {
+			if name := among[(from+i)%len(among)]; name != me {
+				return name, true
+			}
 		}
 	}
+	return "", false
 }
 
 // want answers who asks for bytes that are known here.
