A simulated chain of calls: attempts at the deepest service, by depth, fault and budget

Cause: what retries at each of seven levels and 0.4 ms a hop come to was not known.

Nothing in decide or in the sidecar changed.

--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -39,6 +39,8 @@
 
 	Overhead overheadCmd `cmd:"" help:"What the sidecar adds to a call: the same calls direct and through it, in turn."`
 
+	Chain chainCmd `cmd:"" help:"A simulated chain of calls, deep, with a fault at its end: how many attempts come of a request."`
+
 	Explore exploreCmd `cmd:"" help:"Look for orders of events that break a promise of custody, without processes."`
 }
 
--- /dev/null
+++ b/internal/chain/latency_test.go
@@ -0,0 +1,67 @@
+package chain
+
+import (
+	"math"
+	"testing"
+)
+
+func near(got, want, part float64) bool { return math.Abs(got-want) <= part*math.Abs(want) }
+
+// Guards against a hop that has not the quantiles it was asked for.
+func TestHopHasItsQuantiles(t *testing.T) {
+	for shape, make := range map[string]func(p50, p99, bin, most float64) (Histogram, error){"log-normal": LogNormal, "pareto": Pareto} {
+		h, err := make(100, 400, 2, 20_000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !near(h.Quantile(0.5), 100, 0.02) || !near(h.Quantile(0.99), 400, 0.01) || !near(h.Over(400), 0.01, 0.03) {
+			t.Errorf("%s: p50 %v p99 %v over 400: %v", shape, h.Quantile(0.5), h.Quantile(0.99), h.Over(400))
+		}
+		if _, err := make(400, 100, 2, 20_000); err == nil {
+			t.Errorf("%s: p99 below p50 passed", shape)
+		}
+	}
+}
+
+// Guards against a convolution that is off: hops of two values each, reckoned by hand.
+func TestSumOfTwoValues(t *testing.T) {
+	hop := Histogram{BinUs: 100, Parts: []float64{0.98, 0, 0, 0.02}, terms: 1} // 50 and 350 µs
+	a := Sum(hop, 3, 50, 350)
+	if want := 3 * 0.02 * 0.02; !near(hop.Plus(hop).Plus(hop).Over(500), 3*0.98*0.02*0.02+math.Pow(0.02, 3), 1e-9) {
+		t.Errorf("two slow of three: %v, about %v", hop.Plus(hop).Plus(hop).Over(500), want)
+	}
+	if a.IndependentP50 != 150 || a.IndependentP99 != 450 || a.DependentP99 != 1050 || !near(a.AnyHopOver, 0, 0) {
+		t.Errorf("%+v", a)
+	}
+	if one := Sum(hop, 1, 50, 350); one.IndependentP99 != one.DependentP99 || one.IndependentOver != one.DependentOver {
+		t.Errorf("one hop: %+v", one)
+	}
+}
+
+// Guards against sums that lose parts, and against a sum of independent hops that is worse than one of hops slow together.
+func TestSumOfSeven(t *testing.T) {
+	for shape, make := range map[string]func(p50, p99, bin, most float64) (Histogram, error){"log-normal": LogNormal, "pareto": Pareto} {
+		h, err := make(100, 400, 10, 10_000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		all, mean, total := h, 0.0, 0.0
+		for range 6 {
+			all = all.Plus(h)
+		}
+		for i, p := range h.Parts {
+			mean += p * h.value(i)
+		}
+		of := 0.0
+		for i, p := range all.Parts {
+			total, of = total+p, of+p*all.value(i)
+		}
+		if !near(total, 1, 1e-9) || !near(of, 7*mean, 1e-9) {
+			t.Errorf("%s: parts add up to %v, mean %v, want %v", shape, total, of, 7*mean)
+		}
+		a := Sum(h, 7, 100, 400)
+		if a.IndependentP99 >= a.DependentP99 || a.IndependentOver >= a.DependentOver || !near(a.AnyHopOver, 1-math.Pow(0.99, 7), 0.05) {
+			t.Errorf("%s: %v", shape, a)
+		}
+	}
+}
