Fleet: asks for leases share a round of the log, one each twentieth of a lease

Cause, measured by the scale tests: the leader confirmed with a quorum for each ask, on a quiet machine a round for each, and these rounds were most of its frames and most of what the voters did. Change: it confirms at its tick (30 ms of a lease of 600 ms) for all asks that came; a member asks five times a lease, and its lease counts from its ask as before.

--- a/internal/fleet/epochs.go
+++ b/internal/fleet/epochs.go
@@ -341,11 +341,12 @@
 		}
 	case len(e.waiting) < 4*epochsBox:
 		e.waiting = append(e.waiting, a)
-		e.confirm()
 	}
 }
 
-// confirm asks a quorum whether this member leads, for all that wait: a grant counts only if it did after the ask came.
+// confirm asks a quorum whether this member leads, for all that wait: a grant counts only if it did after the ask came. It is
+// called at each tick, a twentieth of a lease, so that the asks of a tick share a round. Guards against a leader whose rounds
+// are as many as its members' asks: they were most of what it sent, and of its processor time.
 func (e *epochs) confirm() {
 	if len(e.asked) > 0 || len(e.waiting) == 0 {
 		return
@@ -373,7 +374,6 @@
 			e.give(a, granted{})
 		}
 	}
-	e.confirm()
 }
 
 // may tells whether the plan lets a member act.
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -437,3 +437,50 @@
 		t.Errorf("one alone asks %q", name)
 	}
 }
+
+// The asks of a tick share one round of the log, and all of them are granted by it. Guards against a round for each ask, which was
+// most of what a leader did.
+func TestAsksOfATickShareARound(t *testing.T) {
+	e, err := newEpochs(t.TempDir(), "n00", []string{"n00"}, time.Second)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.store.close()
+	granted := map[string]int{}
+	e.send = func(name string, kind byte, _ []byte) {
+		if kind == kindGrant {
+			granted[name]++
+		}
+	}
+	e.told = func(*roster, map[string][]byte) {}
+	do := func(f func()) {
+		t.Helper()
+		f()
+		if err := e.ready(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	do(func() { e.node.Campaign() })
+	const members = 30
+	for i := range members {
+		e.names = append(e.names, fmt.Sprintf("n%02d", i))
+	}
+	for range 3 {
+		asks := func() {
+			for i, name := range e.names {
+				do(func() { e.ask(askLease{Member: member(name, uint64(i+1)), Sent: 1}) })
+			}
+		}
+		asks()
+		if len(e.roster.living()) < members {
+			asks() // the first was to join
+		}
+		before := e.read
+		clear(granted)
+		asks()
+		do(func() { e.turn(time.Now()) })
+		if rounds := e.read - before; rounds != 1 || len(granted) != members {
+			t.Errorf("%d rounds for the asks of %d members, of whom %d have a grant", rounds, members, len(granted))
+		}
+	}
+}
