--- a/cmd/damsonscale-rig/main.go
+++ b/cmd/damsonscale-rig/main.go
@@ -188,6 +188,7 @@
 	PerSecond int           `help:"Calls through the sidecar, and as many direct ones." default:"167"`
 	For       time.Duration `help:"That counts, after 2s that don't." default:"20s"`
 	Servers   int           `help:"That the list names." default:"6"`
+	Balancers int           `help:"That the settings tell of; 0: as many as there are members." default:"0"`
 	Members   int           `help:"Of a fleet with takeover on, one of which is called; 0: no fleet." default:"0"`
 	Class     string        `help:"look (safe), make (keyed) or once (unsafe)." default:"look"`
 	ServerMs  int           `help:"That a server needs for an answer." default:"2"`
@@ -200,7 +201,7 @@
 	var lines []byte
 	for i := range c.Times {
 		r, err := rig.MeasureOverhead(p.ctx, p.setup(filepath.Join(p.dir, fmt.Sprint(i))), &rig.Overhead{
-			PerSecond: c.PerSecond, For: c.For, Servers: c.Servers, Members: c.Members, Class: c.Class, ServerMs: c.ServerMs, Seed: c.Seed + uint64(i),
+			PerSecond: c.PerSecond, For: c.For, Servers: c.Servers, Balancers: c.Balancers, Members: c.Members, Class: c.Class, ServerMs: c.ServerMs, Seed: c.Seed + uint64(i),
 		})
 		if err != nil {
 			return err
--- a/internal/rig/overhead.go
+++ b/internal/rig/overhead.go
@@ -27,6 +27,7 @@
 	PerSecond int           // calls through the sidecar, and as many direct ones; 1 to 20000
 	For       time.Duration // that counts, after 2 s that don't; 1 s to 10 min
 	Servers   int           // that the list names; 1 to 20000
+	Balancers int           // that the settings tell of; 0 to 100000, 0: as many as there are members
 	Members   int           // 0: no fleet; else 3 to 9, with takeover on, one of which is called
 	Class     string        // look (safe), make (keyed), once (unsafe)
 	ServerMs  int           // that a server needs for an answer; 0 to 1000
@@ -46,6 +47,8 @@
 		return fmt.Errorf("for is %v: 1s to 10m are allowed", o.For)
 	case o.Servers < 1 || o.Servers > 20_000:
 		return fmt.Errorf("servers is %d: 1 to 20000 are allowed", o.Servers)
+	case o.Balancers < 0 || o.Balancers > 100_000:
+		return fmt.Errorf("balancers is %d: 0 to 100000 are allowed", o.Balancers)
 	case o.Members != 0 && (o.Members < 3 || o.Members > 9):
 		return fmt.Errorf("members is %d: 0, or 3 to 9, are allowed", o.Members)
 	case !known:
@@ -95,6 +98,7 @@
 		Seed: o.Seed, Processes: max(1, o.Members), Fleet: o.Members > 0, DeadlineMs: overheadPatience.Milliseconds(),
 	})
 	defer p.close()
+	p.balancers = o.Balancers
 	p.servers = &servers{}
 	if err := p.servers.plain(o); err != nil {
 		return nil, err
--- a/internal/rig/overhead_test.go
+++ b/internal/rig/overhead_test.go
@@ -16,6 +16,7 @@
 		"per-second": func(o *Overhead) { o.PerSecond = 0 },
 		"for":        func(o *Overhead) { o.For = time.Hour },
 		"servers":    func(o *Overhead) { o.Servers = 20_001 },
+		"balancers":  func(o *Overhead) { o.Balancers = -1 },
 		"members":    func(o *Overhead) { o.Members = 2 },
 		"class":      func(o *Overhead) { o.Class = "none" },
 		"server-ms":  func(o *Overhead) { o.ServerMs = -1 },
--- a/internal/rig/run.go
+++ b/internal/rig/run.go
@@ -41,6 +41,7 @@
 	set       Setup
 	line      *Timeline
 	starter   *Starter
+	balancers int // that the settings tell of, where more than there are processes
 	servers   *servers
 	registry  *registry
 	processes []*process
@@ -165,7 +166,7 @@
 		services = append(services, s)
 	}
 	settings := map[string]any{
-		"Balancers": p.line.Processes, "Me": i, "Zone": "a", "RegistryMode": "on_request", "WeightSource": "nominal", "TickUs": 5000,
+		"Balancers": max(p.balancers, p.line.Processes), "Me": i, "Zone": "a", "RegistryMode": "on_request", "WeightSource": "nominal", "TickUs": 5000,
 		"Services": services,
 		"Realms":   []any{map[string]any{"Name": "acme", "AllowancePerS": 10_000, "Share": 1.0}},
 		"Limits": map[string]any{
