--- a/decide/decide.go
+++ b/decide/decide.go
@@ -76,7 +76,7 @@
 	askSpend = 0.002   // points for probes, of what a day may earn
 	askFirst = 200_000 // µs within which the list is asked for at the least, twice that after a failure
 	askSlot  = 50_000  // µs of that time for each balancer: a list service takes them in turn
-	askTurn  = 4.5e6   // µs from a failed call to the next at most: all is in force 6 s after it could be had
+	askTurn  = 4.5e6   // µs from a failed call to the next at most: in force 6 s after it could be had
 	askPart  = 0.7     // of Rules.AskEvery bounds both, past which the list counts as told
 )
 
@@ -955,8 +955,8 @@
 	b.pump(now)
 }
 
-// ListFailed asks again, later each time, and at most a turn after the failed call began; waited is for how long it
-// had no answer.
+// ListFailed asks again, later each time, and at most a turn after the failed call began; waited is for how
+// long it had no answer.
 func (b *Balancer) ListFailed(now, waited int64) {
 	wait := b.backoff(waited)
 	if b.asks++; b.asks == 1 {
