--- a/cmd/damsonscale/descriptors_test.go
+++ b/cmd/damsonscale/descriptors_test.go
@@ -217,25 +217,7 @@
 		uintptr(unsafe.Pointer(&few)), 0, 0, 0); e != 0 {
 		t.Fatal(e)
 	}
-	var held []net.Conn
-	for range 40 {
-		c, err := net.Dial("tcp", p.addr)
-		if err != nil {
-			t.Fatal(err)
-		}
-		held = append(held, c)
-	}
-	select {
-	case err := <-p.done:
-		t.Fatalf("exit: %v\n%s", err, p.log.String())
-	case <-time.After(200 * time.Millisecond):
-	}
-	for _, c := range held {
-		c.Close()
-	}
-	if s, _ := p.look(t); s != 200 {
-		t.Fatalf("afterwards: %d", s)
-	}
+	p.survives(t, 40)
 }
 
 const listTerm = 6 * time.Second // after its return what discovery has to tell counts as told
--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -763,8 +763,14 @@
 	p, _ := oneWith(t, func(w http.ResponseWriter, r *http.Request) {}, func(c map[string]any) {
 		c["descriptors"] = 24
 	})
+	p.survives(t, 40)
+}
+
+// survives holds so many idle connections for a moment: the program stays up meanwhile, and serves once they are gone.
+func (p *program) survives(t *testing.T, idle int) {
+	t.Helper()
 	var held []net.Conn
-	for range 40 {
+	for range idle {
 		c, err := net.Dial("tcp", p.addr)
 		if err != nil {
 			t.Fatal(err)
--- a/cmd/damsonscale/ready_test.go
+++ b/cmd/damsonscale/ready_test.go
@@ -1,11 +1,9 @@
 package main
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -15,7 +13,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -72,56 +69,14 @@
 	})
 }
 
-// clerk is a list service that works through its calls in turn, also through those whose callers have given up. Each takes a while.
-type clerk struct {
-	addr string
-	each time.Duration
-	list atomic.Value  // string
-	turn chan net.Conn // calls that wait
-	left chan struct{} // closed with the test
-	n    atomic.Int64
-}
-
-func newClerk(t *testing.T, each time.Duration, l list) *clerk {
-	text, _ := json.Marshal(l)
-	k := &clerk{each: each, turn: make(chan net.Conn, 4096), left: make(chan struct{})}
-	k.list.Store(string(text) + "\n")
-	k.addr = standin.Listen(t, func(c *net.TCPConn, _ int) {
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-			return
-		}
-		k.n.Add(1)
-		k.turn <- c
-		io.Copy(io.Discard, c)
-	})
-	t.Cleanup(func() { close(k.left) })
-	go k.work()
-	return k
-}
-
-func (k *clerk) work() {
-	for {
-		select {
-		case <-k.left:
-			return
-		case c := <-k.turn:
-			time.Sleep(k.each)
-			text := k.list.Load().(string)
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(text), text)
-			go func() {
-				for {
-					select {
-					case <-k.left:
-						return
-					case <-time.After(time.Second):
-					}
-					if _, err := io.WriteString(c, "1\r\n\n\r\n"); err != nil {
-						return
-					}
-				}
-			}()
-		}
+// listing is the address of a list service that works through its calls in turn, so long each; 0: it serves all at once.
+func listing(t *testing.T, each time.Duration, l list) string {
+	r := standin.NewRegistry(t, standin.Good)
+	r.List(int64(l.Seq), text(&l))
+	if each > 0 {
+		r.InTurn(each)
 	}
+	return r.Addr
 }
 
 const (
@@ -235,7 +190,7 @@
 	}
 	keepBusy(t)
 	idle := func() {}
-	crowded := func(t *testing.T) (string, func()) { return newClerk(t, overbooked, l).addr, idle }
+	crowded := func(t *testing.T) (string, func()) { return listing(t, overbooked, l), idle }
 	down := func(t *testing.T) (string, func()) { return deadAddr(t), idle }
 	for _, c := range []struct {
 		name      string
@@ -255,7 +210,7 @@
 				o.comeBack(t, l)
 			}
 		}, false, false, false},
-		{"rolling, up, nothing known", func(t *testing.T) (string, func()) { return newClerk(t, quick, l).addr, idle }, false, false, true},
+		{"rolling, up, nothing known", func(t *testing.T) (string, func()) { return listing(t, quick, l), idle }, false, false, true},
 		{"rolling, overbooked", crowded, true, false, true},
 	} {
 		whole := t
