Logs: each call for the list, each list taken, a suspected watch, sends by an old list

Lines event=list_call, list_call_ended, watch_suspect, list_taken and stale_send, with the call's number, its end and the list's age, at a bounded rate. Nothing else changes.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -8,7 +8,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
 	"math/rand/v2"
 	"net"
 	"net/http/httputil"
@@ -39,6 +38,9 @@
 	agentFirst   = 300 * time.Millisecond
 )
 
+// StalenessBound is the time after which a change counts as told, from when discovery had it and could be reached.
+const StalenessBound = 6 * time.Second
+
 // Listener is told of the list. Its methods may block; the list's actor then waits.
 type Listener interface {
 	Listed(*List)
@@ -66,6 +68,9 @@
 	failed bool  // the latest watch
 
 	silent *subscription // fell silent, and is to be opened anew
+
+	calls int // begun so far
+	lines journal
 }
 
 // subscription is one watch; a word of one that has been stopped is not taken.
@@ -73,6 +78,7 @@
 	ctx    context.Context
 	stop   context.CancelFunc
 	addr   string
+	number int // of the calls of this process
 	begun  time.Time
 	opened bool // its answer has begun
 	due    bool // it is to be opened anew
@@ -146,6 +152,7 @@
 		return
 	}
 	s.due = true
+	c.lines.printf(time.Now(), "event=watch_suspect call=%d list_age_ms=%d", s.number, c.Roster.Age().Milliseconds())
 	heard := s.heard.Load()
 	time.AfterFunc(rand.N(anew), func() { c.box <- func() { c.again(s, heard) } })
 }
@@ -241,13 +248,18 @@
 func (c *Client) start() {
 	s := newSubscription()
 	s.addr = c.addr
+	c.calls++
+	s.number = c.calls
 	c.now = s
+	c.lines.printf(s.begun, "event=list_call call=%d discovery=%s from=%d list_age_ms=%d beside=%d",
+		s.number, c.addr, c.seq, c.Roster.Age().Milliseconds(), len(c.late))
 	call := call{addr: c.addr, from: c.seq, dial: dialTimeout, head: callMost, heard: &s.heard}
 	due := callTimeout
 	if c.pushed {
 		due = c.patience(agentTimeout)
 		call.dial = due
 	}
+	call.whole = c.Roster.heard
 	call.opened = func() { c.post(s, func() { c.opened(s) }) }
 	call.quiet = func() { c.post(s, func() { c.suspect(s) }) }
 	call.take = func(l *List) { c.post(s, func() { c.take(s, l) }) }
@@ -308,12 +320,16 @@
 		return
 	}
 	s.opened, c.known, c.failed = true, nil, false
+	c.lines.printf(time.Now(), "event=list_taken call=%d seq=%d whole=%v entries=%d", s.number, l.Seq, l.Whole, len(l.Hosts))
 	c.Roster.apply(l)
 	c.to.Listed(l)
 }
 
 func (c *Client) fail(s *subscription, err error) {
 	s.end()
+	if s != c.now {
+		c.lines.printf(time.Now(), "event=list_call_ended call=%d after_ms=%d err=%q", s.number, time.Since(s.begun).Milliseconds(), err)
+	}
 	switch s {
 	case c.left:
 		c.left = nil
@@ -327,7 +343,8 @@
 // ended has the list asked for again: its watch has ended, or its call is overdue.
 func (c *Client) ended(s *subscription, err error) {
 	if !c.pushed || !c.failed { // an agent that is away is asked several times a second
-		log.Printf("event=watch_ended discovery=%s err=%q", c.addr, err)
+		c.lines.printf(time.Now(), "event=watch_ended discovery=%s call=%d after_ms=%d answered=%v list_age_ms=%d err=%q",
+			c.addr, s.number, time.Since(s.begun).Milliseconds(), s.opened, c.Roster.Age().Milliseconds(), err)
 	}
 	c.now, c.silent = nil, s
 	if errors.Is(err, errGarbage) {
@@ -372,6 +389,7 @@
 	opened func()        // its answer has begun
 	quiet  func()        // nothing has come for a while
 	heard  *atomic.Int64 // times that something came; nil: nobody wants to know
+	whole  func()        // a line has come whole; nil likewise
 	take   func(*List)
 }
 
@@ -405,7 +423,7 @@
 		body = httputil.NewChunkedReader(br)
 	}
 	c.opened()
-	b := &beats{conn: conn, from: body, heard: c.heard, idle: time.AfterFunc(quiet, c.quiet)}
+	b := &beats{conn: conn, from: body, heard: c.heard, whole: c.whole, idle: time.AfterFunc(quiet, c.quiet)}
 	defer b.idle.Stop()
 	return lists(b, c.take)
 }
@@ -442,6 +460,7 @@
 
 	idle  *time.Timer   // runs out where nothing whole comes; nil: nobody wants to know
 	heard *atomic.Int64 // counts what came; nil likewise
+	whole func()        // is told of each whole line; nil likewise
 }
 
 // rest waits for the next line: the one before is whole.
@@ -452,6 +471,9 @@
 	if b.heard != nil {
 		b.heard.Add(1)
 	}
+	if b.whole != nil {
+		b.whole()
+	}
 }
 
 func (b *beats) Read(p []byte) (n int, err error) {
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync/atomic"
+	"time"
 )
 
 // State is a server's health as listed.
@@ -62,7 +63,22 @@
 // Roster is the latest list, readable from any goroutine; only the list's actor changes it.
 // Guards against acting on a list that is older than the moment of writing.
 type Roster struct {
-	now atomic.Pointer[map[string]Entry]
+	now   atomic.Pointer[map[string]Entry]
+	fresh atomic.Pointer[time.Time] // when a line of discovery came last; nil: never
+}
+
+// heard notes that a line of discovery has come.
+func (r *Roster) heard() {
+	now := time.Now()
+	r.fresh.Store(&now)
+}
+
+// Age is how long ago discovery was last heard; 0: never.
+func (r *Roster) Age() time.Duration {
+	if at := r.fresh.Load(); at != nil {
+		return time.Since(*at)
+	}
+	return 0
 }
 
 // Find returns the entry of a host that is listed.
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -8,6 +8,7 @@
 
 	"damsonscale/decide"
 	"damsonscale/internal/acts"
+	"damsonscale/internal/discovery"
 	"damsonscale/internal/upstream"
 	"damsonscale/internal/watch"
 )
@@ -44,6 +45,7 @@
 	}
 	c.attempts = append(c.attempts, a)
 	c.out++
+	s.noteStaleSend(now, request, server)
 	s.offer(a)
 }
 
@@ -125,3 +127,13 @@
 	}
 	log.Printf("from=module event=%s %s", event, rest)
 }
+
+// noteStaleSend logs, once a second at most, that an attempt goes by a list whose changes may be in force elsewhere.
+func (s *Sidecar) noteStaleSend(now time.Time, request, server string) {
+	age := s.list.Roster.Age()
+	if age <= discovery.StalenessBound || now.Sub(s.staleLogged) < time.Second {
+		return
+	}
+	s.staleLogged = now
+	log.Printf("event=stale_send request=%s server=%s list_age_ms=%d", request, server, age.Milliseconds())
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -51,6 +51,8 @@
 	stamp     atomic.Uint32 // of the version in force
 	ending    chan struct{} // closed by End
 	last      sync.Once     // closes it
+
+	staleLogged time.Time // when a send by an old list was logged last
 }
 
 // peer is a server's actor with what the module has out there.
