--- a/cmd/damsonscale/told_test.go
+++ b/cmd/damsonscale/told_test.go
@@ -99,6 +99,21 @@
 	r.List(50, text(&list{Seq: 50, Whole: true, Hosts: []host{hostAt("s1", a.stays, "Ready")}}))
 }
 
+// inForce judges that the change is in force in time: from the bound on nothing new goes to the server that it takes away.
+func (a *asker) inForce(t *testing.T, name string) {
+	t.Helper()
+	time.Sleep(time.Until(a.reached.Add(told + grace)))
+	last := time.Unix(0, a.goes.last.Load()).Sub(a.reached)
+	if last > told {
+		t.Errorf("%s, %s: a request to the server that is gone %v after the change\n%s", name, a.name, last, a.log.String())
+	}
+	close(a.stop)
+	if n := a.lost.Load(); n > 0 {
+		t.Errorf("%s, %s: %d requests with no answer", name, a.name, n)
+	}
+	t.Logf("%s, %s: the last after %.2f s, %d calls", name, a.name, last.Seconds(), a.registry.Calls())
+}
+
 // judge waits until the change is told, and its grace over: it was told in time, nothing went to the server that it took away
 // from then on, and no request was lost.
 func (a *asker) judge(t *testing.T) {
@@ -273,3 +288,37 @@
 		})
 	}
 }
+
+// A watch that comes to its end without telling a change, and two calls after it that fail, each in every way: the change is in
+// force 6 s after it was made all the same. Incident incident-1: after a silent watch there was time for one call, and none where
+// that failed; a fleet of 294 in which a few meet such a chain sent to servers that had left the list over 8 s before.
+func TestTwoFailedCallsAreInForceInTime(t *testing.T) {
+	breaks := map[string]standin.Break{
+		"silent": standin.Silent, "half a line": standin.HalfAndBeat, "reset": standin.Reset, "ended": standin.Ended,
+	}
+	faults := map[string]standin.Fault{
+		"503": standin.Busy, "reset": standin.Resets, "hangs": standin.Hangs, "head alone": standin.Heads, "half a list": standin.Halves,
+	}
+	for how, broken := range breaks {
+		t.Run(how, func(t *testing.T) {
+			t.Parallel()
+			var done sync.WaitGroup
+			for name, fault := range faults {
+				for _, f := range []struct {
+					balancers int
+					pushed    bool
+				}{{300, false}, {300, true}} {
+					a := ask(t, standin.Good, f.balancers, f.pushed)
+					done.Go(func() {
+						eventually(t, "a watch", func() bool { return a.registry.Calls() > 0 })
+						time.Sleep(500 * time.Millisecond) // behind its first line
+						a.reached = a.registry.BreakWatches(broken, fault, 2)
+						a.change(a.registry)
+						a.inForce(t, "then twice "+name)
+					})
+				}
+			}
+			done.Wait()
+		})
+	}
+}
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -26,6 +26,18 @@
 	Garbles        // what comes is no list
 	Ends           // watches end after their head
 	Mixed          // each of these but Refuses, one call after another
+	Heads          // calls get their head and nothing more
+	Halves         // calls get half a list and nothing more
+)
+
+// Break is how the watches that are open come to their end.
+type Break int
+
+const (
+	Silent      Break = iota // nothing more comes
+	HalfAndBeat              // half a list comes, and empty lines go on
+	Reset                    // the connection is reset
+	Ended                    // the answer ends as it should
 )
 
 // Registry is a list service. A call goes on as it began, also where the registry's fault has ended since.
@@ -42,6 +54,8 @@
 	text   string        // of the whole list
 	change chan struct{} // closed when the list or the fault changes
 	muted  int           // watches below that number say nothing more
+	broken Break         // how they came to their end
+	left   int           // calls that meet the fault before all is good; 0: all do
 	calls  int
 	worked int                 // of them, in turn
 	told   map[int64]time.Time // when a version was first written whole to anybody
@@ -154,6 +168,17 @@
 	return time.Now()
 }
 
+// BreakWatches ends the watches that are open, and the next calls, so many, meet that fault; those after them are served.
+func (r *Registry) BreakWatches(how Break, fault Fault, calls int) time.Time {
+	r.set(func() {
+		r.broken, r.muted = how, r.calls
+		if calls > 0 {
+			r.fault, r.left = fault, calls
+		}
+	})
+	return time.Now()
+}
+
 // Told is when that version was first written to anybody.
 func (r *Registry) Told(seq int64) (time.Time, bool) {
 	r.mu.Lock()
@@ -205,6 +230,11 @@
 	r.mu.Lock()
 	n, fault := r.calls, r.fault
 	r.calls++
+	if r.left > 0 {
+		if r.left--; r.left == 0 {
+			r.fault = Good
+		}
+	}
 	r.mu.Unlock()
 	req, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -245,9 +275,19 @@
 		w.Tell("[1]\n")
 	case Ends:
 		w.Begin()
+	case Heads:
+		w.Begin()
+		w.Left()
+	case Halves:
+		w.Begin()
+		w.Tell(half)
+		w.Left()
 	}
 }
 
+// half is the first part of a list whose rest never comes.
+const half = `{"seq":50,"whole":true,"hosts":[{"host":"s1",`
+
 // serve tells one watch of the list as it is and of each change.
 func (r *Registry) serve(w *Watch) {
 	defer w.Close()
@@ -259,10 +299,22 @@
 	beat := time.NewTicker(2 * time.Second)
 	defer beat.Stop()
 	w.Begin()
-	for last := int64(-1); ; {
+	for last, begunHalf := int64(-1), false; ; {
 		r.mu.Lock()
-		change, seq, text, muted := r.change, r.seq, r.text, w.N < r.muted
+		change, seq, text, muted, broken := r.change, r.seq, r.text, w.N < r.muted, r.broken
 		r.mu.Unlock()
+		switch {
+		case !muted || broken == Silent:
+		case broken == Reset:
+			w.SetLinger(0)
+			return
+		case broken == Ended:
+			io.WriteString(w, "0\r\n\r\n")
+			return
+		case !begunHalf:
+			begunHalf = true
+			w.Tell(half)
+		}
 		if seq != last && !muted {
 			if w.Tell(text+"\n") != nil {
 				return
@@ -281,7 +333,7 @@
 		case <-r.closed:
 			return
 		case <-beat.C:
-			if !muted {
+			if !muted || begunHalf {
 				w.Tell("\n")
 			}
 		}
