Failing test: a process that starts with an old known list asks up to 7 s later

The test starts twelve real processes whose known list has a server that left long before: six sent to it past the grace of 2 s, up to 6.1 s after their start (none of the four with 30 balancers).

--- a/cmd/damsonscale/told_test.go
+++ b/cmd/damsonscale/told_test.go
@@ -40,6 +40,16 @@
 }
 
 func ask(t *testing.T, fault standin.Fault, balancers int, pushed bool) *asker {
+	t.Helper()
+	a := newAsker(t, fault, balancers, pushed)
+	a.registry.List(41, text(a.known()))
+	a.begin(t, balancers, pushed)
+	eventually(t, "requests at the server that goes", func() bool { return a.goes.last.Load() > 0 })
+	return a
+}
+
+// newAsker makes the two servers and the registry, which has no list yet.
+func newAsker(t *testing.T, fault standin.Fault, balancers int, pushed bool) *asker {
 	t.Helper()
 	a := &asker{goes: &goer{}, stop: make(chan bool)}
 	a.name = fmt.Sprintf("%d balancers, pushed %v", balancers, pushed)
@@ -48,10 +58,19 @@
 		a.goes.last.Store(time.Now().UnixNano())
 		io.WriteString(w, "yes")
 	})
-	known := &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", a.stays, "Ready"), hostAt("s2", a.goes.addr, "Ready")}}
 	a.registry = standin.NewRegistry(t, fault)
-	a.registry.List(41, text(known))
-	a.program = start(t, a.registry.Addr, known, func(c map[string]any) {
+	return a
+}
+
+// known is the list that the sidecar starts with.
+func (a *asker) known() *list {
+	return &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", a.stays, "Ready"), hostAt("s2", a.goes.addr, "Ready")}}
+}
+
+// begin starts the sidecar, and requests to it.
+func (a *asker) begin(t *testing.T, balancers int, pushed bool) {
+	t.Helper()
+	a.program = start(t, a.registry.Addr, a.known(), func(c map[string]any) {
 		s := strings.Replace(settings, `"Balancers":1`, fmt.Sprintf(`"Balancers":%d`, balancers), 1)
 		if pushed {
 			s = strings.Replace(s, `"on_request"`, `"pushed"`, 1)
@@ -78,8 +97,6 @@
 			}
 		}
 	}()
-	eventually(t, "requests at the server that goes", func() bool { return a.goes.last.Load() > 0 })
-	return a
 }
 
 func text(l *list) string {
@@ -322,3 +339,30 @@
 		})
 	}
 }
+
+// A process that starts with a list that was known before asks for the present one at once: what changed over 6 s before the start
+// counts as told from its first moment, and binds a grace later. Incident incident-1: restarted processes asked in a slot
+// of the fleet, up to 7 s after their start, and sent to servers that had left the list before it.
+func TestAStartByAnOldListAsksInTime(t *testing.T) {
+	t.Parallel()
+	var done sync.WaitGroup
+	for range 4 {
+		for _, balancers := range []int{30, 300, 900} {
+			a := newAsker(t, standin.Good, balancers, false)
+			a.change(a.registry)
+			a.begin(t, balancers, false)
+			a.reached = time.Now()
+			done.Go(func() {
+				time.Sleep(time.Until(a.reached.Add(told + grace)))
+				close(a.stop)
+				if last := time.Unix(0, a.goes.last.Load()).Sub(a.reached); last > grace {
+					t.Errorf("%s: a request to the server that is gone %v after the start\n%s", a.name, last, a.log.String())
+				}
+				if n := a.lost.Load(); n > 0 {
+					t.Errorf("%s: %d requests with no answer", a.name, n)
+				}
+			})
+		}
+	}
+	done.Wait()
+}
