Lists: one owner of the staleness deadline plans every call, from a process's start on

A process with a known list asked in a slot of up to 7 s, and after a lost watch one call fitted into the 6 s. Change: internal/discovery/schedule.go, without I/O, takes the begin of each call from one deadline by the monotonic clock: 6 s after the list was last known to be current. Three calls fit into it, evenly spaced, so two may fail; then one in 2.7 s. A call counts as answered by a whole line, not by its head. A start by a known list asks within 1.2 s. The module no longer asks on sockets (it does on the simulator's wire). The schedule's bounds are tested for all draws.

--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -64,14 +64,11 @@
 // Guards against acting on a list that is older than the moment of writing.
 type Roster struct {
 	now   atomic.Pointer[map[string]Entry]
-	fresh atomic.Pointer[time.Time] // when a line of discovery came last; nil: never
+	fresh atomic.Pointer[time.Time] // when the list was last known to be as discovery has it; nil: never
 }
 
-// heard notes that a line of discovery has come.
-func (r *Roster) heard() {
-	now := time.Now()
-	r.fresh.Store(&now)
-}
+// heard notes that the list is as discovery has it.
+func (r *Roster) heard(now time.Time) { r.fresh.Store(&now) }
 
 // Age is how long ago discovery was last heard; 0: never.
 func (r *Roster) Age() time.Duration {
--- /dev/null
+++ b/internal/discovery/schedule_test.go
@@ -0,0 +1,159 @@
+package discovery
+
+import (
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// lastBegin is when, after the list was known to be current, the last call of a burst begins at the latest.
+const lastBegin = StalenessBound - answerTime
+
+// drawn has a schedule for each of many draws, the extremes among them.
+func drawn(balancers int, pushed bool, f func(s *schedule)) {
+	for seed := range uint64(300) {
+		s := &schedule{balancers: balancers, pushed: pushed, random: rand.New(rand.NewPCG(seed, 1)).Float64}
+		if seed < 2 {
+			s.random = func() float64 { return float64(seed) * 0.999999 }
+		}
+		f(s)
+	}
+}
+
+// burstOf has a schedule's calls fail or hang one after the other, and returns when each begins.
+func burstOf(s *schedule, first time.Time, fails bool, calls int) (begins []time.Time) {
+	at := first
+	for range calls {
+		begins = append(begins, at)
+		next := at.Add(s.begin(at))
+		if fails {
+			if wait, changed := s.failed(at, false); changed {
+				next = at.Add(wait)
+			}
+		}
+		at = next
+	}
+	return begins
+}
+
+// Whenever and however a watch is lost, three calls begin early enough for the bound, in fleets of up to a thousand; two in any.
+func TestABurstFitsIntoTheBound(t *testing.T) {
+	t0 := time.Now()
+	for _, c := range []struct{ balancers, fit int }{{1, 3}, {30, 3}, {300, 3}, {900, 3}, {3000, 2}, {18_000, 2}, {1_000_000, 2}} {
+		for _, pushed := range []bool{false, true} {
+			for _, after := range []time.Duration{0, time.Second, 2 * time.Second, quiet} {
+				for _, fails := range []bool{false, true} {
+					drawn(c.balancers, pushed, func(s *schedule) {
+						s.heard(t0)
+						lost := t0.Add(after)
+						begins := burstOf(s, lost.Add(s.lost(lost)), fails, c.fit)
+						if last := begins[c.fit-1].Sub(t0); last > lastBegin+time.Millisecond {
+							t.Fatalf("%+v, pushed %v, lost after %v, fails %v: call %d begins after %v", c, pushed, after, fails, c.fit, last)
+						}
+						if pause := begins[1].Sub(begins[0]); !pushed && pause < time.Duration((1-jitter)*float64(leastGap)) {
+							t.Fatalf("%+v: %v between two calls", c, pause)
+						}
+					})
+				}
+			}
+		}
+	}
+}
+
+// A process that starts with a known list asks within the grace for drains, and twice more soon.
+func TestAStartAsksAtOnce(t *testing.T) {
+	t0 := time.Now()
+	for _, balancers := range []int{1, 300, 18_000} {
+		drawn(balancers, false, func(s *schedule) {
+			begins := burstOf(s, t0.Add(s.started(t0)), true, burst)
+			if first, last := begins[0].Sub(t0), begins[burst-1].Sub(t0); first > startSpread || last > lastBegin-startDoubt+time.Millisecond {
+				t.Fatalf("%d balancers: first after %v, last after %v", balancers, first, last)
+			}
+		})
+	}
+}
+
+// After a burst two calls begin within any bound, whether they hang or fail.
+func TestAfterABurstTwoCallsFit(t *testing.T) {
+	t0 := time.Now()
+	for _, fails := range []bool{false, true} {
+		drawn(300, false, func(s *schedule) {
+			s.heard(t0)
+			begins := burstOf(s, t0.Add(s.lost(t0)), fails, 30)
+			for i := burst; i < len(begins); i++ {
+				pause := begins[i].Sub(begins[i-1])
+				least := time.Duration((1 - jitter) * float64(turn))
+				if i == burst {
+					least = leastGap
+				}
+				if 2*pause > lastBegin+300*time.Millisecond || pause < least {
+					t.Fatalf("call %d begins %v after the one before", i, pause)
+				}
+			}
+		})
+	}
+}
+
+// Where nobody listened before, the bound begins with the call that was refused last: of those after it two may fail.
+func TestTheBoundBeginsWithTheLastRefusal(t *testing.T) {
+	t0 := time.Now()
+	drawn(300, false, func(s *schedule) {
+		s.heard(t0)
+		at := t0.Add(s.lost(t0))
+		for range 20 {
+			next := at.Add(s.begin(at))
+			if _, changed := s.failed(at, true); changed {
+				t.Fatal("a refusal brings the next call forward")
+			}
+			at = next
+		}
+		refused := s.begun
+		begins := burstOf(s, at, true, 3)
+		if last := begins[2].Sub(refused); last > lastBegin+time.Millisecond {
+			t.Fatalf("the third call begins %v after the last refusal", last)
+		}
+	})
+}
+
+// A fleet whose watches all end at one moment, or fall silent then, is spread: so many calls at most in any tenth of a second, four
+// standard deviations of chance added; and after the burst no more than a turn allows.
+func TestAFleetIsSpread(t *testing.T) {
+	const balancers = 300
+	t0 := time.Now()
+	for _, c := range []struct {
+		name   string
+		silent bool
+		most   float64 // calls a second
+	}{{"ended", false, 330}, {"silent", true, 200}} {
+		random := rand.New(rand.NewPCG(7, 7))
+		calls := map[int]int{} // by tenth of a second
+		for range balancers {
+			s := &schedule{balancers: balancers, random: random.Float64}
+			s.heard(t0.Add(-time.Duration(random.Float64() * float64(2*time.Second)))) // its last line
+			lost := t0
+			if c.silent {
+				lost = s.current.Add(quiet)
+			}
+			for _, at := range burstOf(s, lost.Add(s.lost(lost)), true, 12) {
+				calls[int(at.Sub(t0)/(100*time.Millisecond))]++
+			}
+		}
+		worst, late := 0, 0
+		for tenth, n := range calls {
+			worst = max(worst, n)
+			if tenth > 80 && tenth < 200 {
+				late = max(late, n)
+			}
+		}
+		mean := c.most / 10
+		if limit := mean + 4*math.Sqrt(mean); float64(worst) > limit {
+			t.Errorf("%s: %d calls in a tenth of a second, %.0f allowed", c.name, worst, limit)
+		}
+		rate := balancers / ((1 - jitter) * turn.Seconds()) / 10
+		if limit := rate + 4*math.Sqrt(rate); float64(late) > limit {
+			t.Errorf("%s: %d calls in a tenth of a second after the burst, %.0f allowed", c.name, late, limit)
+		}
+		t.Logf("%s: at most %d calls in a tenth of a second, %d after the burst", c.name, worst, late)
+	}
+}
--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"os"
 	"sync"
 	"time"
@@ -16,14 +15,10 @@
 	"damsonscale/internal/options"
 )
 
-// askAgain is the time within which a hollow member asks for the list again after a call that failed, as the settings of a real one say.
-const askAgain = 10 * time.Second
-
 // hollow is a member without a data path: its fleet, custody, account, versions and list are the program's own.
 type hollow struct {
 	name string
 	tell func(Event)
-	list *discovery.Client
 
 	mu   sync.Mutex
 	conf *config.Config
@@ -68,11 +63,6 @@
 	h.tell(Event{Kind: Listed, Member: h.name, Number: l.Seq, At: time.Now()})
 }
 
-// ListFailed asks again, at some moment within the time that the settings give.
-func (h *hollow) ListFailed(time.Duration) {
-	time.AfterFunc(rand.N(askAgain), func() { h.list.Watch(true) })
-}
-
 // startHollow joins a member to its fleet and to the list service.
 func startHollow(ctx context.Context, o *options.Options, name string, conf *config.Config, list string, tell func(Event)) error {
 	h := &hollow{name: name, tell: tell, conf: conf}
@@ -84,8 +74,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", name, err)
 	}
-	h.list = discovery.New(list, nil, false, h)
-	go h.list.Run(ctx)
-	h.list.Watch(true)
+	client := discovery.New(list, nil, discovery.Source{Balancers: conf.Settings.Balancers}, h)
+	go client.Run(ctx)
 	return nil
 }
--- a/internal/sidecar/actions.go
+++ b/internal/sidecar/actions.go
@@ -106,8 +106,8 @@
 // Tell is never called: the settings of a sidecar permit no messages.
 func (x actions) Tell(peer int, word []byte) {}
 
-// Watch asks for the list's changes from now on, or stops.
-func (x actions) Watch(on bool) { x.s.list.Watch(on) }
+// Watch is never called: the list's actor asks for changes by itself.
+func (x actions) Watch(on bool) {}
 
 // Wake sets a timer.
 func (x actions) Wake(in, token int64) {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -68,13 +68,13 @@
 		calls: map[string]*Call{}, peers: map[string]*peer{},
 		known: make(chan struct{}), ending: make(chan struct{}),
 	}
-	s.list = discovery.New(conf.Discovery, conf.Known, conf.Settings.ListPushed, s)
+	s.list = discovery.New(conf.Discovery, conf.Known, source(&conf.Settings), s)
 	s.shared = upstream.Shared{
 		Budget: upstream.NewBudget(sockets), Find: s.list.Roster.Address, Short: s.short, Settle: settle,
 	}
 	s.shared.Retune(conf.Transport.DialTimeout, conf.Transport.ConnIdle)
 	s.tellKnown()
-	s.balancer = decide.New(conf.Settings, conf.Seed, actions{s})
+	s.balancer = decide.New(listed(conf.Settings), conf.Seed, actions{s})
 	if conf.Watch != nil {
 		s.watch = watch.New()
 	}
@@ -137,7 +137,7 @@
 func (s *Sidecar) Run(ctx context.Context) {
 	go s.list.Run(ctx)
 	if s.watch != nil {
-		go s.watch.Run(s.now(), s.conf.Watch.Settings, s.conf.Seed, s.conf.Watch.Every, ctx.Done())
+		go s.watch.Run(s.now(), listed(s.conf.Watch.Settings), s.conf.Seed, s.conf.Watch.Every, ctx.Done())
 	}
 	s.balancer.Begin(s.now())
 	if k := s.conf.Known; k != nil && len(k.Hosts) > 0 && !s.settings.ListPushed {
@@ -318,17 +318,17 @@
 		s.number, s.digest = conf.Number, conf.Digest
 		s.restamp()
 		s.shared.Retune(conf.Transport.DialTimeout, conf.Transport.ConnIdle)
-		set := conf.Settings
+		set := listed(conf.Settings)
 		e := watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Retune(now, set) }}
 		if conf.Watch != nil {
-			second := conf.Watch.Settings
+			second := listed(conf.Watch.Settings)
 			e.Second = func(b *decide.Balancer) { b.Retune(now, second) }
 		}
 		s.tell(e)
 		tell(s.settings)
 	}
 	<-done
-	s.list.Push(conf.Settings.ListPushed)
+	s.list.Come(source(&conf.Settings))
 }
 
 func (s *Sidecar) left(now int64, c *Call) {
@@ -382,11 +382,15 @@
 // Discover goes on with the list at another address.
 func (s *Sidecar) Discover(addr string) { s.list.Move(addr) }
 
-// ListFailed takes word that an ask failed, or is overdue, after so long without an answer, or that the watch broke.
-func (s *Sidecar) ListFailed(waited time.Duration) {
-	s.box <- func(now int64) {
-		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.ListFailed(now, waited.Microseconds()) }})
-	}
+// source tells the list's actor how the list comes.
+func source(set *decide.Settings) discovery.Source {
+	return discovery.Source{Pushed: set.ListPushed, Balancers: set.Balancers}
+}
+
+// listed are the settings for the module: the list comes by itself there, since the list's actor asks for it.
+func listed(set decide.Settings) decide.Settings {
+	set.ListPushed = true
+	return set
 }
 
 // servers puts a list into the module's terms.
