Errors of accept end nothing, looks at clients know every end, idle times are monotonic

Change: internal/accept serves clients' and operators' listeners, only a closed one ends it (event=accept_failed, once a second at most); a look or receive that is interrupted is made again; idle times are microseconds of the monotonic clock. Tests: TestAnErrorOfAcceptEndsNothing (7 of 10 errors failed before), TestIdleTimesAreMonotonic and TestWhatALookSays failed before. TestAWriterThatGoesOnIsSpared reads the new clock.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -11,6 +11,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"damsonscale/internal/accept"
 	"damsonscale/internal/lifecycle"
 )
 
@@ -126,16 +127,11 @@
 	door *Door
 }
 
-const retryAccept = 10 * time.Millisecond
-
 // Accept takes the next connection. It fails only once the listener is closed.
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	for ; err != nil; nc, err = l.Listener.Accept() {
-		if errors.Is(err, net.ErrClosed) {
-			return nil, err
-		}
-		time.Sleep(retryAccept) // out of descriptors, or a caller who left: Serve would end on it
+	nc, err := accept.Next(l.Listener, func(error) {}) // out of descriptors, or a caller who left: Serve would end on it
+	if err != nil {
+		return nil, err
 	}
 	c := &conn{Conn: nc, door: l.door}
 	l.door.mu.Lock()
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -20,7 +20,7 @@
 	net.Conn
 	front     *Frontend
 	readAt    time.Time     // when the last bytes came
-	idleSince atomic.Int64  // Unix µs; negative while its first request comes in pieces, the last one then; or busy or taken
+	idleSince atomic.Int64  // micros; negative while its first request comes in pieces, the last one then; or busy or taken
 	between   bool          // the next byte begins a request
 	served    atomic.Bool   // it has carried a request
 	done      chan struct{} // closed when the background read has ended; nil: there is none
@@ -32,6 +32,12 @@
 	stream    atomic.Pointer[upstream.Stream] // the long answer that is being written to it, until it is to end soon
 }
 
+// clockStart is long before any time that a connection holds.
+var clockStart = time.Now().Add(-24 * time.Hour)
+
+// micros is a time in µs of the monotonic clock. Guards against a wall clock that is stepped.
+func micros(t time.Time) int64 { return t.Sub(clockStart).Microseconds() }
+
 // past is a deadline that ends a read under way.
 var past = time.Unix(1, 0)
 
@@ -65,7 +71,7 @@
 	}
 	if c.between {
 		if at := c.idleSince.Load(); at != taken {
-			c.idleSince.CompareAndSwap(at, time.Now().UnixMicro())
+			c.idleSince.CompareAndSwap(at, micros(time.Now()))
 		}
 	}
 	n, err = c.Conn.Read(p)
@@ -91,9 +97,9 @@
 	now := time.Now()
 	if n > 0 && !c.served.Load() {
 		if c.between {
-			c.idleSince.Store(-now.UnixMicro())
+			c.idleSince.Store(-micros(now))
 		} else if at := c.idleSince.Load(); at < taken { // it may be chosen to be closed meanwhile
-			c.idleSince.CompareAndSwap(at, -now.UnixMicro())
+			c.idleSince.CompareAndSwap(at, -micros(now))
 		}
 	}
 	c.between = c.between && n == 0
@@ -112,8 +118,11 @@
 	if err != nil {
 		return 0
 	}
-	raw.Control(func(fd uintptr) { n, _, _ = syscall.Recvfrom(int(fd), p, syscall.MSG_DONTWAIT) })
-	return max(n, 0)
+	raw.Control(func(fd uintptr) { n, err = receive(int(fd), p, syscall.MSG_DONTWAIT) })
+	if err != nil { // nothing has come, or the connection has ended: the next read says which
+		return 0
+	}
+	return n
 }
 
 // SetReadDeadline sets it, but for a connection that is chosen to be closed: that waits no more.
@@ -204,20 +213,47 @@
 // hungUp tells whether the other side of a socket has ended its sending, or reset it.
 func hungUp(fd int) bool {
 	var b [1]byte
-	n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	n, err := receive(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	switch {
 	case err != nil:
-		return err == syscall.ECONNRESET || err == syscall.EPIPE || err == syscall.ETIMEDOUT
+		return endsConnection(err)
 	case n == 0:
 		return true
 	}
 	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}} // there are bytes: an end may stand behind them
-	if n, err := unix.Poll(poll, 0); err != nil || n <= 0 {
+	if n, err := uninterrupted(func() (int, error) { return unix.Poll(poll, 0) }); err != nil || n <= 0 {
 		return false
 	}
 	return poll[0].Revents&unix.POLLNVAL == 0 && poll[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
 }
 
+// receive takes, or looks at, what lies in a socket.
+func receive(fd int, p []byte, flags int) (int, error) {
+	return uninterrupted(func() (int, error) {
+		n, _, err := syscall.Recvfrom(fd, p, flags)
+		return n, err
+	})
+}
+
+// uninterrupted makes a system call until no signal interrupts it.
+func uninterrupted(call func() (int, error)) (n int, err error) {
+	for {
+		if n, err = call(); err != syscall.EINTR {
+			return n, err
+		}
+	}
+}
+
+// endsConnection tells whether an error of a socket says that its connection is over, and not that something lacks on this side.
+func endsConnection(err error) bool {
+	switch err {
+	case syscall.ECONNRESET, syscall.EPIPE, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EHOSTDOWN, syscall.ENETUNREACH,
+		syscall.ENETDOWN, syscall.ENETRESET, syscall.ECONNABORTED, syscall.ECONNREFUSED, syscall.ENOTCONN, syscall.ESHUTDOWN, syscall.EPROTO:
+		return true
+	}
+	return false
+}
+
 // unwatch ends the background read, if there is one.
 func (c *clientConn) unwatch() {
 	if c.done == nil {
--- /dev/null
+++ b/internal/frontend/faults_test.go
@@ -0,0 +1,89 @@
+package frontend
+
+import (
+	"bufio"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// failsOnce is a listener whose first accept fails.
+type failsOnce struct {
+	net.Listener
+	err    error
+	failed atomic.Bool
+}
+
+func (l *failsOnce) Accept() (net.Conn, error) {
+	if !l.failed.Swap(true) {
+		return nil, l.err
+	}
+	return l.Listener.Accept()
+}
+
+// An error of accept that passes ends nothing, and is not taken for the last connection, by which a drain would go.
+func TestAnErrorOfAcceptEndsNothing(t *testing.T) {
+	for _, errno := range []syscall.Errno{
+		syscall.ENFILE, syscall.ENOBUFS, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.EHOSTUNREACH, syscall.ENETDOWN,
+		syscall.EPROTO, syscall.ETIMEDOUT, syscall.ECONNABORTED, syscall.EINTR,
+	} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			f, first := serving(t, nil)
+			first.Close()
+			eventually(t, "the end of the first listener", f.deaf.Load)
+			f.deaf.Store(false)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			fails := &failsOnce{Listener: ln, err: &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}}
+			served := make(chan error, 1)
+			go func() { served <- f.Serve(fails) }()
+			c := dial(t, ln)
+			c.SetDeadline(time.Now().Add(5 * time.Second))
+			exchange(t, c, bufio.NewReader(c), look, 503)
+			if f.deaf.Load() {
+				t.Error("taken for the last connection")
+			}
+			select {
+			case err := <-served:
+				t.Errorf("it serves no more: %v", err)
+			default:
+			}
+		})
+	}
+}
+
+// How long a connection is idle is counted by the monotonic clock. Guards against a wall clock that is stepped by an hour: forward,
+// each resting connection is idle for longest; back, and none may be closed.
+func TestIdleTimesAreMonotonic(t *testing.T) {
+	f, ln := serving(t, nil)
+	used := dial(t, ln)
+	exchange(t, used, bufio.NewReader(used), look, 503)
+	eventually(t, "an idle connection", func() bool { return f.idle() == 1 })
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c := range f.conns {
+		if at := c.idleSince.Load(); at > micros(time.Now()) || at > (48*time.Hour).Microseconds() {
+			t.Errorf("idle since %d µs: not of this process's clock", at)
+		}
+	}
+}
+
+// What a look at a client's socket says by its error: a connection that has ended in any way is left, an interrupted look and a lack on
+// this side are not.
+func TestWhatALookSays(t *testing.T) {
+	for errno, left := range map[syscall.Errno]bool{
+		syscall.ECONNRESET: true, syscall.EPIPE: true, syscall.ETIMEDOUT: true, syscall.EHOSTUNREACH: true, syscall.ENETUNREACH: true,
+		syscall.ENETDOWN: true, syscall.EHOSTDOWN: true, syscall.ECONNABORTED: true, syscall.ECONNREFUSED: true, syscall.ENOTCONN: true,
+		syscall.EAGAIN: false, syscall.EINTR: false, syscall.ENOBUFS: false, syscall.ENOMEM: false, syscall.EBADF: false,
+	} {
+		if endsConnection(errno) != left {
+			t.Errorf("%v: left %v", errno, !left)
+		}
+	}
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -15,6 +15,7 @@
 	"github.com/valyala/fasthttp"
 
 	"damsonscale/decide"
+	"damsonscale/internal/accept"
 	"damsonscale/internal/acts"
 	"damsonscale/internal/custody"
 	"damsonscale/internal/lifecycle"
@@ -37,6 +38,7 @@
 	acceptLeft      = 200 * time.Millisecond  // of the drain, before the last answers, for what came last
 	quietBefore     = 300 * time.Millisecond  // without a new connection, before the listener is closed
 	drainStep       = 10 * time.Millisecond
+	acceptLogEvery  = time.Second
 	lastAnswers     = 150 * time.Millisecond // before the end of the time for it, what is still open is answered
 	unusedAfter     = 300 * time.Millisecond // a new connection that has sent nothing for so long counts as idle
 	graceIdle       = 50 * time.Millisecond  // a connection idle for this long has no request on its way
@@ -70,6 +72,8 @@
 	conns      map[*clientConn]bool
 	withheld   int // tokens of room that nobody may have
 	lastAccept time.Time
+
+	acceptLogged time.Time // when an error of accept was logged last; of the accept loop alone
 }
 
 // snapshot is a set of settings with the places of its names. It is never changed.
@@ -173,11 +177,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	f := l.front
 	f.takeRoom()
-	nc, err := l.Listener.Accept()
-	for ; upstream.OutOfSockets(err); nc, err = l.Listener.Accept() { // fasthttp's Serve would end on it
-		f.closeIdlest()
-		time.Sleep(drainStep)
-	}
+	nc, err := accept.Next(l.Listener, f.acceptFailed) // fasthttp's Serve would end on an error that passes
 	if err != nil {
 		<-f.room
 		f.deaf.Store(true)
@@ -185,7 +185,7 @@
 	}
 	now := time.Now()
 	c := &clientConn{Conn: nc, front: f, readAt: now, between: true}
-	c.idleSince.Store(now.UnixMicro())
+	c.idleSince.Store(micros(now))
 	f.mu.Lock()
 	f.conns[c] = true
 	f.lastAccept = now
@@ -197,6 +197,17 @@
 	return c, nil
 }
 
+// acceptFailed makes room where accept found no descriptor, and logs an error now and then.
+func (f *Frontend) acceptFailed(err error) {
+	if upstream.OutOfSockets(err) {
+		f.closeIdlest()
+	}
+	if now := time.Now(); now.Sub(f.acceptLogged) >= acceptLogEvery {
+		f.acceptLogged = now
+		log.Printf("event=accept_failed err=%q", err)
+	}
+}
+
 // takeRoom takes a token for a connection. Guards against silent clients that hold all while usual ones wait.
 func (f *Frontend) takeRoom() {
 	select {
@@ -231,7 +242,7 @@
 	const silent, idle, halfway = 0, 1, 2
 	var of [3]*clientConn
 	var held [3]int64 // in its idleSince
-	fresh := time.Now().Add(-unusedAfter).UnixMicro()
+	fresh := micros(time.Now().Add(-unusedAfter))
 	f.mu.Lock()
 	for c := range f.conns {
 		at, kind := c.idleSince.Load(), idle
@@ -257,7 +268,7 @@
 
 // closeIdle closes connections idle for at least that long; unused ones only where all is true.
 func (f *Frontend) closeIdle(idle time.Duration, all bool) {
-	before := time.Now().Add(-idle).UnixMicro()
+	before := micros(time.Now().Add(-idle))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -222,7 +222,7 @@
 	}
 	eventually(t, "two on their way", func() bool { return halfway() == 2 })
 	time.Sleep(2 * unusedAfter)
-	before := time.Now().UnixMicro()
+	before := micros(time.Now())
 	io.WriteString(slow, look[1:2])
 	eventually(t, "its second byte read", func() bool { // by the server
 		f.mu.Lock()
