Starts of servers are told apart from steps of the wall clock; a start waits out lacks of bind

Cause, by reading: a server's start is wall time, the module's clock is that of this process's start moved on by the monotonic one. After a step of an hour back a cold server counts as an hour old, and gets a warm one's share; forward, it stays cold for an hour. Change: after a step (1 s and over) the younger reading counts, never ahead of now, once for each start (internal/sidecar/births.go); without a step the times are as before. A process that starts after the step can't tell it. Listen waits out ENFILE, EADDRNOTAVAIL and the like.

--- a/internal/handover/listen.go
+++ b/internal/handover/listen.go
@@ -15,8 +15,8 @@
 	bindEvery = 20 * time.Millisecond
 )
 
-// Listen binds an address that the process before may hold as well, or still holds: it tries for a while. Guards
-// against a restart that ends in a crash because the one before it is still answering.
+// Listen binds an address that the process before may hold as well, or still holds: it tries for a while, also where the system
+// lacks something that comes back. Guards against a restart that ends in a crash because the one before it is still answering.
 func Listen(ctx context.Context, addr string) (*net.TCPListener, error) {
 	shared := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) (err error) {
 		if e := c.Control(func(fd uintptr) {
@@ -31,12 +31,25 @@
 		if err == nil {
 			return ln.(*net.TCPListener), nil
 		}
-		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(end) || ctx.Err() != nil {
+		if !passes(err) || time.Now().After(end) || ctx.Err() != nil {
 			return nil, err
 		}
 	}
 }
 
+// passes tells whether an error of socket, bind or listen may be over within moments.
+func passes(err error) bool {
+	for _, errno := range []syscall.Errno{
+		syscall.EADDRINUSE, syscall.EADDRNOTAVAIL, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EINTR,
+		syscall.ENETDOWN, syscall.ENETUNREACH,
+	} {
+		if errors.Is(err, errno) {
+			return true
+		}
+	}
+	return false
+}
+
 // Held tells whether another process listens at an address.
 func Held(addr string) bool {
 	ln, err := net.Listen("tcp", addr)
--- /dev/null
+++ b/internal/sidecar/births.go
@@ -0,0 +1,63 @@
+package sidecar
+
+import (
+	"time"
+
+	"damsonscale/internal/discovery"
+)
+
+// clockStep is the difference between the wall clock and the monotonic one from which on the wall clock counts as stepped.
+const clockStep = time.Second
+
+// births turns the wall-clock times at which servers say that they started into times of the module's clock, once for each start.
+// That clock is the wall clock of this process's start moved on by the monotonic one, so a wall clock that is stepped since makes
+// each later start look an hour old, or an hour ahead. After a step the younger reading counts. Guards against a cold server that
+// gets a warm one's share, and against one that is held for cold until the clocks meet.
+type births struct {
+	wall func() time.Time
+
+	known map[string]birth // by host
+}
+
+// birth is one start of a server.
+type birth struct {
+	toldMs int64 // as listed
+	since  int64 // in the module's clock, µs
+}
+
+func newBirths() *births { return &births{wall: time.Now, known: map[string]birth{}} }
+
+// since is the start of a listed server in the module's clock, which shows now; 0: long ago.
+func (b *births) since(e *discovery.Entry, now int64) int64 {
+	if e.BornMs == 0 {
+		return 0
+	}
+	if k, ok := b.known[e.Host]; ok && k.toldMs == e.BornMs {
+		return k.since
+	}
+	since := e.BornMs * 1000
+	stepped := time.Duration(b.wall().UnixMicro()-now) * time.Microsecond
+	if stepped.Abs() >= clockStep {
+		since = min(now, max(since, since-stepped.Microseconds()))
+	}
+	b.known[e.Host] = birth{toldMs: e.BornMs, since: since}
+	return since
+}
+
+// keep forgets the servers that a whole list does not name, or that a change removes.
+func (b *births) keep(l *discovery.List) {
+	listed := make(map[string]bool, len(l.Hosts))
+	for _, e := range l.Hosts {
+		if listed[e.Host] = e.Health != discovery.Gone; !listed[e.Host] {
+			delete(b.known, e.Host)
+		}
+	}
+	if !l.Whole {
+		return
+	}
+	for host := range b.known {
+		if !listed[host] {
+			delete(b.known, host)
+		}
+	}
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -52,6 +52,8 @@
 	ending    chan struct{} // closed by End
 	last      sync.Once     // closes it
 
+	births *births // of servers
+
 	staleLogged time.Time // when a send by an old list was logged last
 }
 
@@ -66,7 +68,7 @@
 	s := &Sidecar{
 		conf: conf, settings: &conf.Settings, transport: conf.Transport, box: make(chan func(int64), mailbox), start: time.Now(),
 		calls: map[string]*Call{}, peers: map[string]*peer{},
-		known: make(chan struct{}), ending: make(chan struct{}),
+		known: make(chan struct{}), ending: make(chan struct{}), births: newBirths(),
 	}
 	s.list = discovery.New(conf.Discovery, conf.Known, source(&conf.Settings), s)
 	s.shared = upstream.Shared{
@@ -141,7 +143,8 @@
 	}
 	s.balancer.Begin(s.now())
 	if k := s.conf.Known; k != nil && len(k.Hosts) > 0 && !s.settings.ListPushed {
-		now, known := s.now(), servers(k)
+		now := s.now()
+		known := s.servers(now, k)
 		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Listed(now, known, true) }})
 	}
 	for {
@@ -371,7 +374,7 @@
 	s.box <- func(now int64) {
 		s.seq = l.Seq
 		s.restamp()
-		list := servers(l)
+		list := s.servers(now, l)
 		s.tell(watch.Event{Now: now, Apply: func(b *decide.Balancer) { b.Listed(now, list, l.Whole) }})
 		for host := range s.peers {
 			s.retire(host)
@@ -394,23 +397,25 @@
 }
 
 // servers puts a list into the module's terms.
-func servers(l *discovery.List) []decide.Server {
+func (s *Sidecar) servers(now int64, l *discovery.List) []decide.Server {
 	out := make([]decide.Server, 0, len(l.Hosts))
-	for _, e := range l.Hosts {
-		s := decide.Server{ID: e.Host, Size: e.Share, Kind: e.Kind, Zone: e.Zone, Cell: -1, UpSince: e.BornMs * 1000}
+	for i := range l.Hosts {
+		e := &l.Hosts[i]
+		server := decide.Server{ID: e.Host, Size: e.Share, Kind: e.Kind, Zone: e.Zone, Cell: -1, UpSince: s.births.since(e, now)}
 		if e.Cell != nil {
-			s.Cell = *e.Cell
+			server.Cell = *e.Cell
 		}
 		switch e.Health {
 		case discovery.Ready:
-			s.Phase = decide.InService
+			server.Phase = decide.InService
 		case discovery.Gone:
-			s.Phase = decide.Removed
+			server.Phase = decide.Removed
 		default: // a state that is not known wants nothing new either
-			s.Phase = decide.Draining
+			server.Phase = decide.Draining
 		}
-		out = append(out, s)
+		out = append(out, server)
 	}
+	s.births.keep(l)
 	return out
 }
 
--- a/internal/sidecar/sidecar_test.go
+++ b/internal/sidecar/sidecar_test.go
@@ -244,7 +244,7 @@
 
 func TestServersInTheModulesTerms(t *testing.T) {
 	cell := int64(3)
-	got := servers(&discovery.List{Hosts: []discovery.Entry{
+	got := (&Sidecar{births: newBirths()}).servers(time.Now().UnixMicro(), &discovery.List{Hosts: []discovery.Entry{
 		{Host: "a", Zone: "z", Cell: &cell, Health: discovery.Ready, Share: 1.5, BornMs: 7},
 		{Host: "b", Health: discovery.Terminating}, {Host: "c", Health: discovery.Gone}, {Host: "d", Health: "Dozing"},
 	}})
