--- a/cmd/damsonscale/told_test.go
+++ b/cmd/damsonscale/told_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -316,6 +317,14 @@
 // force 6 s after it was made all the same. Incident incident-1: after a silent watch there was time for one call, and none where
 // that failed; a fleet of 294 in which a few meet such a chain sent to servers that had left the list over 8 s before.
 func TestTwoFailedCallsAreInForceInTime(t *testing.T) {
+	type fleet struct {
+		balancers int
+		pushed    bool
+	}
+	fleets := []fleet{{300, false}, {300, true}}
+	if os.Getenv("TOLD") != "" { // all sizes of the design note
+		fleets = []fleet{{1, false}, {30, false}, {300, false}, {900, false}}
+	}
 	breaks := map[string]standin.Break{
 		"silent": standin.Silent, "half a line": standin.HalfAndBeat, "reset": standin.Reset, "ended": standin.Ended,
 	}
@@ -327,10 +336,7 @@
 			t.Parallel()
 			var done sync.WaitGroup
 			for name, fault := range faults {
-				for _, f := range []struct {
-					balancers int
-					pushed    bool
-				}{{300, false}, {300, true}} {
+				for _, f := range fleets {
 					a := ask(t, standin.Good, f.balancers, f.pushed)
 					done.Go(func() {
 						eventually(t, "a watch", func() bool { return a.registry.Calls() > 0 })
--- a/internal/upstream/crossings_test.go
+++ b/internal/upstream/crossings_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
+
+	"damsonscale/internal/standin"
 )
 
 // A second answer that comes some milliseconds after the first is no answer to the next request: a connection rests before
@@ -128,3 +132,40 @@
 		}
 	}
 }
+
+// A dial that fails for a moment, by a lack on this side or for want of a way, is made again within its time; one that goes on lacking
+// sockets tells nothing of the server, and no way to it does. What the server's side answers is its own. Guards against servers that are
+// suspended, all at once, because this machine had no way out for a moment.
+func TestADialThatLacksForAMoment(t *testing.T) {
+	s := standin.NewServer(t, standin.Yes)
+	type ends struct{ once, always End }
+	for errno, want := range map[syscall.Errno]ends{
+		syscall.ENFILE: {Answered, Unwritten}, syscall.ENOBUFS: {Answered, Unwritten}, syscall.EADDRNOTAVAIL: {Answered, Unwritten},
+		syscall.ENETUNREACH: {Answered, Unreachable}, syscall.ENETDOWN: {Answered, Unreachable},
+		syscall.ECONNREFUSED: {Unreachable, Unreachable}, syscall.EHOSTUNREACH: {Unreachable, Unreachable},
+	} {
+		for _, fails := range []int{1, 1 << 30} {
+			p, sh := peerOf(t, at(s.Addr))
+			sh.Retune(50*time.Millisecond, time.Hour)
+			if fails == 1 {
+				sh.Retune(time.Minute, time.Hour)
+			}
+			dials := 0
+			sh.Short = func() {}
+			sh.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+				if dials++; dials <= fails {
+					return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", errno)}
+				}
+				var d net.Dialer
+				return d.DialContext(ctx, "tcp", addr)
+			}
+			end := want.always
+			if fails == 1 {
+				end = want.once
+			}
+			if r := send(t, p, nil); r.End != end {
+				t.Errorf("%v, %d times: %v, want %v", errno, fails, r.End, end)
+			}
+		}
+	}
+}
--- a/internal/upstream/peer.go
+++ b/internal/upstream/peer.go
@@ -14,7 +14,7 @@
 const (
 	mailbox    = 256
 	sweepEvery = time.Second
-	redial     = 5 * time.Millisecond // after a dial that found no descriptor
+	redial     = 5 * time.Millisecond // after a dial that met a lack on this side
 	idlePart   = 0.6                  // of the servers' idle limit: a connection older than this is not written to
 )
 
@@ -70,9 +70,10 @@
 // Shared is what all peers have in common.
 type Shared struct {
 	Budget *Budget
-	Find   func(host string) (dial string, ready bool) // as listed at this moment
-	Short  func()                                      // asks all peers to shed; it may block
-	Settle time.Duration                               // that a connection rests after an answer, before its next request
+	Find   func(host string) (dial string, ready bool)              // as listed at this moment
+	Short  func()                                                   // asks all peers to shed; it may block
+	Settle time.Duration                                            // that a connection rests after an answer, before its next request
+	Dial   func(ctx context.Context, addr string) (net.Conn, error) // nil: the system's
 
 	dialTimeout atomic.Int64
 	connIdle    atomic.Int64 // the servers' idle limit
@@ -262,6 +263,20 @@
 		errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM)
 }
 
+// mayPass tells of an error of socket or connect that may be over within a moment: a lack on this side, or no way to that server.
+func mayPass(err error) bool {
+	return OutOfSockets(err) || errors.Is(err, syscall.ENETUNREACH) || errors.Is(err, syscall.ENETDOWN)
+}
+
+// connect dials.
+func (s *Shared) connect(ctx context.Context, addr string) (net.Conn, error) {
+	if s.Dial != nil {
+		return s.Dial(ctx, addr)
+	}
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", addr)
+}
+
 // dial opens a connection for an attempt.
 func (p *Peer) dial(a *Attempt) (*conn, End) {
 	addr, ready := p.shared.Find(p.Host)
@@ -270,17 +285,16 @@
 	if !ready || !p.shared.Budget.await(ctx, p.shared.Short) {
 		return nil, Unwritten
 	}
-	var d net.Dialer
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.shared.connect(ctx, addr)
 	short := OutOfSockets(err)
 	if short {
 		p.shared.Short()
 	}
-	for OutOfSockets(err) && ctx.Err() == nil { // Guards against tries that are used up within microseconds while sockets close
+	for mayPass(err) && ctx.Err() == nil { // Guards against tries that are used up within microseconds while it passes
 		select {
 		case <-ctx.Done():
 		case <-time.After(redial):
-			nc, err = d.DialContext(ctx, "tcp", addr)
+			nc, err = p.shared.connect(ctx, addr)
 		}
 	}
 	if err != nil {
