--- a/cmd/damsonscale/ready_test.go
+++ b/cmd/damsonscale/ready_test.go
@@ -40,6 +40,7 @@
 func burn() {
 	for range runtime.NumCPU() {
 		go func() {
+			//lint:ignore SA5002 it is there to burn a core
 			for {
 			}
 		}()
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
@@ -41,7 +42,7 @@
 		return nil, err
 	}
 	db, err := bbolt.Open(filepath.Join(dir, storeFile), 0o600, &bbolt.Options{Timeout: storeLock})
-	if errors.Is(err, bbolt.ErrTimeout) {
+	if errors.Is(err, berrors.ErrTimeout) {
 		return nil, ErrHeld
 	}
 	if err != nil {
--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -101,10 +101,7 @@
 	b.c.Conn.SetReadDeadline(past)
 }
 
-var (
-	errCut  = errors.New("the body was cut off")
-	errLong = errors.New("the body is too long")
-)
+var errLong = errors.New("the body is too long")
 
 // Read reads on as the body comes; a client that sends nothing for a while has left.
 func (b *body) Read(p []byte) (n int, err error) {
