Account on disk: a directory that fails for a while loses no segment, and no torn one hides others

Cause: the first write that failed closed the file of an incarnation for good, and what was half written stayed in it. Change: segments wait and are written in order once the directory takes them; after a failed write the file is cut back to its whole ones, also when it has to be opened anew (event=audit_disk_back). The disk has a file of its own, internal/fleet/disk.go. Test: TestADirectoryThatFailsForAWhile, 60 draws of failing opens, writes and truncations; the old code had no place for such files and closed at the first fault.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -341,7 +341,7 @@
 	if !written(path) {
 		t.Error("a file under way is not told from one that was left")
 	}
-	d.file.Close()
+	d.close()
 	text, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/fleet/ledger.go
+++ b/internal/fleet/ledger.go
@@ -2,20 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"log"
-	"os"
-	"path/filepath"
 	"slices"
-	"strings"
-	"syscall"
 	"time"
 
 	"damsonscale/internal/audit"
 	"damsonscale/internal/custody"
-	"damsonscale/internal/frame"
 )
 
 const (
@@ -135,6 +128,9 @@
 		}
 		l.pushing.Add(z, seg, l.holders)
 	}
+	if l.disk != nil {
+		l.disk.flush()
+	}
 	if l.pushing.Lost > l.lost {
 		log.Printf("event=audit_unheld segments=%d", l.pushing.Lost-l.lost)
 		l.lost = l.pushing.Lost
@@ -182,170 +178,3 @@
 		l.disk.begin(me)
 	}
 }
-
-// disk keeps segments in a directory, a file for each incarnation. It is no more than a copy: where it fails it is left.
-type disk struct {
-	dir   string
-	most  int
-	coder *coder
-	file  *os.File
-	used  int
-	said  bool
-}
-
-// open reads what is there, mends the ends of files that were cut off, and begins a file.
-func (d *disk) open(me custody.Member) (out []audit.Sealed) {
-	files, err := segmentFiles(d.dir)
-	if err != nil && !errors.Is(err, os.ErrNotExist) {
-		d.wrong(err)
-	}
-	for _, path := range files {
-		all, good, err := ReadSegments(path)
-		if err != nil && !written(path) {
-			log.Printf("event=audit_file_cut file=%s kept_bytes=%d err=%q", path, good, err)
-			if err := os.Truncate(path, good); err != nil {
-				d.wrong(err)
-			}
-		}
-		out = append(out, all...)
-	}
-	d.begin(me)
-	return out
-}
-
-// written tells whether another process writes a file: its end is not cut off, it comes.
-func written(path string) bool {
-	f, err := os.Open(path)
-	if err != nil {
-		return false
-	}
-	defer f.Close()
-	return syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB) != nil
-}
-
-func segmentFiles(dir string) ([]string, error) {
-	all, err := os.ReadDir(dir)
-	if err != nil {
-		return nil, err
-	}
-	var out []string
-	for _, e := range all {
-		if strings.HasSuffix(e.Name(), segmentsEnd) {
-			out = append(out, filepath.Join(dir, e.Name()))
-		}
-	}
-	return out, nil
-}
-
-// ReadSegments reads a file of segments up to its end or its first fault, and tells how many bytes are good.
-func ReadSegments(path string) (out []audit.Sealed, good int64, err error) {
-	in, err := os.Open(path)
-	if err != nil {
-		return nil, 0, err
-	}
-	defer in.Close()
-	coder, err := newCoder()
-	if err != nil {
-		return nil, 0, err
-	}
-	for {
-		kind, payload, err := frame.Read(in)
-		if err == io.EOF {
-			return out, good, nil
-		}
-		var z audit.Sealed
-		if err == nil && kind != kindSegments {
-			err = errKind
-		}
-		if err == nil {
-			err = coder.in.Unmarshal(payload, &z)
-		}
-		if err != nil {
-			return out, good, err
-		}
-		out, good = append(out, z), good+int64(frame.Head+len(payload))
-	}
-}
-
-// begin begins a file, and drops the oldest ones where there is too much.
-func (d *disk) begin(me custody.Member) {
-	if d.file != nil {
-		d.file.Close()
-		d.file = nil
-	}
-	if err := os.MkdirAll(d.dir, 0o750); err != nil {
-		d.wrong(err)
-		return
-	}
-	d.shed()
-	var err error
-	if d.file, err = os.OpenFile(filepath.Join(d.dir, fmt.Sprintf("%s-%x%s", me.Name, me.Incarnation, segmentsEnd)), os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o640); err != nil {
-		d.wrong(err)
-		return
-	}
-	d.used = 0
-	if err := syscall.Flock(int(d.file.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
-		d.wrong(err)
-	}
-}
-
-// shed deletes the files longest unwritten while all are over half of what is granted: the other half is for the one that begins.
-func (d *disk) shed() {
-	files, err := segmentFiles(d.dir)
-	if err != nil {
-		d.wrong(err)
-		return
-	}
-	type one struct {
-		path string
-		size int64
-		at   time.Time
-	}
-	var all []one
-	sum := int64(0)
-	for _, path := range files {
-		if info, err := os.Stat(path); err == nil {
-			all, sum = append(all, one{path, info.Size(), info.ModTime()}), sum+info.Size()
-		}
-	}
-	slices.SortFunc(all, func(a, b one) int { return a.at.Compare(b.at) })
-	for _, o := range all {
-		if sum <= int64(d.most)/2 {
-			return
-		}
-		if err := os.Remove(o.path); err != nil {
-			d.wrong(err)
-			return
-		}
-		sum -= o.size
-	}
-}
-
-func (d *disk) append(z *audit.Sealed) {
-	if d.file == nil {
-		return
-	}
-	text, err := d.coder.out.Marshal(z)
-	if err == nil {
-		text, err = frame.Append(nil, kindSegments, text)
-	}
-	if err == nil && d.used+len(text) > d.most/2 {
-		err = errors.New("it has all that disk_bytes grants")
-	}
-	if err == nil {
-		_, err = d.file.Write(text)
-	}
-	if d.used += len(text); err != nil {
-		d.wrong(err)
-		d.file.Close()
-		d.file = nil
-	}
-}
-
-// wrong tells of a fault once: the account goes on in memory.
-func (d *disk) wrong(err error) {
-	if !d.said {
-		d.said = true
-		log.Printf("event=audit_disk_failed dir=%s err=%q", d.dir, err)
-	}
-}
