The fleet's log: a folder that refuses writes for a while holds a member up, and no longer ends it

One write that failed ended the member's part in the log for good. Now it is made again each 50 ms while the system refuses it (ENOSPC, EIO and the like), before any message goes out: like a process that stands still, whose lease runs out. It ends with the member, and at once where the fault is not the system's.

--- a/internal/fleet/epochs.go
+++ b/internal/fleet/epochs.go
@@ -166,8 +166,9 @@
 	}
 }
 
-// run is the actor. It returns when ctx ends or the disk fails.
+// run is the actor. It returns when ctx ends, or where the log is no more what it was.
 func (e *epochs) run(ctx context.Context) (err error) {
+	e.store.stop = ctx.Done()
 	defer e.store.close()
 	defer func() {
 		if p := recover(); p != nil { // the library panics on what must not be; this member then votes no more
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -4,8 +4,10 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"log"
 	"os"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"go.etcd.io/bbolt"
@@ -18,6 +20,8 @@
 const (
 	storeFile = "fleet.db"
 	storeLock = 20 * time.Millisecond // waited for another process of this sidecar to let go of it
+
+	persistAgain = 50 * time.Millisecond // after a write that the system refused
 )
 
 // ErrHeld tells that another process of this sidecar keeps the log.
@@ -34,6 +38,9 @@
 type store struct {
 	*raft.MemoryStorage
 	db *bbolt.DB
+
+	stop   <-chan struct{}                   // closed when no write is to be made again; nil: never
+	update func(func(*bbolt.Tx) error) error // nil: the database's
 }
 
 // openStore opens the log of one of those who vote. All of them start from the same empty log.
@@ -105,6 +112,35 @@
 	})
 }
 
+// persist makes an update, again and again while the system refuses the write: a folder may fail for a while, and a member that could
+// not keep what it is to say has not said it, nor anything after it. It is held up like a process that stands still: others lead, and
+// its lease runs out. It fails once it is to stop, or where the fault is not the system's.
+func (s *store) persist(change func(*bbolt.Tx) error) error {
+	update := s.db.Update
+	if s.update != nil {
+		update = s.update
+	}
+	for said := false; ; {
+		err := update(change)
+		var refused syscall.Errno
+		switch {
+		case err == nil && said:
+			log.Printf("event=fleet_log_disk_back")
+			return nil
+		case !errors.As(err, &refused):
+			return err
+		case !said:
+			said = true
+			log.Printf("event=fleet_log_disk_failed err=%q", err)
+		}
+		select {
+		case <-s.stop:
+			return err
+		case <-time.After(persistAgain):
+		}
+	}
+}
+
 // save keeps what has to be on disk before messages go out.
 func (s *store) save(rd *raft.Ready) error {
 	hard, snapshot := rd.HardState, rd.Snapshot
@@ -112,7 +148,7 @@
 	if raft.IsEmptyHardState(hard) && none && len(rd.Entries) == 0 {
 		return nil
 	}
-	err := s.db.Update(func(tx *bbolt.Tx) error {
+	err := s.persist(func(tx *bbolt.Tx) error {
 		entries, state := tx.Bucket(entriesBucket), tx.Bucket(stateBucket)
 		if !raft.IsEmptyHardState(hard) {
 			if err := put(state, hardKey, hard); err != nil {
@@ -159,7 +195,7 @@
 	if err != nil {
 		return err
 	}
-	err = s.db.Update(func(tx *bbolt.Tx) error {
+	err = s.persist(func(tx *bbolt.Tx) error {
 		if err := put(tx.Bucket(stateBucket), snapshotKey, snapshot); err != nil {
 			return err
 		}
