--- a/cmd/damsonscale/drawn_test.go
+++ b/cmd/damsonscale/drawn_test.go
@@ -176,6 +176,9 @@
 			broken = append(broken, line)
 		}
 	}
+	if n := d.goes.strays.Load(); n > 0 {
+		broken = append(broken, fmt.Sprintf("%d requests of another timeline", n))
+	}
 	if len(broken) > 0 {
 		t.Logf("seed %d:\n%s\n%s", seed, strings.Join(d.script, "\n"), d.log.String())
 	}
--- a/cmd/damsonscale/told_test.go
+++ b/cmd/damsonscale/told_test.go
@@ -26,6 +26,7 @@
 type asker struct {
 	*program
 	name     string
+	path     string // of its requests alone
 	registry *standin.Registry
 	stays    string
 	goes     *goer
@@ -39,7 +40,8 @@
 	addr string
 	last atomic.Int64 // Unix ns of its latest request
 
-	asked func(time.Time) // is told of each; nil: it is noted alone
+	asked  func(time.Time) // is told of each; nil: it is noted alone
+	strays atomic.Int64    // requests of another sidecar's clients
 }
 
 func ask(t *testing.T, fault standin.Fault, balancers int, pushed bool) *asker {
@@ -57,10 +59,14 @@
 	a := &asker{goes: &goer{}, stop: make(chan bool)}
 	a.name = fmt.Sprintf("%d balancers, pushed %v", balancers, pushed)
 	a.stays = serveHTTP(t, func(w http.ResponseWriter, r *http.Request) { io.WriteString(w, "yes") })
+	a.path = fmt.Sprintf("/look?obj=%x", seeds.Add(1))
 	a.goes.addr = serveHTTP(t, func(w http.ResponseWriter, r *http.Request) {
-		if a.goes.asked != nil {
+		switch {
+		case r.URL.RequestURI() != a.path:
+			a.goes.strays.Add(1)
+		case a.goes.asked != nil:
 			a.goes.asked(time.Now())
-		} else {
+		default:
 			a.goes.last.Store(time.Now().UnixNano())
 		}
 		io.WriteString(w, "yes")
@@ -92,7 +98,7 @@
 				return
 			case <-time.After(40 * time.Millisecond):
 			}
-			r, _ := http.NewRequest("GET", "http://"+a.addr+"/look", nil)
+			r, _ := http.NewRequest("GET", "http://"+a.addr+a.path, nil)
 			r.Header.Set("Req-Id", fmt.Sprintf("%016x", ids.Add(1)))
 			r.Header.Set("Req-Owner", "t")
 			r.Header.Set("Req-Deadline-Ms", "20000")
