--- a/cmd/damsonscale/drawn_test.go
+++ b/cmd/damsonscale/drawn_test.go
@@ -25,6 +25,7 @@
 type drawnTimeline struct {
 	*asker
 	random *rand.Rand
+	other  *standin.Registry // discovery's next address, with the same list
 	seq    int64
 	gone   bool
 	script []string
@@ -64,6 +65,7 @@
 	d.gone = !d.gone
 	d.mu.Unlock()
 	d.registry.List(d.seq, text(l))
+	d.other.List(d.seq, text(l))
 	d.note("version %d, gone %v", d.seq, d.gone)
 }
 
@@ -93,7 +95,7 @@
 func (d *drawnTimeline) step(t *testing.T, pushed bool) {
 	callFaults := []standin.Fault{standin.Busy, standin.Resets, standin.Hangs, standin.Heads, standin.Halves, standin.Garbles, standin.Trickles, standin.Ends}
 	mayFail := time.Now().After(d.calm)
-	switch event := d.random.IntN(10); {
+	switch event := d.random.IntN(11); {
 	case event < 4:
 		d.toggle()
 	case event < 7 && mayFail:
@@ -113,6 +115,8 @@
 		d.registry.BreakWatches(standin.Ended, standin.Older, 1)
 	case event == 9 && mayFail:
 		d.restart(t)
+	case event == 10 && mayFail:
+		d.moves(t, callFaults[d.random.IntN(len(callFaults))], d.random.IntN(3))
 	default:
 		d.note("held up")
 		d.cmd.Process.Signal(syscall.SIGSTOP)
@@ -139,6 +143,22 @@
 	d.note("discovery is back")
 }
 
+// moves names discovery's other address in a new configuration; the first calls there may fail.
+func (d *drawnTimeline) moves(t *testing.T, fault standin.Fault, calls int) {
+	d.note("discovery moves, then %d calls meet fault %d", calls, fault)
+	d.registry, d.other = d.other, d.registry
+	d.registry.BreakWatches(standin.Silent, fault, calls)
+	d.reload(t, d.registry.Addr)
+	now := time.Now()
+	d.mu.Lock()
+	d.reached = now
+	d.mu.Unlock()
+	d.calm = now.Add(afterCalls)
+	if d.random.IntN(2) == 0 {
+		d.toggle()
+	}
+}
+
 // restart kills the process and starts it anew by the list that it knew at first.
 func (d *drawnTimeline) restart(t *testing.T) {
 	d.note("killed and started anew")
@@ -157,7 +177,10 @@
 	balancers, pushed := []int{1, 30, 300, 900}[random.IntN(4)], random.IntN(4) == 0
 	d := &drawnTimeline{random: random, seq: 41, asker: newAsker(t, standin.Good, balancers, pushed)}
 	d.goes.asked = d.arrives
-	d.registry.List(41, text(d.known()))
+	d.other = standin.NewRegistry(t, standin.Good)
+	for _, r := range []*standin.Registry{d.registry, d.other} {
+		r.List(41, text(d.known()))
+	}
 	d.began = time.Now()
 	d.started, d.reached = d.began, d.began
 	d.begin(t, balancers, pushed)
@@ -186,7 +209,7 @@
 }
 
 // Timelines of faults of discovery, drawn: watches that end in four ways, calls that fail in eight, outages of five kinds, older lists,
-// restarts by an old list, hold-ups of 0.15 s, with changes of the list among them. Nothing goes to a server that has left 6 s after
+// restarts by an old list, moves to another address whose first calls may fail, hold-ups of 0.15 s, with changes of the list among them. Nothing goes to a server that has left 6 s after
 // discovery had it and could be reached. DRAWN=300 plays so many instead of a few, DRAWN_SEED tells the first.
 func TestDrawnFaultsOfDiscovery(t *testing.T) {
 	t.Parallel()
