--- a/cmd/damsonscale/descriptors_test.go
+++ b/cmd/damsonscale/descriptors_test.go
@@ -42,19 +42,8 @@
 
 func newOutage(t *testing.T, how string) *outage {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
-	// A bound socket that does not listen keeps its port and refuses.
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	name, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	o := &outage{addr: fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port), fd: fd, how: how, told: make(chan struct{})}
+	fd, addr := standin.Bound(t, 0) // it keeps its port and refuses
+	o := &outage{addr: addr, fd: fd, how: how, told: make(chan struct{})}
 	if how == refuses {
 		t.Cleanup(func() {
 			if !o.back.Load() {
--- a/cmd/damsonscale/fleet_test.go
+++ b/cmd/damsonscale/fleet_test.go
@@ -18,19 +18,9 @@
 // against a server taken for gone whose port the silent discovery got: an attempt there hung for all of its time.
 func deadAddr(t *testing.T) string {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
+	fd, addr := standin.Bound(t, 0)
 	t.Cleanup(func() { syscall.Close(fd) })
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	at, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	return addr
 }
 
 // silent never says a word until its peer leaves.
--- a/cmd/damsonscale/main_test.go
+++ b/cmd/damsonscale/main_test.go
@@ -19,6 +19,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"damsonscale/internal/standin"
 )
 
 // TestMain lets the test's own binary be the program: the tests start it and speak to it on loopback.
@@ -168,24 +170,9 @@
 // test that is given the port before the program has it, and takes its clients.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	if err != nil {
-		t.Fatal(err)
-	}
+	fd, addr := standin.Bound(t, 0, unix.SO_REUSEADDR, unix.SO_REUSEPORT)
 	t.Cleanup(func() { syscall.Close(fd) })
-	for _, option := range []int{unix.SO_REUSEADDR, unix.SO_REUSEPORT} {
-		if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, option, 1); err != nil {
-			t.Fatal(err)
-		}
-	}
-	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		t.Fatal(err)
-	}
-	name, err := syscall.Getsockname(fd)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	return addr
 }
 
 func start(t *testing.T, discoveryAddr string, known *list, change func(map[string]any)) *program {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -18,6 +18,7 @@
 	"damsonscale/internal/acts"
 	"damsonscale/internal/admin"
 	"damsonscale/internal/config"
+	"damsonscale/internal/discovery"
 	"damsonscale/internal/frontend"
 	"damsonscale/internal/lifecycle"
 	"damsonscale/internal/options"
@@ -25,10 +26,10 @@
 )
 
 const (
-	heapPart   = 0.6 // of the memory limit: the rest is for stacks, the runtime and the program itself
-	bodyPart   = 0.2 // of the heap, for bodies that are held
-	ownSockets = 12  // the runtime's, the log, the listener, the watch
-	clientPart = 0.5 // of the other sockets: each request out holds one on either side
+	heapPart   = 0.6                       // of the memory limit: the rest is for stacks, the runtime and the program itself
+	bodyPart   = 0.2                       // of the heap, for bodies that are held
+	ownSockets = 8 + discovery.SocketsMost // the runtime's, the log, the listener; the list
+	clientPart = 0.5                       // of the other sockets: each request out holds one on either side
 
 	drainMore = 600 * time.Millisecond // past the longest deadline, after SIGTERM
 	drainMost = 3 * time.Second        // of that deadline: operators wait no longer before SIGKILL. Guards against a class of
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -19,6 +19,9 @@
 	agentFirst = 300 * time.Millisecond
 )
 
+// SocketsMost is how many the list holds at most: the watch, and calls with no answer.
+const SocketsMost = 1 + callsMost
+
 // Listener is told of the list. Its method may block; the list's actor then waits.
 type Listener interface {
 	Listed(*List)
--- a/internal/standin/registry.go
+++ b/internal/standin/registry.go
@@ -2,10 +2,10 @@
 
 import (
 	"bufio"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"sync"
 	"syscall"
@@ -68,42 +68,23 @@
 func NewRegistry(t testing.TB, fault Fault) *Registry {
 	t.Helper()
 	r := &Registry{fault: fault, change: make(chan struct{}), closed: make(chan bool), told: map[int64]time.Time{}}
-	free := bound(t, 0)
-	port := portOf(t, free)
+	free, addr := Bound(t, 0, syscall.SO_REUSEADDR)
+	port := netip.MustParseAddrPort(addr).Port()
+	// By name: a listener that is shut down gives a port back that the system chose. The first goes only then, so nobody gets it between.
+	fd, addr := Bound(t, int(port), syscall.SO_REUSEADDR)
 	syscall.Close(free)
-	fd := bound(t, port) // by name: a listener that is shut down gives a port back that the system chose
-	r.socket = fd
+	r.socket, r.Addr = fd, addr
 	t.Cleanup(func() {
 		close(r.closed)
 		syscall.Shutdown(fd, syscall.SHUT_RDWR)
 		syscall.Close(fd)
 	})
-	r.Addr = fmt.Sprintf("127.0.0.1:%d", port)
 	if fault != Refuses {
 		r.listen(t)
 	}
 	return r
 }
 
-// bound makes a socket with that port, or any for 0.
-func bound(t testing.TB, port int) (fd int) {
-	t.Helper()
-	fd = must(t, func() (int, error) {
-		return syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
-	})
-	must(t, func() (int, error) { return 0, syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1) })
-	must(t, func() (int, error) {
-		return 0, syscall.Bind(fd, &syscall.SockaddrInet4{Port: port, Addr: [4]byte{127, 0, 0, 1}})
-	})
-	return fd
-}
-
-func portOf(t testing.TB, fd int) int {
-	t.Helper()
-	name := must(t, func() (syscall.Sockaddr, error) { return syscall.Getsockname(fd) })
-	return name.(*syscall.SockaddrInet4).Port
-}
-
 // InTurn has the registry work through its calls one after the other, so long each, also through those that were given up.
 // It must be called before the first call; the registry works while it is good.
 func (r *Registry) InTurn(each time.Duration) {
