--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -154,7 +155,7 @@
 	dir := filepath.Join(c.Dir, name)
 	Must(os.MkdirAll(filepath.Join(dir, "tmp"), directoryMode))
 	config := Object{
-		"name": name, "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
+		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%x", seed(name)),
 		"limits": Object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": Object{"seq": 0, "whole": true, "hosts": []Object{}},
 		"settings": settings,
 	}
@@ -185,6 +186,13 @@
 	return n
 }
 
+// seed returns a seed that differs between sidecars.
+func seed(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
 // Signal sends a signal to the sidecar.
 func (n *Node) Signal(s syscall.Signal) {
 	n.c.Logf("sidecar %s gets %v", n.Name, s)
