--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Plays case 3. TROUBLE=0 plays it without the disruption. Exit: 0 the rule held, 1 it was broken, 2 the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x review/bin/3 ] && [ -x bin/damsonscale ] || { echo "build first: the deploy file's build, then review/build.sh"; exit 2; }
+exec timeout --signal=KILL 110 review/bin/3
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -139,6 +139,7 @@
 	Name, Listen string
 
 	c       *Case
+	log     string // path of the log
 	command *exec.Cmd
 	done    chan struct{}
 }
@@ -146,6 +147,12 @@
 // Start starts a sidecar with the run command of the deploy file, in a process group of its own. options, if not empty, is the
 // text of its fleet options.
 func (c *Case) Start(name, listen, discovery string, settings Object, options string) *Node {
+	return c.StartProcess(name, name, listen, "", discovery, settings, options)
+}
+
+// StartProcess starts a process of a sidecar. process distinguishes the processes of one sidecar, which share the temporary folder,
+// as in an upgrade. admin, if not empty, is the address of the operators' API.
+func (c *Case) StartProcess(process, name, listen, admin, discovery string, settings Object, options string) *Node {
 	text, err := os.ReadFile(filepath.Join(c.Root, deployFile))
 	Must(err)
 	run := regexp.MustCompile(`(?m)^run = "([^"]*)"`).FindSubmatch(text)
@@ -161,14 +168,15 @@
 	}
 	encoded, err := json.Marshal(config)
 	Must(err)
-	configPath := filepath.Join(dir, "config.json")
+	configPath := filepath.Join(dir, process+".json")
 	Must(os.WriteFile(configPath, encoded, recordMode))
-	log, err := os.Create(filepath.Join(dir, "log"))
+	logPath := filepath.Join(dir, process+".log")
+	log, err := os.Create(logPath)
 	Must(err)
-	n := &Node{Name: name, Listen: listen, c: c, command: exec.Command("/bin/sh", "-c", string(run[1])), done: make(chan struct{})}
+	n := &Node{Name: process, Listen: listen, c: c, log: logPath, command: exec.Command("/bin/sh", "-c", string(run[1])), done: make(chan struct{})}
 	n.command.Dir, n.command.Stdout, n.command.Stderr = c.Root, log, log
 	n.command.Env = append(os.Environ(), "TMPDIR="+filepath.Join(dir, "tmp"), "PROXY_CONFIG="+configPath, "PROXY_NAME="+name,
-		"PROXY_LISTEN="+listen, "PROXY_DISCOVERY="+discovery)
+		"PROXY_LISTEN="+listen, "PROXY_DISCOVERY="+discovery, "PROXY_ADMIN="+admin)
 	if options != "" {
 		optionsPath := filepath.Join(dir, "options.toml")
 		Must(os.WriteFile(optionsPath, []byte(options), recordMode))
@@ -182,7 +190,7 @@
 		close(n.done)
 	}()
 	c.nodes = append(c.nodes, n)
-	c.Logf("sidecar %s started", name)
+	c.Logf("sidecar %s started", process)
 	return n
 }
 
@@ -215,10 +223,17 @@
 	}
 }
 
-// WaitReady waits until the sidecar says that it is ready.
-func (n *Node) WaitReady() {
+// Done returns a channel that is closed when the sidecar's process has ended.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+// WaitReady waits until the sidecar says to clients that it is ready.
+func (n *Node) WaitReady() { n.WaitYes("http://" + n.Listen + "/health/ready") }
+
+// WaitYes waits until a call is answered with 200.
+func (n *Node) WaitYes(url string) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(readyTimeout); ; time.Sleep(pollInterval) {
-		if response, err := http.Get("http://" + n.Listen + "/health/ready"); err == nil {
+		if response, err := client.Get(url); err == nil {
 			response.Body.Close()
 			if response.StatusCode == http.StatusOK {
 				n.c.Logf("sidecar %s is ready", n.Name)
@@ -233,7 +248,7 @@
 
 // Log returns the lines of the sidecar's log that contain one of the words.
 func (n *Node) Log(words ...string) (lines []string) {
-	text, _ := os.ReadFile(filepath.Join(n.c.Dir, n.Name, "log"))
+	text, _ := os.ReadFile(n.log)
 	for line := range strings.Lines(string(text)) {
 		for _, w := range words {
 			if strings.Contains(line, w) {
