--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,211 +1,200 @@
 //go:build review
 
-// Command 2 sends requests with long bodies while one of five servers hangs, and looks whether each gets its answer in time.
+// Command 2 has clients that read long answers slowly and steadily, and looks whether each answer comes whole.
 package main
 
 import (
 	"bufio"
 	"bytes"
+	"crypto/sha256"
 	"fmt"
 	"io"
 	"net"
-	"strconv"
+	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"damsonscale/review/standin"
 )
 
 const (
-	class    = "make-clip"
+	class    = "fetch-replay"
 	deadline = 2500 * time.Millisecond
 
-	// graceAfterDeadline is the half second that the pages allow, and the 50 ms by which each limit is longer on sockets.
-	graceAfterDeadline = 550 * time.Millisecond
-
-	servers     = 5
-	uploads     = 24 // by sidecar
-	interval    = 80 * time.Millisecond
-	serviceTime = 30 * time.Millisecond
-	listenOn    = 6 * time.Second       // how long after the deadline a client still notes a late answer
-	settle      = 20 * time.Millisecond // time after which a client notes what the sidecar's machine has acknowledged
-	warmUps     = 20
+	servers     = 3
+	answerBytes = 11 << 20
+	readEvery   = 50 * time.Millisecond
+	runTime     = 100 * time.Second
+	warmUps     = 30
+	alongside   = 200 * time.Millisecond // interval of short requests during the run
 )
 
-// bodyBytes has a size of bodies for each sidecar. What the system's buffers hold on the way to the server that hangs is about 4 MB here;
-// of somewhat longer bodies all bytes reach the sidecar's machine, of the last ones the end waits in the client's.
-var bodyBytes = []int{3_950_000, 4_000_000, 4_050_000, 6_000_000}
-
-// server is a server that can hang: it then reads and answers nothing, and its connections stay open.
-type server struct {
-	c    *standin.Case
-	name string
-	hung atomic.Bool
-}
+// rates are the clients' rates of reading, in bytes a second.
+var rates = []int{128_000, 128_000, 192_000, 192_000}
 
-func (s *server) waitWhileHung() {
-	for s.hung.Load() {
-		time.Sleep(10 * time.Millisecond)
-	}
+// answer returns the answer to a long request.
+func answer(id string) []byte {
+	line := []byte(id + " 0123456789abcdef\n")
+	return bytes.Repeat(line, answerBytes/len(line)+1)[:answerBytes]
 }
 
-func (s *server) serve(conn *net.TCPConn) {
+// serve answers each request at once.
+func serve(c *standin.Case, name string, conn *net.TCPConn) {
 	for br := bufio.NewReader(conn); ; {
-		s.waitWhileHung()
-		r, err := standin.ReadHead(br)
-		if err != nil {
-			return
-		}
-		left, err := strconv.Atoi(r.Header["content-length"])
+		r, err := standin.ReadRequest(br)
 		if err != nil {
 			return
 		}
-		for buf := make([]byte, 64<<10); left > 0; {
-			s.waitWhileHung()
-			n, err := br.Read(buf[:min(left, len(buf))])
-			if left -= n; err != nil {
+		if r.ID()[0] != 'd' {
+			if standin.WriteAnswer(conn, "replay "+r.ID()) != nil {
 				return
 			}
+			continue
 		}
-		s.waitWhileHung()
-		s.c.Logf("%s runs %s", s.name, r.ID())
-		time.Sleep(serviceTime)
-		if standin.WriteAnswer(conn, "clip "+r.ID()) != nil {
+		c.Logf("%s answers %s with %d bytes", name, r.ID(), answerBytes)
+		body := answer(r.ID())
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+		if n, err := conn.Write(body); err != nil {
+			c.Logf("%s: the sidecar ended the connection of %s after %d bytes: %v", name, r.ID(), n, err)
 			return
 		}
+		c.Logf("%s has written the answer to %s", name, r.ID())
 	}
 }
 
-// result is what became of one request.
-type result struct {
-	id       string
-	taken    bool          // its last byte was written to the connection before the client's time was up
-	arrived  bool          // the sidecar's machine has acknowledged its last byte, too
-	answered bool          // a whole answer came
-	after    time.Duration // time of the answer, counted from the last byte
+func get(address, id string) (*http.Response, net.Conn, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	fmt.Fprintf(conn, "GET /%s/x?obj=%s HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %s\r\nReq-Owner: acme\r\nReq-Deadline-Ms: %d\r\n\r\n",
+		class, id, id, deadline.Milliseconds())
+	conn.SetReadDeadline(time.Now().Add(deadline))
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	return response, conn, err
 }
 
-// unreceived returns how many bytes written to a connection the other machine has not acknowledged.
-func unreceived(conn net.Conn) (n int) {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	standin.Must(err)
-	standin.Must(raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCOUTQ) }))
-	standin.Must(err)
-	return n
+// short sends a short request and reports whether it was served.
+func short(address, id string) bool {
+	response, conn, err := get(address, id)
+	if conn != nil {
+		defer conn.Close()
+	}
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return err == nil && response.StatusCode == http.StatusOK
 }
 
-// upload sends one request and waits for its answer.
-func upload(c *standin.Case, n *standin.Node, id string, size int) (r result) {
-	r.id = id
-	conn, err := net.Dial("tcp", n.Listen)
-	if err != nil {
-		c.Logf("client of %s: %v", id, err)
-		return r
+// download sends a request and reads its long answer at a rate in bytes a second; 0 is as fast as it comes. It returns whether the answer
+// has begun, and whether it was cut.
+func download(c *standin.Case, address, id string, rate int, end time.Time) (begun, cut bool) {
+	response, conn, err := get(address, id)
+	if conn != nil {
+		defer conn.Close()
+	}
+	if err != nil || response.StatusCode != http.StatusOK {
+		c.Logf("client of %s: the answer does not begin: %v", id, err)
+		return false, false
 	}
-	defer conn.Close()
-	var request bytes.Buffer
-	fmt.Fprintf(&request, "POST /%s/x?obj=%s HTTP/1.1\r\nHost: app.svc\r\nReq-Id: %s\r\nReq-Owner: acme\r\nReq-Deadline-Ms: %d\r\n"+
-		"Idempotency-Key: key-%s\r\nContent-Length: %d\r\n\r\n", class, id, id, deadline.Milliseconds(), id, size)
-	request.Write(bytes.Repeat([]byte{'x'}, size))
-	start := time.Now()
-	conn.SetWriteDeadline(start.Add(deadline))
-	if _, err := io.Copy(conn, &request); err != nil {
-		c.Logf("client of %s could not write its last byte, so it was not taken: %v", id, err)
-		return r
+	c.Logf("client of %s hears 200 and reads %d bytes a second", id, rate)
+	conn.SetReadDeadline(time.Time{})
+	sum, size, start, longest := sha256.New(), 0, time.Now(), time.Duration(0)
+	buf := make([]byte, 64<<10)
+	if rate > 0 {
+		buf = buf[:int(float64(rate)*readEvery.Seconds())]
 	}
-	written := time.Now()
-	r.taken = true
-	c.Logf("client of %s has written its last byte, %d ms after its first", id, written.Sub(start).Milliseconds())
-	time.Sleep(settle)
-	if n := unreceived(conn); n == 0 {
-		r.arrived = true
-	} else {
-		c.Logf("client of %s: the sidecar's machine has not acknowledged the last %d bytes", id, n)
+	for {
+		before := time.Now()
+		n, err := io.ReadFull(response.Body, buf)
+		longest = max(longest, time.Since(before))
+		sum.Write(buf[:n])
+		size += n
+		if err != nil && (err == io.EOF || size == answerBytes) {
+			break
+		}
+		if err != nil {
+			c.Logf("client of %s: the answer is cut after %d of %d bytes, %.1f s after its begin: %v", id, size, answerBytes,
+				time.Since(start).Seconds(), err)
+			return true, true
+		}
+		if time.Now().After(end) {
+			c.Logf("client of %s has %d bytes at the end of the run, the answer still comes", id, size)
+			return true, false
+		}
+		if rate > 0 {
+			time.Sleep(time.Until(start.Add(time.Duration(float64(size) / float64(rate) * float64(time.Second)))))
+		}
 	}
-	conn.SetReadDeadline(written.Add(deadline + listenOn))
-	a := standin.ReadAnswer(bufio.NewReader(conn))
-	r.answered, r.after = a.Err == nil, time.Since(written)
-	c.Logf("client of %s hears %s, %d ms after its last byte", id, a, r.after.Milliseconds())
-	return r
+	expected := sha256.Sum256(answer(id))
+	whole := bytes.Equal(sum.Sum(nil), expected[:])
+	c.Logf("client of %s has the answer, %d bytes in %.1f s, as the server made it: %v; it waited for bytes for %d ms at the most", id, size,
+		time.Since(start).Seconds(), whole, longest.Milliseconds())
+	return true, !whole
 }
 
 func play(c *standin.Case) (code int, verdict string) {
-	var all []*server
 	var hosts []standin.Object
 	for i := range servers {
-		s := &server{c: c, name: fmt.Sprintf("s-%d", i+1)}
-		all = append(all, s)
-		hosts = append(hosts, standin.Host(s.name, standin.Listen(s.serve), "a", 0))
+		name := fmt.Sprintf("s-%d", i+1)
+		hosts = append(hosts, standin.Host(name, standin.Listen(func(conn *net.TCPConn) { serve(c, name, conn) }), "a", 0))
 	}
-	settings := standin.Settings(len(bodyBytes),
-		standin.Object{"Name": "fetch-replay", "Semantics": "idempotent", "AimUs": 500000, "DeadlineUs": 2500000, "LateShare": 0.3, "Worth": 3},
+	settings := standin.Settings(1,
 		standin.Object{
-			"Name": class, "Semantics": "deduplicated", "Group": "zone", "WindowUs": 2500000, "AimUs": 800000,
-			"DeadlineUs": deadline.Microseconds(), "LateShare": 0.25, "Worth": 8,
+			"Name": class, "Semantics": "idempotent", "AimUs": 500000, "DeadlineUs": deadline.Microseconds(), "LateShare": 0.3, "Worth": 3,
 		})
-	discovery := c.Discovery(hosts...)
-	var nodes []*standin.Node
-	for i := range bodyBytes {
-		nodes = append(nodes, c.Start(fmt.Sprintf("n%d", i+1), standin.FreeAddress(), discovery, settings, ""))
-	}
-	for _, n := range nodes {
-		n.WaitReady()
-		for i := range warmUps {
-			if r := upload(c, n, fmt.Sprintf("warm-%s-%d", n.Name, i), 1000); !r.answered {
-				return standin.Void, "a request was not answered before the disruption"
-			}
-		}
-	}
-	if c.Trouble {
-		c.Logf("%s hangs from now on", all[0].name)
-		all[0].hung.Store(true)
+	n := c.Start("n1", standin.FreeAddress(), c.Discovery(hosts...), settings, "")
+	n.WaitReady()
+	for i := range warmUps {
+		short(n.Listen, fmt.Sprintf("warm-%d", i))
 	}
+	end := time.Now().Add(runTime)
 	var mu sync.Mutex
-	var results []result
 	var clients sync.WaitGroup
-	for i := range uploads {
-		for k, n := range nodes {
-			clients.Go(func() {
-				r := upload(c, n, fmt.Sprintf("u%d-%02d", k+1, i), bodyBytes[k])
-				mu.Lock()
-				defer mu.Unlock()
-				results = append(results, r)
-			})
-		}
-		time.Sleep(interval)
-	}
-	clients.Wait()
-	for _, n := range nodes {
-		if !n.Running() {
-			return standin.Broken, "sidecar " + n.Name + " has ended"
+	begun, cuts := 0, 0
+	for i, rate := range rates {
+		if !c.Trouble {
+			rate = 0
 		}
+		clients.Go(func() {
+			b, cut := download(c, n.Listen, fmt.Sprintf("d%02d", i), rate, end)
+			mu.Lock()
+			defer mu.Unlock()
+			if b {
+				begun++
+			}
+			if cut {
+				cuts++
+			}
+		})
 	}
-	taken, lost, arrived, latest := 0, 0, 0, time.Duration(0)
-	for _, r := range results {
-		if !r.taken {
-			continue
+	done := make(chan struct{})
+	go func() {
+		clients.Wait()
+		close(done)
+	}()
+	served, sent := 0, 0
+	for running := true; running; {
+		if sent++; short(n.Listen, fmt.Sprintf("short-%d", sent)) {
+			served++
 		}
-		taken++
-		latest = max(latest, r.after)
-		if !r.answered || r.after > deadline+graceAfterDeadline {
-			lost++
-			if r.arrived {
-				arrived++
-			}
-			c.Logf("%s is lost: no final answer within %d ms after its last byte", r.id, (deadline + graceAfterDeadline).Milliseconds())
+		select {
+		case <-done:
+			running = false
+		case <-time.After(alongside):
 		}
 	}
+	c.Logf("beside them, %d of %d short requests were served", served, sent)
 	switch {
-	case lost > 0:
-		return standin.Broken, fmt.Sprintf("%d of %d requests taken got no answer in time, the latest after %d ms; of %d the sidecar's machine had all bytes",
-			lost, taken, latest.Milliseconds(), arrived)
-	case taken < len(nodes)*uploads/2:
-		return standin.Void, fmt.Sprintf("only %d requests were taken", taken)
+	case !n.Running():
+		return standin.Broken, "the sidecar has ended"
+	case begun == 0:
+		return standin.Void, "no answer has begun"
+	case cuts > 0:
+		return standin.Broken, fmt.Sprintf("%d of %d answers were cut off while the server still gave them and the client read", cuts, begun)
 	}
-	return standin.Held, fmt.Sprintf("%d requests taken, all answered in time, the latest after %d ms", taken, latest.Milliseconds())
+	return standin.Held, fmt.Sprintf("none of %d answers was cut", begun)
 }
 
 func main() { standin.Run("review/2", play) }
