--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -160,7 +160,11 @@
 		panic("no run in " + deployFile)
 	}
 	dir := filepath.Join(c.Dir, name)
-	Must(os.MkdirAll(filepath.Join(dir, "tmp"), directoryMode))
+	temporary := filepath.Join(dir, "tmp")
+	if process != name && admin == "" { // a restart: the folder is empty at each start
+		Must(os.RemoveAll(temporary))
+	}
+	Must(os.MkdirAll(temporary, directoryMode))
 	config := Object{
 		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%x", seed(name)),
 		"limits": Object{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": Object{"seq": 0, "whole": true, "hosts": []Object{}},
@@ -175,7 +179,7 @@
 	Must(err)
 	n := &Node{Name: process, Listen: listen, c: c, log: logPath, command: exec.Command("/bin/sh", "-c", string(run[1])), done: make(chan struct{})}
 	n.command.Dir, n.command.Stdout, n.command.Stderr = c.Root, log, log
-	n.command.Env = append(os.Environ(), "TMPDIR="+filepath.Join(dir, "tmp"), "PROXY_CONFIG="+configPath, "PROXY_NAME="+name,
+	n.command.Env = append(os.Environ(), "TMPDIR="+temporary, "PROXY_CONFIG="+configPath, "PROXY_NAME="+name,
 		"PROXY_LISTEN="+listen, "PROXY_DISCOVERY="+discovery, "PROXY_ADMIN="+admin)
 	if options != "" {
 		optionsPath := filepath.Join(dir, "options.toml")
