--- a/review/3/main.go
+++ b/review/3/main.go
@@ -27,9 +27,9 @@
 	downloads    = 6
 	answerBytes  = 12 << 20
 	pieceBytes   = 32 << 10
-	pieceEvery   = 50 * time.Millisecond // 640 KiB a second, so an answer takes about 19 s
+	pieceEvery   = 125 * time.Millisecond // 256 KiB a second, so an answer takes about 48 s
 	firstAt      = 2 * time.Second
-	betweenSteps = 3 * time.Second
+	betweenSteps = 20 * time.Second
 	killAfter    = deadline + 700*time.Millisecond // from SIGTERM to SIGKILL
 	stallTimeout = 20 * time.Second
 	warmUps      = 30
