--- a/review/rig/fleet.go
+++ b/review/rig/fleet.go
@@ -19,9 +19,9 @@
 	links    map[[2]int]*Link // from, to
 }
 
-// StartFleet starts a fleet with takeover and waits until all members have a lease. extra is appended to the section [fleet] of
-// deploy/options.toml's form.
-func (r *Rig) StartFleet(count int, discovery, fleetOptions string, settings func(member int) map[string]any) (*Fleet, error) {
+// StartFleet starts a fleet with takeover and waits until all members have a lease. fleetOptions are further lines of the section
+// [fleet] of the options file. With memoryMB 0 members have 192 MB.
+func (r *Rig) StartFleet(count int, discovery, fleetOptions string, memoryMB int, settings func(member int) map[string]any) (*Fleet, error) {
 	f := &Fleet{rig: r, links: map[[2]int]*Link{}}
 	var addrs []string
 	for range count {
@@ -50,7 +50,7 @@
 		if err := os.WriteFile(options, []byte(b.String()), 0o644); err != nil {
 			return nil, err
 		}
-		s := Sidecar{Name: name, Listen: FreeAddr(), Discovery: discovery, Settings: settings(i), Options: options}
+		s := Sidecar{Name: name, Listen: FreeAddr(), Discovery: discovery, Settings: settings(i), Options: options, MemoryMB: memoryMB}
 		p, err := r.Start(s)
 		if err != nil {
 			return nil, err
@@ -89,6 +89,18 @@
 	return err
 }
 
+// Upgrade starts a second process of a member beside the first, with another admin address, and waits until it is ready.
+func (f *Fleet) Upgrade(member int) error {
+	s := f.sidecars[member]
+	s.Admin = FreeAddr()
+	p, err := f.rig.Start(s)
+	if err != nil {
+		return err
+	}
+	f.Members[member] = p
+	return p.AwaitReady()
+}
+
 // Crashed returns the names of members that have exited by themselves.
 func (f *Fleet) Crashed() (names []string) {
 	for _, p := range f.Members {
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -16,6 +16,7 @@
 	"path/filepath"
 	"regexp"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -148,6 +149,7 @@
 	Settings                       map[string]any
 	Options                        string // path of the options file; empty: none
 	Folder                         string // $TMPDIR; empty: one of its own
+	MemoryMB                       int    // 0: 192
 }
 
 // Start starts a sidecar with the deploy file's command.
@@ -162,9 +164,12 @@
 		s.Admin = FreeAddr()
 	}
 	p := &Process{Name: s.Name, Listen: s.Listen, Admin: s.Admin, rig: r, done: make(chan struct{}), config: filepath.Join(s.Folder, "config.json")}
+	if s.MemoryMB == 0 {
+		s.MemoryMB = 192
+	}
 	text, err := json.Marshal(map[string]any{
 		"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "seed": fmt.Sprintf("%x", time.Now().UnixNano()),
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 512}, "settings": s.Settings,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": s.MemoryMB, "sockets": 512}, "settings": s.Settings,
 	})
 	if err != nil {
 		return nil, err
@@ -248,6 +253,21 @@
 	<-p.done
 }
 
+// Memory returns the resident memory of the process in MiB, or 0 if it has exited.
+func (p *Process) Memory() float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.SplitSeq(string(text), "\n") {
+		var kb float64
+		if n, _ := fmt.Sscanf(line, "VmRSS: %f kB", &kb); n == 1 {
+			return kb / 1024
+		}
+	}
+	return 0
+}
+
 // Log returns the lines of the process's log that contain a text.
 func (p *Process) Log(part string) (lines []string) {
 	text, _ := os.ReadFile(filepath.Join(filepath.Dir(p.config), "log"))
