--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -278,3 +278,6 @@
 	}
 	return lines
 }
+
+// Pid returns the process's id.
+func (p *Process) Pid() int { return p.cmd.Process.Pid }
