--- a/internal/stallwriter/progress.go
+++ b/internal/stallwriter/progress.go
@@ -21,16 +21,15 @@
 	if raw == nil {
 		return Progress{}, false
 	}
-	failed := raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
-		if err != nil {
-			return
-		}
-		queued, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		if err != nil {
-			return
-		}
-		p, ok = Progress{AckedBytes: info.Bytes_acked, WindowBytes: info.Snd_wnd, QueuedBytes: queued}, true
-	})
-	return p, ok && failed == nil
+	info, ok := socket.TCPInfo(conn)
+	if !ok {
+		return Progress{}, false
+	}
+	var queued int
+	var err error
+	failed := raw.Control(func(fd uintptr) { queued, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if failed != nil || err != nil {
+		return Progress{}, false
+	}
+	return Progress{AckedBytes: info.Bytes_acked, WindowBytes: info.Snd_wnd, QueuedBytes: queued}, true
 }
--- /dev/null
+++ b/internal/upstream/response_cut.go
@@ -0,0 +1,61 @@
+package upstream
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"time"
+
+	"damsonscale/internal/eventlog"
+	"damsonscale/internal/socket"
+)
+
+// eventResponseCut is the name of a log event.
+const eventResponseCut = "response_cut"
+
+// cutCause says why a streamed response ended before its last byte.
+type cutCause string
+
+const (
+	cutBySilence   cutCause = "silent"    // the server sent nothing for too long
+	cutByEnd       cutCause = "ended"     // the server ended the connection
+	cutByReset     cutCause = "reset"     // the connection broke
+	cutAsMalformed cutCause = "malformed" // the server's bytes are not a valid body
+	cutAsTooLong   cutCause = "too_long"  // the body exceeds MaxBodyBytes
+)
+
+// cutCauseOf returns the cause for an error that ended the reading of a stream.
+func cutCauseOf(err error) cutCause {
+	var op *net.OpError
+	switch {
+	case errors.Is(err, errTooLong):
+		return cutAsTooLong
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return cutByEnd
+	case isTimeout(err) && !errors.Is(err, syscall.ETIMEDOUT):
+		return cutBySilence
+	case errors.As(err, &op):
+		return cutByReset
+	}
+	return cutAsMalformed
+}
+
+// logCut logs that the response was cut, unless it is complete or its attempt has ended for another reason.
+func (s *Stream) logCut() {
+	if s.err == nil || s.err == io.EOF || s.err == errRequestEnded || s.ctx.Err() != nil {
+		return
+	}
+	sinceReceive, known := socket.SinceLastReceive(s.conn.Conn)
+	sinceAck, ackKnown := socket.SinceLastAck(s.conn.Conn)
+	eventlog.Warn(eventResponseCut, s.err, "server", s.server, "cause", string(cutCauseOf(s.err)), "forwarded_bytes", s.forwarded,
+		"since_receive_ms", millisecondsOr(sinceReceive, known), "since_ack_ms", millisecondsOr(sinceAck, ackKnown))
+}
+
+// millisecondsOr returns a duration in ms, or -1 if it is not known.
+func millisecondsOr(d time.Duration, known bool) int64 {
+	if !known {
+		return -1
+	}
+	return d.Milliseconds()
+}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -28,6 +28,7 @@
 
 	ctx       context.Context // ends with the attempt; never if another process made the attempt
 	conn      *conn
+	server    string // the server's name in the endpoint list or, if another process made the attempt, its address
 	detached  atomic.Bool
 	mu        sync.Mutex // guards closed, and conn against a Detach after the end of the stream
 	closed    bool
@@ -65,6 +66,7 @@
 		err = errTooLong
 	}
 	s.err = err
+	s.logCut()
 	if n > 0 && err == io.EOF {
 		err = nil
 	}
@@ -128,7 +130,10 @@
 func (s *Stream) Attach() { s.detached.Store(false) }
 
 // timedOut reports whether a read ended at its deadline although the attempt has not ended.
-func timedOut(ctx context.Context, err error) bool {
+func timedOut(ctx context.Context, err error) bool { return ctx.Err() == nil && isTimeout(err) }
+
+// isTimeout reports whether an error says that a time has passed.
+func isTimeout(err error) bool {
 	var timeout interface{ Timeout() bool }
-	return ctx.Err() == nil && errors.As(err, &timeout) && timeout.Timeout()
+	return errors.As(err, &timeout) && timeout.Timeout()
 }
--- a/internal/upstream/stream_state.go
+++ b/internal/upstream/stream_state.go
@@ -74,8 +74,8 @@
 	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(raw), c), max(readBufferBytes, len(raw)))
 	c.br.Peek(len(raw)) // State must find all bytes that were read ahead in the buffer
 	return &Stream{
-		ctx: context.Background(), conn: c, buffered: body, body: state.reader(c.br), forwarded: state.Forwarded,
-		done: make(chan error, 1),
+		ctx: context.Background(), conn: c, server: server.RemoteAddr().String(), buffered: body, body: state.reader(c.br),
+		forwarded: state.Forwarded, done: make(chan error, 1),
 	}, nil
 }
 
