Wait for a hung server in a long answer; give it up when its host has gone

Cause: Stream.readUntilStalled took 5 s without a byte (stallTimeout) for a server that is lost. Silence doesn't tell a process that hangs from a host that has gone. On the wire they differ: the system of a hung process acknowledges keep-alive probes and accepts connections; a probe on loopback showed tcpi_last_ack_recv following the probes, and growing where a filter drops all segments.

Change: a silent server is given up only when its host has gone (no acknowledgement, or no new connection, for 30 s), when the client has left, or when its place is needed and it has been silent for 30 s. HostMonitor probes each silent host once for all streams. A read that fails with ETIMEDOUT was taken for a deadline, and the end of file after it for the end of a body without a length: only os.ErrDeadlineExceeded counts now.

Why it works: no time alone ends an answer any more, and each reason has evidence of its own.

--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"damsonscale/internal/upstream"
 )
 
 const (
@@ -15,10 +17,10 @@
 	slowHeadGrace = 400 * time.Millisecond
 )
 
-// evictWaiting evicts a connection over the hard limit that waits for its client: an idle one, else one whose body has stalled. If
-// there is none, it makes a busy one close with its response and returns false.
+// evictWaiting evicts a connection over the hard limit that waits for its client or its server: an idle one, else one whose body has
+// stalled, else one whose server is silent. If there is none, it makes a busy one close with its response and returns false.
 func (f *Frontend) evictWaiting() bool {
-	if f.evictConn() || f.evictStalledUpload() {
+	if f.evictConn() || f.evictStalledUpload() || f.evictSilentStream() {
 		return true
 	}
 	f.evictBusyConn()
@@ -77,6 +79,29 @@
 	return true
 }
 
+// evictSilentStream gives up the streamed response whose server has been silent longest, for at least as long as a host that has gone
+// would be waited for. It returns false if there is none.
+func (f *Frontend) evictSilentStream() bool {
+	var longest *upstream.Stream
+	earliest := time.Now().Add(-upstream.HostTimeout)
+	f.mu.Lock()
+	for c := range f.conns {
+		s := c.currentStream()
+		if s == nil {
+			continue
+		}
+		if since, silent := s.SilentSince(); silent && since.Before(earliest) {
+			longest, earliest = s, since
+		}
+	}
+	f.mu.Unlock()
+	if longest == nil || !longest.EvictSilent() {
+		return false
+	}
+	f.shed.silentStreams.Add(1)
+	return true
+}
+
 // evictSlowHead ends the first request whose head has been incomplete for longest, for at least slowHeadGrace, though its bytes keep
 // coming, with 408.
 func (f *Frontend) evictSlowHead() {
--- a/internal/frontend/resumed_stream.go
+++ b/internal/frontend/resumed_stream.go
@@ -40,14 +40,13 @@
 	if err := json.Unmarshal(payload, &m); err != nil {
 		return err
 	}
-	stream, err := upstream.Resume(server, m.Stream)
+	stream, err := upstream.Resume(server, m.Stream, f.sidecar.Hosts())
 	if err != nil {
 		return err
 	}
 	f.streams.Add(1)
-	s := &clientStream{Stream: stream, frontend: f, conn: c, chunked: m.Chunked}
+	s := f.newClientStream(c, stream, m.Chunked)
 	defer s.Close()
-	c.beginStream(stream)
 	if _, err := c.Write(m.Unsent); err != nil {
 		return err
 	}
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -15,15 +15,14 @@
 // writeStream writes a streamed response while it is read from the server. An HTTP/1.1 client receives it in chunks; if
 // the server fails, the last chunk is not sent.
 func (f *Frontend) writeStream(ctx *fasthttp.RequestCtx, c *clientConn, r sidecar.Response) {
-	if f.streams.Add(1) > f.streamLimit() {
+	if f.streams.Add(1) > f.streamLimit() && !f.evictSilentStream() {
 		f.streams.Add(-1)
 		f.shed.streams.Add(1)
 		r.Stream.Close()
 		f.writeResponse(ctx, c, sidecar.Response{Status: sidecar.Failed})
 		return
 	}
-	stream := &clientStream{Stream: r.Stream, frontend: f, conn: c, chunked: ctx.Request.Header.IsHTTP11()}
-	c.beginStream(r.Stream)
+	stream := f.newClientStream(c, r.Stream, ctx.Request.Header.IsHTTP11())
 	if stream.chunked {
 		ctx.Response.ImmediateHeaderFlush = true
 		ctx.Response.SetBodyStream(stream, -1)
@@ -79,6 +78,15 @@
 	closed   bool
 }
 
+// newClientStream returns the body of a response to the client of c. While the server is silent, nothing is written to the client: the
+// system probes it, and Read looks whether it has left.
+func (f *Frontend) newClientStream(c *clientConn, s *upstream.Stream, chunked bool) *clientStream {
+	s.ClientLeft = c.isDisconnected
+	upstream.ProbePeer(c.Conn)
+	c.beginStream(s)
+	return &clientStream{Stream: s, frontend: f, conn: c, chunked: chunked}
+}
+
 // Read returns the next piece, or upstream.ErrDetached if the stream was handed over to the successor.
 func (s *clientStream) Read(b []byte) (int, error) {
 	n, err := s.Stream.Read(b)
--- a/internal/frontend/stream_handover.go
+++ b/internal/frontend/stream_handover.go
@@ -78,6 +78,13 @@
 	c.stream = s
 }
 
+// currentStream returns the stream that expediteStream acts on, or nil.
+func (c *clientConn) currentStream() *upstream.Stream {
+	c.streamMu.Lock()
+	defer c.streamMu.Unlock()
+	return c.stream
+}
+
 // endStream ends the effect of expediteStream: later writes are not interrupted.
 func (c *clientConn) endStream() {
 	c.streamMu.Lock()
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -6,6 +6,7 @@
 	"damsonscale/internal/config"
 	"damsonscale/internal/discovery"
 	"damsonscale/internal/shadow"
+	"damsonscale/internal/upstream"
 )
 
 // ApplyConfig puts a configuration in force. It calls notify with the new settings in the same event in which the balancer
@@ -38,6 +39,9 @@
 // caller calls release once it has closed the connection.
 func (s *Sidecar) AdoptServerSocket() (release func()) { return s.endpointConfig.Sockets.Adopt() }
 
+// Hosts returns the monitor of the servers' hosts, for streams that were taken over from another process.
+func (s *Sidecar) Hosts() *upstream.HostMonitor { return s.endpointConfig.Hosts }
+
 // SetPeerProcessActive sets whether another process of this sidecar also serves requests, as during an upgrade. The two
 // processes then share one attempt budget.
 func (s *Sidecar) SetPeerProcessActive(active bool) { s.mailbox <- peerProcessChanged{active} }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -66,8 +66,9 @@
 		endpointsKnown: make(chan struct{}), aborted: make(chan struct{}), startTimes: newServerStartTimes(), unanswered: newRecentRequests(maxUnansweredRequests), answered: newRecentRequests(maxAnsweredRequests),
 	}
 	s.discovery = discovery.New(conf.Discovery, conf.LastEndpoints, sourceOf(&conf.Settings), s)
+	budget := upstream.NewSocketBudget(sockets)
 	s.endpointConfig = upstream.EndpointConfig{
-		Sockets: upstream.NewSocketBudget(sockets), Memory: account, Resolve: s.discovery.Endpoints.Address,
+		Sockets: budget, Hosts: upstream.NewHostMonitor(budget, nil), Memory: account, Resolve: s.discovery.Endpoints.Address,
 		OnSocketShortage: func() { s.mailbox <- socketShortage{} }, ReuseDelay: connectionReuseDelay,
 	}
 	s.endpointConfig.SetTimeouts(conf.Transport.DialTimeout, conf.Transport.ConnIdle)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -35,6 +35,7 @@
 	addr      string
 	idleSince time.Time
 	sockets   *SocketBudget
+	hosts     *HostMonitor
 }
 
 // Read implements io.Reader and counts the bytes.
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -39,7 +39,7 @@
 		}
 		return nil, ConnectFailed
 	}
-	return &conn{Conn: nc, addr: addr, sockets: e.config.Sockets, account: e.config.Memory}, stepDone
+	return &conn{Conn: nc, addr: addr, sockets: e.config.Sockets, hosts: e.config.Hosts, account: e.config.Memory}, stepDone
 }
 
 // connect dials an address.
@@ -47,10 +47,20 @@
 	if c.Dial != nil {
 		return c.Dial(ctx, addr)
 	}
+	return dialTCP(ctx, addr)
+}
+
+// dialTCP opens a TCP connection.
+func dialTCP(ctx context.Context, addr string) (net.Conn, error) {
 	var d net.Dialer
 	return d.DialContext(ctx, "tcp", addr)
 }
 
+// isRefusal reports whether a dial failed because the other machine refused the connection.
+func isRefusal(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
 // isTransient reports whether the cause of a dial error may pass soon: a shortage of sockets on this machine, or a
 // network that is down or unreachable.
 func isTransient(err error) bool {
--- a/internal/upstream/endpoint.go
+++ b/internal/upstream/endpoint.go
@@ -20,6 +20,9 @@
 type EndpointConfig struct {
 	Sockets *SocketBudget
 
+	// Hosts finds out whether the hosts of servers that fall silent in a streamed response are still there. It may be nil.
+	Hosts *HostMonitor
+
 	// Memory counts what attempts hold. It may be nil.
 	Memory *memory.Account
 
--- a/internal/upstream/response_cut.go
+++ b/internal/upstream/response_cut.go
@@ -18,7 +18,8 @@
 type cutCause string
 
 const (
-	cutBySilence   cutCause = "silent"    // the server sent nothing for too long
+	cutByHostGone  cutCause = "host_gone" // the server's host gave no sign of life
+	cutByEviction  cutCause = "evicted"   // the server was silent, and another response needed the place
 	cutByEnd       cutCause = "ended"     // the server ended the connection
 	cutByReset     cutCause = "reset"     // the connection broke
 	cutAsMalformed cutCause = "malformed" // the server's bytes are not a valid body
@@ -33,8 +34,10 @@
 		return cutAsTooLong
 	case errors.Is(err, io.ErrUnexpectedEOF):
 		return cutByEnd
-	case isTimeout(err) && !errors.Is(err, syscall.ETIMEDOUT):
-		return cutBySilence
+	case errors.Is(err, errEvicted):
+		return cutByEviction
+	case errors.Is(err, errHostGone) || errors.Is(err, syscall.ETIMEDOUT):
+		return cutByHostGone
 	case errors.As(err, &op):
 		return cutByReset
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -4,18 +4,13 @@
 	"context"
 	"errors"
 	"io"
+	"os"
 	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
-// stallTimeout bounds the time without a byte of a streamed response body.
-const stallTimeout = 5 * time.Second
-
-// lateReadTimeout bounds the second read after stallTimeout.
-const lateReadTimeout = 50 * time.Millisecond
-
 // ErrDetached is returned by Stream.Read after Detach.
 var ErrDetached = errors.New("stream is detached")
 
@@ -26,17 +21,25 @@
 type Stream struct {
 	ContentType []byte // value of the response's Content-Type header
 
+	// ClientLeft reports whether the client has left. It is called by Read while the server is silent, and must not block. It may
+	// be nil, and must not change once Read has been called.
+	ClientLeft func() bool
+
 	ctx       context.Context // ends with the attempt; never if another process made the attempt
 	conn      *conn
 	server    string // the server's name in the endpoint list or, if another process made the attempt, its address
+	hosts     *HostMonitor
 	detached  atomic.Bool
-	mu        sync.Mutex // guards closed, and conn against a Detach after the end of the stream
+	evicted   atomic.Bool // whether the response is given up at the next check of a silence
+	mu        sync.Mutex  // guards closed, and conn against a Detach or EvictSilent after the end of the stream
 	closed    bool
 	buffered  []byte // bytes that were read from body and that Read has not returned yet
 	body      io.Reader
 	forwarded int64      // number of bytes read from body
 	err       error      // error that ended the reading; io.EOF after the last byte
 	done      chan error // receives one value when the stream is closed: io.EOF if the stream was read completely
+
+	silentSince atomic.Int64 // Unix time in ns since which the server has been silent; 0 if it is not, or not for silenceNotice
 }
 
 // Read implements io.Reader. The error is io.EOF only after the last byte of a complete response, and ErrDetached while
@@ -54,7 +57,7 @@
 		return 0, s.err
 	}
 	runtime.Gosched() // neither the last read nor the write of its bytes may have waited
-	n, err = s.readUntilStalled(p)
+	n, err = s.readOrGiveUp(p)
 	if s.detached.Load() && timedOut(s.ctx, err) {
 		s.forwarded += int64(n)
 		if n > 0 {
@@ -73,18 +76,37 @@
 	return n, err
 }
 
-// readUntilStalled reads from the server until it returns a byte or the server has sent none for stallTimeout. Bytes that come
-// may be part of a line between chunks and yield no byte of the body.
-func (s *Stream) readUntilStalled(p []byte) (n int, err error) {
-	for came := true; came; {
+// readOrGiveUp reads from the server until it returns a byte or there is a reason to give it up. Bytes that come may be part of a
+// line between chunks and yield no byte of the body.
+func (s *Stream) readOrGiveUp(p []byte) (n int, err error) {
+	quiet := &silence{stream: s, since: time.Now()}
+	defer quiet.end()
+	for {
 		received := s.conn.received
-		n, err = s.readBody(p, stallTimeout)
-		if n == 0 && !s.detached.Load() && timedOut(s.ctx, err) { // bytes may have come while this process was stopped
-			n, err = s.readBody(p, lateReadTimeout)
+		n, err = s.readBody(p, quiet.timeToCheck())
+		if n > 0 || !s.mayWait(err) {
+			return n, err
+		}
+		if s.conn.received > received {
+			quiet.restart()
+			continue
+		}
+		if reason := quiet.check(); reason != nil {
+			return s.lastRead(p, reason)
 		}
-		came = n == 0 && !s.detached.Load() && timedOut(s.ctx, err) && s.conn.received > received
 	}
-	return n, err
+}
+
+// mayWait reports whether a read ended at its deadline and can be repeated.
+func (s *Stream) mayWait(err error) bool { return !s.detached.Load() && timedOut(s.ctx, err) }
+
+// lastRead reads what may have come while this process was stopped. If that is nothing it returns the reason.
+func (s *Stream) lastRead(p []byte, reason error) (n int, err error) {
+	n, err = s.readBody(p, lateReadTimeout)
+	if n > 0 || !s.mayWait(err) {
+		return n, err
+	}
+	return 0, reason
 }
 
 // readBody reads from the server for at most the given time.
@@ -129,11 +151,8 @@
 // Attach reverses Detach, so that Read can be called again.
 func (s *Stream) Attach() { s.detached.Store(false) }
 
-// timedOut reports whether a read ended at its deadline although the attempt has not ended.
-func timedOut(ctx context.Context, err error) bool { return ctx.Err() == nil && isTimeout(err) }
-
-// isTimeout reports whether an error says that a time has passed.
-func isTimeout(err error) bool {
-	var timeout interface{ Timeout() bool }
-	return errors.As(err, &timeout) && timeout.Timeout()
+// timedOut reports whether a read ended at its deadline although the attempt has not ended. The end of a connection whose peer
+// acknowledges nothing is not meant.
+func timedOut(ctx context.Context, err error) bool {
+	return ctx.Err() == nil && errors.Is(err, os.ErrDeadlineExceeded)
 }
--- a/internal/upstream/stream_state.go
+++ b/internal/upstream/stream_state.go
@@ -64,8 +64,8 @@
 }
 
 // Resume returns the rest of a response that another process began to read from the connection server. The caller closes
-// server after it has closed the stream.
-func Resume(server net.Conn, state StreamState) (*Stream, error) {
+// server after it has closed the stream. hosts may be nil.
+func Resume(server net.Conn, state StreamState, hosts *HostMonitor) (*Stream, error) {
 	if err := state.validate(); err != nil {
 		return nil, err
 	}
@@ -74,7 +74,7 @@
 	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(raw), c), max(readBufferBytes, len(raw)))
 	c.br.Peek(len(raw)) // State must find all bytes that were read ahead in the buffer
 	return &Stream{
-		ctx: context.Background(), conn: c, server: server.RemoteAddr().String(), buffered: body, body: state.reader(c.br),
+		ctx: context.Background(), conn: c, server: server.RemoteAddr().String(), hosts: hosts, buffered: body, body: state.reader(c.br),
 		forwarded: state.Forwarded, done: make(chan error, 1),
 	}, nil
 }
--- a/internal/upstream/stream_state_test.go
+++ b/internal/upstream/stream_state_test.go
@@ -13,7 +13,7 @@
 // interrupted a read of that request.
 func TestDetachLeavesTheConnectionOfAClosedStream(t *testing.T) {
 	server, origin := standin.ConnectedPair(t)
-	s, err := Resume(server, StreamState{Framing: framedByLength, Forwarded: 1})
+	s, err := Resume(server, StreamState{Framing: framedByLength, Forwarded: 1}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -32,7 +32,7 @@
 // Bytes that were read ahead count once against the size of a body, in whichever process they are forwarded.
 func TestResumedStreamOfTheLargestBodyIsWhole(t *testing.T) {
 	server, _ := standin.ConnectedPair(t)
-	s, err := Resume(server, StreamState{Framing: framedByLength, Forwarded: MaxBodyBytes, ReadAhead: []byte("end"), BufferedBody: 3})
+	s, err := Resume(server, StreamState{Framing: framedByLength, Forwarded: MaxBodyBytes, ReadAhead: []byte("end"), BufferedBody: 3}, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -52,7 +52,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			server, _ := standin.ConnectedPair(t)
-			s, err := Resume(server, state)
+			s, err := Resume(server, state, nil)
 			if err != nil {
 				t.Fatal(err)
 			}
