--- a/internal/upstream/host_monitor.go
+++ b/internal/upstream/host_monitor.go
@@ -44,22 +44,22 @@
 	failures atomic.Int64 // probes without an answer since the last one with an answer
 }
 
-// watch returns the probe of a host, which must be released.
-func (m *HostMonitor) watch(addr string) *hostProbe {
+// watch returns the probe of a host, which must be released, and whether it is a new one.
+func (m *HostMonitor) watch(addr string) (p *hostProbe, isNew bool) {
 	if m == nil {
-		return nil
+		return nil, true
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.probes[addr]
-	if p == nil {
+	p = m.probes[addr]
+	if isNew = p == nil; isNew {
 		ctx, cancel := context.WithCancel(context.Background())
 		p = &hostProbe{monitor: m, addr: addr, stop: cancel}
 		m.probes[addr] = p
 		go p.run(ctx)
 	}
 	p.users++
-	return p
+	return p, isNew
 }
 
 // release ends the use of the probe.
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -93,8 +93,10 @@
 	q.watched, q.watchBegan = true, time.Now()
 	s.silentSince.Store(q.since.UnixNano())
 	q.probed = ProbePeer(s.conn.Conn)
-	q.probe = s.hosts.watch(s.conn.RemoteAddr().String())
-	eventlog.Info(eventServerSilent, "server", s.server, "silent_ms", time.Since(q.since).Milliseconds(), "forwarded_bytes", s.forwarded)
+	var isFirst bool
+	if q.probe, isFirst = s.hosts.watch(s.conn.RemoteAddr().String()); isFirst { // a line for each host: many responses may wait for it
+		eventlog.Info(eventServerSilent, "server", s.server, "silent_ms", time.Since(q.since).Milliseconds(), "forwarded_bytes", s.forwarded)
+	}
 }
 
 // hostHasGone reports whether the server's host has given no sign of life for HostTimeout. The time alone proves nothing: this process
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -179,7 +179,11 @@
 		dials <- addr
 		return nil, syscall.EHOSTUNREACH
 	})
-	first, second := m.watch("a:1"), m.watch("a:1")
+	first, isNew := m.watch("a:1")
+	second, isSecondNew := m.watch("a:1")
+	if !isNew || isSecondNew {
+		t.Errorf("two watches of a host: got new %v and %v, want only the first new", isNew, isSecondNew)
+	}
 	time.Sleep(hostProbeInterval + hostProbeInterval/2)
 	first.release()
 	second.release()
