Wait for a hung client in its answer; give it up when its place is needed, or after 60 s

What callers saw: a client whose process took nothing of a long answer for 20 or 40 s, and then read on, got a part of it and no last chunk.

Cause: stallwriter.Writer gave a peer up as soon as it had been silent for longer than one that reads 64 kB a second may be unheard (6 to 12 s in most cases). A process that hangs is silent for as long as it likes.

Change: after that time a peer has stalled, and Writer.Evict gives it up: the frontend does so where a place, a stream or memory is short. Otherwise it is waited for up to 60 s, the limit that stood before. Towards servers nothing changes (5 s).

--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -132,13 +132,13 @@
 	return b.conn.requestMemory.Grow(int64(limit))
 }
 
-// reserveBody reserves memory for a body. If there is too little it evicts stalled uploads, and gives up after memoryWait.
+// reserveBody reserves memory for a body. If there is too little it evicts stalled uploads and responses, and gives up after memoryWait.
 func (c *clientConn) reserveBody(bytes int64) bool {
 	if c.requestMemory.GrowBulk(bytes) {
 		return true
 	}
 	for end := time.Now().Add(memoryWait); time.Now().Before(end); {
-		c.frontend.evictStalledUpload()
+		c.frontend.evictForMemory()
 		time.Sleep(memoryWait / 5)
 		if c.requestMemory.GrowBulk(bytes) {
 			return true
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -18,9 +18,9 @@
 )
 
 // evictWaiting evicts a connection over the hard limit that waits for its client or its server: an idle one, else one whose body has
-// stalled, else one whose server is silent. If there is none, it makes a busy one close with its response and returns false.
+// stalled, else one whose response stands still. If there is none, it makes a busy one close with its response and returns false.
 func (f *Frontend) evictWaiting() bool {
-	if f.evictConn() || f.evictStalledUpload() || f.evictSilentStream() {
+	if f.evictConn() || f.evictStalledUpload() || f.evictStalledResponse() {
 		return true
 	}
 	f.evictBusyConn()
@@ -79,6 +79,34 @@
 	return true
 }
 
+// evictForMemory ends a request or a response that stands still and holds memory.
+func (f *Frontend) evictForMemory() bool { return f.evictStalledUpload() || f.evictStalledResponse() }
+
+// evictStalledResponse gives up a response that stands still: one whose client takes nothing, else one whose server is silent. It returns
+// false if there is none.
+func (f *Frontend) evictStalledResponse() bool {
+	return f.evictStalledReader() || f.evictSilentStream()
+}
+
+// evictStalledReader gives up the client that has taken nothing of its response for longest, if that is longer than a client that reads
+// slowly may be unheard. It returns false if there is none.
+func (f *Frontend) evictStalledReader() bool {
+	var longest *clientConn
+	var earliest time.Time
+	f.mu.Lock()
+	for c := range f.conns {
+		if since, stalled := c.writer.StalledSince(); stalled && (longest == nil || since.Before(earliest)) {
+			longest, earliest = c, since
+		}
+	}
+	f.mu.Unlock()
+	if longest == nil || !longest.writer.Evict() {
+		return false
+	}
+	f.shed.stalledReaders.Add(1)
+	return true
+}
+
 // evictSilentStream gives up the streamed response whose server has been silent longest, for at least as long as a host that has gone
 // would be waited for. It returns false if there is none.
 func (f *Frontend) evictSilentStream() bool {
--- a/internal/frontend/request.go
+++ b/internal/frontend/request.go
@@ -116,6 +116,7 @@
 
 // handleWithoutMemory handles a request for whose attempts no memory is left, in the same way.
 func (f *Frontend) handleWithoutMemory(ctx *fasthttp.RequestCtx, c *clientConn, p *parsedRequest) {
+	f.evictStalledResponse() // makes room for the next request
 	if f.replicator != nil && !f.mayReject(ctx, p) {
 		f.closeWithoutResponse(ctx, c, p.request.ID, p.timeLeft-time.Since(c.lastReadAt))
 		return
--- a/internal/frontend/shed_log.go
+++ b/internal/frontend/shed_log.go
@@ -19,6 +19,7 @@
 	busy           atomic.Int64 // connections that are closed with their next response
 	streams        atomic.Int64 // streamed responses over their limit
 	silentStreams  atomic.Int64 // streamed responses whose server was silent
+	stalledReaders atomic.Int64 // responses whose client took nothing
 }
 
 // RunShedLog logs what was shed in each interval in which something was, until ctx ends.
@@ -35,14 +36,14 @@
 		used, limit, refused := f.memory.Usage()
 		idle, uploads := f.shed.idle.Swap(0), f.shed.stalledUploads.Swap(0)
 		busy, streams, slowHeads := f.shed.busy.Swap(0), f.shed.streams.Swap(0), f.shed.slowHeads.Swap(0)
-		silentStreams := f.shed.silentStreams.Swap(0)
+		silentStreams, readers := f.shed.silentStreams.Swap(0), f.shed.stalledReaders.Swap(0)
 		refusedNow := refused - refusedBefore
 		refusedBefore = refused
-		if idle+uploads+busy+streams+slowHeads+silentStreams+refusedNow == 0 {
+		if idle+uploads+busy+streams+slowHeads+silentStreams+readers+refusedNow == 0 {
 			continue
 		}
 		conns, _ := f.connCount()
 		eventlog.Info(eventClientsShed, "connections", conns, "evicted_idle", idle, "evicted_uploads", uploads, "evicted_busy", busy,
-			"evicted_slow_heads", slowHeads, "evicted_silent", silentStreams, "refused_streams", streams, "refused_memory", refusedNow, "memory_used", used, "memory_limit", limit)
+			"evicted_slow_heads", slowHeads, "evicted_silent", silentStreams, "evicted_readers", readers, "refused_streams", streams, "refused_memory", refusedNow, "memory_used", used, "memory_limit", limit)
 	}
 }
--- a/internal/frontend/stream.go
+++ b/internal/frontend/stream.go
@@ -15,7 +15,7 @@
 // writeStream writes a streamed response while it is read from the server. An HTTP/1.1 client receives it in chunks; if
 // the server fails, the last chunk is not sent.
 func (f *Frontend) writeStream(ctx *fasthttp.RequestCtx, c *clientConn, r sidecar.Response) {
-	if f.streams.Add(1) > f.streamLimit() && !f.evictSilentStream() {
+	if f.streams.Add(1) > f.streamLimit() && !f.evictStalledResponse() {
 		f.streams.Add(-1)
 		f.shed.streams.Add(1)
 		r.Stream.Close()
--- a/internal/stallwriter/writer.go
+++ b/internal/stallwriter/writer.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -17,8 +18,8 @@
 	// announced every byte that it takes.
 	StallTimeout = 5 * time.Second
 
-	// MaxStallTimeout is the longest time without an acknowledged byte. With a receive buffer of 32 MiB, the largest that
-	// Linux grows by itself, a peer that reads at minPeerRate is silent for 33 s.
+	// MaxStallTimeout is the longest time without an acknowledged byte: that of a peer that hangs, or reads unheard. With a receive
+	// buffer of 32 MiB, the largest that Linux grows by itself, a peer that reads at minPeerRate is silent for 33 s.
 	MaxStallTimeout = 60 * time.Second
 
 	// minPeerRate is the slowest reading, in bytes a second, that must not be taken for a stall.
@@ -61,10 +62,13 @@
 	peakWindow uint32    // largest window that the peer was seen to announce, in bytes
 	unsampled  int64     // bytes written since the last look at the window
 	progressAt time.Time // when the present write began or the peer was last seen to take bytes
+
+	stalledSince atomic.Int64 // progressAt, as Unix time in ns, if the peer has stalled in the present write; else 0
+	evicted      atomic.Bool  // whether the peer is given up as soon as it has stalled
 }
 
-// New returns a writer to conn, which gives a peer up after a silence of at most maxSilence: StallTimeout, or up to
-// MaxStallTimeout for a peer that must not be given up while it reads unheard. Writes return ErrInterrupted while
+// New returns a writer to conn, which gives a peer up after a silence of maxSilence: StallTimeout, or up to MaxStallTimeout for a peer
+// that must not be given up while it hangs or reads unheard. Evict does so sooner. Writes return ErrInterrupted while
 // interrupted returns true; to end a pending write, make it return true and then set a write deadline of conn in the past.
 // interrupted may be nil.
 func New(conn net.Conn, maxSilence time.Duration, interrupted func() bool) *Writer {
@@ -107,9 +111,28 @@
 // stalled.
 func (w *Writer) PeerIsTaking() bool {
 	p, ok := w.look()
-	return ok && p.QueuedBytes > 0 && w.checkProgress(0, p) == nil
+	return ok && p.QueuedBytes > 0 && (w.recordProgress(0, p) || time.Since(w.progressAt) < w.stallTimeout())
+}
+
+// StalledSince returns the time since which the peer of a pending write has taken nothing, or false if it has not stalled: a peer that
+// reads at minPeerRate would have been heard by now. It may be called from any goroutine.
+func (w *Writer) StalledSince() (since time.Time, stalled bool) {
+	at := w.stalledSince.Load()
+	return time.Unix(0, at), at != 0 && !w.evicted.Load()
+}
+
+// Evict gives up the peer of a pending write if it has stalled, and returns false if it has not. It may be called from any goroutine.
+func (w *Writer) Evict() bool {
+	if w.stalledSince.Load() == 0 || !w.evicted.CompareAndSwap(false, true) {
+		return false
+	}
+	w.conn.SetWriteDeadline(expiredDeadline)
+	return true
 }
 
+// expiredDeadline is a deadline in the past, which ends a pending write.
+var expiredDeadline = time.Unix(1, 0)
+
 // isWritable reports whether the system calls a socket writable. An error counts as writable: the next write will show it.
 func isWritable(fd int) bool {
 	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLOUT}}
@@ -120,6 +143,8 @@
 // untilStalled repeats write, which continues where it ended, until it succeeds, fails or is interrupted, or the peer stalls.
 func (w *Writer) untilStalled(write func() (int64, error)) error {
 	w.progressAt = time.Now()
+	w.evicted.Store(false)
+	defer w.endStall()
 	for interval := firstLookInterval; ; interval = w.nextInterval() {
 		w.conn.SetWriteDeadline(time.Now().Add(interval))
 		if w.isInterrupted() { // the deadline set above may have replaced the one that interrupts
@@ -137,6 +162,14 @@
 	}
 }
 
+// endStall records that the peer has not stalled, or that it is not written to.
+func (w *Writer) endStall() {
+	if w.stalledSince.Load() != 0 {
+		w.stalledSince.Store(0)
+		w.evicted.Store(false)
+	}
+}
+
 // isInterrupted reports whether the writer's owner wants writes to end.
 func (w *Writer) isInterrupted() bool { return w.interrupted != nil && w.interrupted() }
 
@@ -147,10 +180,12 @@
 	return p, ok
 }
 
-// nextInterval returns the time until the next look at the progress: at the latest when the peer has stalled.
+// nextInterval returns the time until the next look at the progress: at the latest when the peer has stalled, or is given up.
 func (w *Writer) nextInterval() time.Duration {
-	untilStall := time.Until(w.progressAt.Add(w.stallTimeout()))
-	return min(progressInterval, max(0, untilStall))
+	if left := time.Until(w.progressAt.Add(w.stallTimeout())); left > 0 {
+		return min(progressInterval, left)
+	}
+	return min(progressInterval, max(0, time.Until(w.progressAt.Add(w.maxSilence))))
 }
 
 // sampleWindow looks at the peer's window after every windowSampleBytes. A blocked write shows a closed one.
@@ -162,21 +197,35 @@
 	w.look()
 }
 
-// checkProgress returns a *StallError if the peer has been silent for too long. written is the number of bytes that the
-// system accepted since the last look, p the present progress.
+// checkProgress returns a *StallError if the peer has been silent for too long, or has stalled and is evicted. written is the number of
+// bytes that the system accepted since the last look, p the present progress.
 func (w *Writer) checkProgress(written int64, p Progress) error {
-	now := time.Now()
-	if written > 0 || p.AckedBytes != w.ackedBytes {
-		w.ackedBytes, w.progressAt = p.AckedBytes, now
+	if w.recordProgress(written, p) {
+		w.endStall()
+		return nil
+	}
+	silence := time.Since(w.progressAt)
+	if silence < w.stallTimeout() {
 		return nil
 	}
-	if silence := now.Sub(w.progressAt); silence >= w.stallTimeout() {
+	w.stalledSince.Store(w.progressAt.UnixNano())
+	if silence >= w.maxSilence || w.evicted.Load() {
 		return &StallError{Silence: silence, Progress: p}
 	}
 	return nil
 }
 
-// stallTimeout returns the time without an acknowledged byte after which the peer has stalled. It grows with the largest
+// recordProgress records whether the peer has taken bytes since the last look, and returns that.
+func (w *Writer) recordProgress(written int64, p Progress) bool {
+	if written == 0 && p.AckedBytes == w.ackedBytes {
+		return false
+	}
+	w.ackedBytes, w.progressAt = p.AckedBytes, time.Now()
+	return true
+}
+
+// stallTimeout returns the time without an acknowledged byte after which the peer has stalled: one that reads at minPeerRate would have
+// been heard. It grows with the largest
 // window that the peer announced.
 func (w *Writer) stallTimeout() time.Duration {
 	unannounced := max(w.peakWindow/announcedShare, min(w.peakWindow, hiddenBufferBytes))
--- a/internal/stallwriter/writer_test.go
+++ b/internal/stallwriter/writer_test.go
@@ -72,6 +72,55 @@
 	}
 }
 
+// A peer that takes nothing for a while, as a process that hangs does, gets every byte.
+func TestHungPeerIsNotGivenUp(t *testing.T) {
+	t.Parallel()
+	sender, peer := standin.ConnectedPair(t)
+	sent := bytes.Repeat([]byte("0123456789abcdef"), 4*standin.SendBufferBytes(t, sender)/16)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := New(sender, MaxStallTimeout, nil).Write(sent)
+		sender.Close()
+		failed <- err
+	}()
+	time.Sleep(25 * time.Second)
+	if got, err := io.ReadAll(peer); err != nil || !bytes.Equal(got, sent) {
+		t.Errorf("peer got %d bytes, error %v, want the %d bytes written", len(got), err, len(sent))
+	}
+	if err := <-failed; err != nil {
+		t.Errorf("write ended with %v, want no error", err)
+	}
+}
+
+// A peer that has stalled is given up at once where its place is needed, and one that has not is kept.
+func TestStalledPeerIsEvicted(t *testing.T) {
+	t.Parallel()
+	sender, _ := standin.ConnectedPair(t)
+	w := New(sender, MaxStallTimeout, nil)
+	ended := make(chan error, 1)
+	go func() {
+		_, err := w.Write(make([]byte, 64<<20))
+		ended <- err
+	}()
+	time.Sleep(time.Second)
+	if w.Evict() {
+		t.Error("eviction of a peer that has not stalled: got true, want false")
+	}
+	standin.Eventually(t, "the peer stalls", func() bool { _, stalled := w.StalledSince(); return stalled })
+	if !w.Evict() {
+		t.Error("eviction of a stalled peer: got false, want true")
+	}
+	select {
+	case err := <-ended:
+		var stall *StallError
+		if !errors.As(err, &stall) || stall.Silence < StallTimeout {
+			t.Errorf("write to an evicted peer ended with %v, want a *StallError of at least %v", err, StallTimeout)
+		}
+	case <-time.After(time.Second):
+		t.Error("write to an evicted peer has not ended within 1 s")
+	}
+}
+
 // A pending write ends when its owner interrupts it, and a later one doesn't begin.
 func TestWriteIsInterrupted(t *testing.T) {
 	t.Parallel()
