--- a/internal/stallwriter/writer_test.go
+++ b/internal/stallwriter/writer_test.go
@@ -12,10 +12,9 @@
 	"damsonscale/internal/lab/standin"
 )
 
-// A peer that reads slowly gets every byte, although the system reports the socket writable only after a longer time than
-// StallTimeout.
-func TestSlowPeerIsNotGivenUp(t *testing.T) {
-	t.Parallel()
+// expectWhole writes to a peer and checks that it gets every byte. begin reads the first bytes, in its own time, and returns them.
+func expectWhole(t *testing.T, begin func(sender, peer *net.TCPConn) []byte) {
+	t.Helper()
 	sender, peer := standin.ConnectedPair(t)
 	sent := bytes.Repeat([]byte("0123456789abcdef"), 4*standin.SendBufferBytes(t, sender)/16)
 	failed := make(chan error, 1)
@@ -24,9 +23,9 @@
 		sender.Close()
 		failed <- err
 	}()
-	slow := standin.ReadSlowly(t, peer, standin.SlowRate(t, sender), 12*time.Second)
+	first := begin(sender, peer)
 	rest, err := io.ReadAll(peer)
-	if got := append(slow, rest...); err != nil || !bytes.Equal(got, sent) {
+	if got := append(first, rest...); err != nil || !bytes.Equal(got, sent) {
 		t.Errorf("peer got %d bytes, error %v, want the %d bytes written", len(got), err, len(sent))
 	}
 	if err := <-failed; err != nil {
@@ -34,6 +33,24 @@
 	}
 }
 
+// A peer that reads slowly gets every byte, although the system reports the socket writable only after a longer time than
+// StallTimeout.
+func TestSlowPeerIsNotGivenUp(t *testing.T) {
+	t.Parallel()
+	expectWhole(t, func(sender, peer *net.TCPConn) []byte {
+		return standin.ReadSlowly(t, peer, standin.SlowRate(t, sender), 12*time.Second)
+	})
+}
+
+// A peer that takes nothing for a while, as a process that hangs does, gets every byte.
+func TestHungPeerIsNotGivenUp(t *testing.T) {
+	t.Parallel()
+	expectWhole(t, func(*net.TCPConn, *net.TCPConn) []byte {
+		time.Sleep(25 * time.Second)
+		return nil
+	})
+}
+
 // A peer that stops reading is given up, in each kind of write.
 func TestStoppedPeerIsGivenUp(t *testing.T) {
 	t.Parallel()
@@ -72,26 +89,6 @@
 	}
 }
 
-// A peer that takes nothing for a while, as a process that hangs does, gets every byte.
-func TestHungPeerIsNotGivenUp(t *testing.T) {
-	t.Parallel()
-	sender, peer := standin.ConnectedPair(t)
-	sent := bytes.Repeat([]byte("0123456789abcdef"), 4*standin.SendBufferBytes(t, sender)/16)
-	failed := make(chan error, 1)
-	go func() {
-		_, err := New(sender, MaxStallTimeout, nil).Write(sent)
-		sender.Close()
-		failed <- err
-	}()
-	time.Sleep(25 * time.Second)
-	if got, err := io.ReadAll(peer); err != nil || !bytes.Equal(got, sent) {
-		t.Errorf("peer got %d bytes, error %v, want the %d bytes written", len(got), err, len(sent))
-	}
-	if err := <-failed; err != nil {
-		t.Errorf("write ended with %v, want no error", err)
-	}
-}
-
 // A peer that has stalled is given up at once where its place is needed, and one that has not is kept.
 func TestStalledPeerIsEvicted(t *testing.T) {
 	t.Parallel()
