Tests of hung servers use startStream, and wait out 25 s in each framing and over upgrades

hungServer wrote again what startStream does (the head, the first bytes, the rest after a signal); two tests built the same request. The hangs in each framing are 6, 25 and 40 s (25 s is the longest that the users' pages name; it had been left out to save time), and the answer that is handed over twice waits 27 s in place of 21.

--- a/cmd/damsonscale/hung_client_test.go
+++ b/cmd/damsonscale/hung_client_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"fmt"
 	"io"
 	"net/http"
 	"testing"
@@ -41,13 +40,7 @@
 	const memoryMB, crowd, newcomers = 32, 200, 10
 	p := startForCrowd(t, memoryMB, time.Millisecond, crowdServer, nil)
 	begin := func() (begun bool) {
-		conn := p.dial(t)
-		conn.SetDeadline(time.Now().Add(4 * testTimeout))
-		fmt.Fprintf(conn, "GET /look?size=30000000 HTTP/1.1\r\nHost: h\r\nReq-Owner: t\r\nReq-Id: %s\r\nReq-Deadline-Ms: 2000\r\n\r\n", requestID())
-		resp, err := http.ReadResponse(conn.br, nil)
-		if err != nil {
-			t.Fatalf("head of a long answer: %v", err)
-		}
+		_, resp := p.askForAnswer(t, "30000000")
 		return resp.StatusCode == http.StatusOK
 	}
 	begun := 0
--- a/cmd/damsonscale/hung_server_test.go
+++ b/cmd/damsonscale/hung_server_test.go
@@ -6,42 +6,22 @@
 	"io"
 	"net"
 	"net/http"
-	"sync"
 	"testing"
 	"time"
 )
 
-// hungServer writes the head and the first bytes of each long answer and then hangs until resume is closed. Its host answers meanwhile.
-// Short answers of other paths are written at once, as by another process.
-type hungServer struct {
-	framing responseFraming
-	body    []byte
-	resume  chan struct{}
-}
-
-// serve answers one request of a connection.
-func (s *hungServer) serve(_ *http.Request, c net.Conn) {
-	c.SetDeadline(time.Now().Add(4 * testTimeout))
-	io.WriteString(c, s.framing.head)
-	c.Write(s.body[:len(s.body)/3])
-	<-s.resume
-	c.Write(s.body[len(s.body)/3:])
-	io.WriteString(c, s.framing.tail)
-}
-
 // Guards against review case 9: long answers were cut when their server hung for over 5 s and then went on. The test waits each hang
 // out, in each framing.
 func TestLongAnswerSurvivesAHungServer(t *testing.T) {
 	t.Parallel()
 	body := patternBytes(300_000)
 	for _, framing := range responseFramings(len(body)) {
-		for _, hang := range []time.Duration{6 * time.Second, 40 * time.Second} {
+		for _, hang := range []time.Duration{6 * time.Second, 25 * time.Second, 40 * time.Second} {
 			t.Run(fmt.Sprint(framing.name, ", ", hang), func(t *testing.T) {
 				t.Parallel()
-				server := &hungServer{framing, body, make(chan struct{})}
-				p := startWithScriptedServer(t, server.serve, nil)
-				resp := p.beginResponse(t, framing.version)
-				time.AfterFunc(hang, func() { close(server.resume) })
+				resume := make(chan bool)
+				p, resp := startStream(t, framing, body[:100_000], body[100_000:], resume)
+				time.AfterFunc(hang, func() { close(resume) })
 				if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, body) {
 					t.Fatalf("client got %d bytes, error %v, want the server's %d bytes; log:\n%s", len(got), err, len(body), p.log.String())
 				}
@@ -58,16 +38,14 @@
 	for _, framing := range responseFramings(len(body)) {
 		t.Run(framing.name, func(t *testing.T) {
 			t.Parallel()
-			server := &hungServer{framing, body, make(chan struct{})}
-			p := startWithScriptedServer(t, server.serve, withAdmin(t))
-			p.waitHealthy(t)
-			resp := p.beginResponse(t, framing.version)
+			resume := make(chan bool)
+			p, resp := startStream(t, framing, body[:100_000], body[100_000:], resume)
 			for range 2 {
-				time.Sleep(7 * time.Second)
+				time.Sleep(9 * time.Second)
 				p = p.upgrade(t)
 			}
-			time.Sleep(7 * time.Second)
-			close(server.resume)
+			time.Sleep(9 * time.Second)
+			close(resume)
 			if got, err := io.ReadAll(resp.Body); err != nil || !bytes.Equal(got, body) {
 				t.Fatalf("client got %d bytes, error %v, want the server's %d bytes; last process:\n%s", len(got), err, len(body), p.log.String())
 			}
@@ -77,31 +55,35 @@
 
 // silentAnswers are clients whose long answers have begun and then fallen silent.
 type silentAnswers struct {
-	mu      sync.Mutex
 	open    []net.Conn
 	whole   []byte
 	outcome chan error
 	refused int
 }
 
-// begin asks for a long answer on a new connection and, if it has begun, reads it to its end in the background.
-func (a *silentAnswers) begin(t *testing.T, p *program) {
+// askForAnswer asks on a new connection for an answer of a size that the server understands, and reads its head.
+func (p *program) askForAnswer(t *testing.T, size string) (*clientConn, *http.Response) {
 	t.Helper()
 	conn := p.dial(t)
 	conn.SetDeadline(time.Now().Add(4 * testTimeout))
-	fmt.Fprintf(conn, "GET /look?size=long HTTP/1.1\r\nHost: h\r\nReq-Owner: t\r\nReq-Id: %s\r\nReq-Deadline-Ms: 2000\r\n\r\n", requestID())
+	fmt.Fprintf(conn, "GET /look?size=%s HTTP/1.1\r\nHost: h\r\nReq-Owner: t\r\nReq-Id: %s\r\nReq-Deadline-Ms: 2000\r\n\r\n", size, requestID())
 	resp, err := http.ReadResponse(conn.br, nil)
 	if err != nil {
-		t.Fatalf("head of a long answer: %v", err)
+		t.Fatalf("head of an answer: %v", err)
 	}
+	return conn, resp
+}
+
+// begin asks for a long answer on a new connection and, if it has begun, reads it to its end in the background.
+func (a *silentAnswers) begin(t *testing.T, p *program) {
+	t.Helper()
+	conn, resp := p.askForAnswer(t, "long")
 	if resp.StatusCode != http.StatusOK {
 		a.refused++
 		conn.Close()
 		return
 	}
-	a.mu.Lock()
 	a.open = append(a.open, conn)
-	a.mu.Unlock()
 	go func() {
 		got, err := io.ReadAll(resp.Body)
 		if err == nil && !bytes.Equal(got, a.whole) {
@@ -116,13 +98,17 @@
 func startBesideSilentAnswers(t *testing.T, memoryMB, answers int) (p *program, silent *silentAnswers, resume chan struct{}) {
 	t.Helper()
 	body := patternBytes(100_000)
-	server := &hungServer{responseFramings(len(body))[0], body, make(chan struct{})}
+	resume = make(chan struct{})
 	addr := serveScripted(t, func(r *http.Request, c net.Conn) {
-		if r.URL.Query().Get("size") == "long" {
-			server.serve(r, c)
+		if r.URL.Query().Get("size") != "long" {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
 			return
 		}
-		io.WriteString(c, "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok")
+		c.SetDeadline(time.Now().Add(4 * testTimeout))
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", len(body))
+		c.Write(body[:30_000])
+		<-resume
+		c.Write(body[30_000:])
 	})
 	d := startDiscovery(t)
 	p = start(t, d.addr, &list{Seq: 41, Whole: true, Hosts: []host{hostAt("s1", addr, "Ready")}}, withLimits(t, memoryMB))
@@ -131,7 +117,7 @@
 	for range answers {
 		silent.begin(t, p)
 	}
-	return p, silent, server.resume
+	return p, silent, resume
 }
 
 // Short requests are served beside as many silent answers as the process takes, within its memory and descriptors; when the server
