Eviction of stalled responses is one scan; state of a silence that can be derived is gone

The scans for stalled clients and for silent servers were copies of each other: both sides have StalledSince and Evict now, and one function finds the longest. evictWaiting calls evictStalled instead of repeating it. silence.watched follows from watchBegan, the monitor of hosts stands with the connection alone, and a read without a silence no longer stores two atomics. A cut answer's log line looks at TCP_INFO once. Behaviour is as it was, but for a late eviction that could mark the next silence of a stream: the mark is cleared where a silence begins to be watched.

--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -138,7 +138,7 @@
 		return true
 	}
 	for end := time.Now().Add(memoryWait); time.Now().Before(end); {
-		c.frontend.evictForMemory()
+		c.frontend.evictStalled()
 		time.Sleep(memoryWait / 5)
 		if c.requestMemory.GrowBulk(bytes) {
 			return true
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"damsonscale/internal/stallwriter"
 	"damsonscale/internal/upstream"
 )
 
@@ -20,7 +21,7 @@
 // evictWaiting evicts a connection over the hard limit that waits for its client or its server: an idle one, else one whose body has
 // stalled, else one whose response stands still. If there is none, it makes a busy one close with its response and returns false.
 func (f *Frontend) evictWaiting() bool {
-	if f.evictConn() || f.evictStalledUpload() || f.evictStalledResponse() {
+	if f.evictConn() || f.evictStalled() {
 		return true
 	}
 	f.evictBusyConn()
@@ -79,55 +80,48 @@
 	return true
 }
 
-// evictForMemory ends a request or a response that stands still and holds memory.
-func (f *Frontend) evictForMemory() bool { return f.evictStalledUpload() || f.evictStalledResponse() }
+// evictStalled ends a request whose body has stalled, else a response that stands still. It returns false if there is neither.
+func (f *Frontend) evictStalled() bool { return f.evictStalledUpload() || f.evictStalledResponse() }
 
-// evictStalledResponse gives up a response that stands still: one whose client takes nothing, else one whose server is silent. It returns
-// false if there is none.
+// evictStalledResponse gives up a response that stands still: one whose client takes nothing for longer than a client that reads slowly
+// may be unheard, else one whose server is silent for as long as a host that has gone would be waited for. It returns false if there is
+// none.
 func (f *Frontend) evictStalledResponse() bool {
-	return f.evictStalledReader() || f.evictSilentStream()
-}
-
-// evictStalledReader gives up the client that has taken nothing of its response for longest, if that is longer than a client that reads
-// slowly may be unheard. It returns false if there is none.
-func (f *Frontend) evictStalledReader() bool {
-	var longest *clientConn
-	var earliest time.Time
-	f.mu.Lock()
-	for c := range f.conns {
-		if since, stalled := c.writer.StalledSince(); stalled && (longest == nil || since.Before(earliest)) {
-			longest, earliest = c, since
-		}
+	if evictLongest(f, 0, func(c *clientConn) *stallwriter.Writer { return c.writer }) {
+		f.shed.stalledReaders.Add(1)
+		return true
 	}
-	f.mu.Unlock()
-	if longest == nil || !longest.writer.Evict() {
-		return false
+	if evictLongest(f, upstream.HostTimeout, (*clientConn).currentStream) {
+		f.shed.silentStreams.Add(1)
+		return true
 	}
-	f.shed.stalledReaders.Add(1)
-	return true
+	return false
+}
+
+// stallable is one side of a response: the writer to its client, or the stream from its server.
+type stallable interface {
+	comparable
+	StalledSince() (since time.Time, stalled bool)
+	Evict() bool
 }
 
-// evictSilentStream gives up the streamed response whose server has been silent longest, for at least as long as a host that has gone
-// would be waited for. It returns false if there is none.
-func (f *Frontend) evictSilentStream() bool {
-	var longest *upstream.Stream
-	earliest := time.Now().Add(-upstream.HostTimeout)
+// evictLongest evicts the side of a response that has stalled longest, for at least minAge. sideOf may return nil. It returns false if
+// there is none.
+func evictLongest[S stallable](f *Frontend, minAge time.Duration, sideOf func(*clientConn) S) bool {
+	var none, longest S
+	earliest := time.Now().Add(-minAge)
 	f.mu.Lock()
 	for c := range f.conns {
-		s := c.currentStream()
-		if s == nil {
+		side := sideOf(c)
+		if side == none {
 			continue
 		}
-		if since, silent := s.SilentSince(); silent && since.Before(earliest) {
-			longest, earliest = s, since
+		if since, stalled := side.StalledSince(); stalled && since.Before(earliest) {
+			longest, earliest = side, since
 		}
 	}
 	f.mu.Unlock()
-	if longest == nil || !longest.EvictSilent() {
-		return false
-	}
-	f.shed.silentStreams.Add(1)
-	return true
+	return longest != none && longest.Evict()
 }
 
 // evictSlowHead ends the first request whose head has been incomplete for longest, for at least slowHeadGrace, though its bytes keep
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -164,7 +164,7 @@
 	}
 	r.ObservedAt = time.Now()
 	s := &Stream{
-		ContentType: r.ContentType, ctx: a.ctx, conn: c, server: a.Host, hosts: c.hosts, buffered: buffered, body: body, forwarded: int64(len(buffered)),
+		ContentType: r.ContentType, ctx: a.ctx, conn: c, server: a.Host, buffered: buffered, body: body, forwarded: int64(len(buffered)),
 		done: make(chan error, 1),
 	}
 	a.OnStream(a, s)
--- a/internal/upstream/response_cut.go
+++ b/internal/upstream/response_cut.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"syscall"
-	"time"
 
 	"damsonscale/internal/eventlog"
 	"damsonscale/internal/socket"
@@ -49,16 +48,10 @@
 	if s.err == nil || s.err == io.EOF || s.err == errRequestEnded || s.ctx.Err() != nil {
 		return
 	}
-	sinceReceive, known := socket.SinceLastReceive(s.conn.Conn)
-	sinceAck, ackKnown := socket.SinceLastAck(s.conn.Conn)
-	eventlog.Warn(eventResponseCut, s.err, "server", s.server, "cause", string(cutCauseOf(s.err)), "forwarded_bytes", s.forwarded,
-		"since_receive_ms", millisecondsOr(sinceReceive, known), "since_ack_ms", millisecondsOr(sinceAck, ackKnown))
-}
-
-// millisecondsOr returns a duration in ms, or -1 if it is not known.
-func millisecondsOr(d time.Duration, known bool) int64 {
-	if !known {
-		return -1
+	sinceReceive, sinceAck := int64(-1), int64(-1)
+	if info, ok := socket.TCPInfo(s.conn.Conn); ok {
+		sinceReceive, sinceAck = int64(info.Last_data_recv), int64(info.Last_ack_recv)
 	}
-	return d.Milliseconds()
+	eventlog.Warn(eventResponseCut, s.err, "server", s.server, "cause", string(cutCauseOf(s.err)), "forwarded_bytes", s.forwarded,
+		"since_receive_ms", sinceReceive, "since_ack_ms", sinceAck)
 }
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -43,16 +43,20 @@
 type silence struct {
 	stream     *Stream
 	since      time.Time
-	watched    bool // whether the server's host is watched
-	probed     bool // whether the system probes the connection
+	watchBegan time.Time // since when the server's host is watched; zero if it is not
+	probed     bool      // whether the system probes the connection
 	probe      *hostProbe
-	watchBegan time.Time
 }
 
+// isWatched reports whether the server's host is watched.
+func (q *silence) isWatched() bool { return !q.watchBegan.IsZero() }
+
 // end ends the watch of the host.
 func (q *silence) end() {
+	if !q.isWatched() {
+		return
+	}
 	q.stream.silentSince.Store(0)
-	q.stream.evicted.Store(false)
 	q.probe.release()
 }
 
@@ -64,7 +68,7 @@
 
 // timeToCheck returns the time until the next check.
 func (q *silence) timeToCheck() time.Duration {
-	if !q.watched {
+	if !q.isWatched() {
 		return silenceNotice
 	}
 	return silenceCheckInterval
@@ -73,7 +77,7 @@
 // check returns the reason to give the server up, or nil. The first check begins to watch the server's host.
 func (q *silence) check() error {
 	s := q.stream
-	if !q.watched {
+	if !q.isWatched() {
 		q.watchHost()
 	}
 	switch {
@@ -90,11 +94,12 @@
 // watchHost begins to watch the server's host, by probes on the connection and by new connections.
 func (q *silence) watchHost() {
 	s := q.stream
-	q.watched, q.watchBegan = true, time.Now()
+	q.watchBegan = time.Now()
+	s.evicted.Store(false) // of an eviction that came as an earlier silence ended
 	s.silentSince.Store(q.since.UnixNano())
 	q.probed = ProbePeer(s.conn.Conn)
 	var isFirst bool
-	if q.probe, isFirst = s.hosts.watch(s.conn.RemoteAddr().String()); isFirst { // a line for each host: many responses may wait for it
+	if q.probe, isFirst = s.conn.hosts.watch(s.conn.RemoteAddr().String()); isFirst { // a line for each host: many responses may wait for it
 		eventlog.Info(eventServerSilent, "server", s.server, "silent_ms", time.Since(q.since).Milliseconds(), "forwarded_bytes", s.forwarded)
 	}
 }
@@ -112,16 +117,16 @@
 	return known && q.probed && min(sinceAck, time.Since(q.watchBegan)) >= HostTimeout
 }
 
-// SilentSince returns the time since which the server has been silent, or false if it is not, or not for long, or if the response is
+// StalledSince returns the time since which the server has been silent, or false if it is not, or not for long, or if the response is
 // being given up.
-func (s *Stream) SilentSince() (since time.Time, silent bool) {
+func (s *Stream) StalledSince() (since time.Time, silent bool) {
 	at := s.silentSince.Load()
 	return time.Unix(0, at), at != 0 && !s.evicted.Load()
 }
 
-// EvictSilent gives the response up to make room for others. It returns false if the server is not silent or the response has been given
+// Evict gives the response up to make room for others. It returns false if the server is not silent or the response has been given
 // up already.
-func (s *Stream) EvictSilent() bool {
+func (s *Stream) Evict() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed || s.silentSince.Load() == 0 { // the connection may carry another request
--- a/internal/upstream/silence_test.go
+++ b/internal/upstream/silence_test.go
@@ -126,7 +126,7 @@
 func TestEvictionOfASilentStream(t *testing.T) {
 	t.Parallel()
 	s, origin := resumeStream(t, 10, nil)
-	if s.EvictSilent() {
+	if s.Evict() {
 		t.Error("eviction of a stream that is not silent: got true, want false")
 	}
 	origin.Write([]byte("0"))
@@ -138,8 +138,8 @@
 		_, err := s.Read(make([]byte, 1))
 		ended <- err
 	}()
-	standin.Eventually(t, "the server counts as silent", func() bool { _, silent := s.SilentSince(); return silent })
-	if !s.EvictSilent() {
+	standin.Eventually(t, "the server counts as silent", func() bool { _, silent := s.StalledSince(); return silent })
+	if !s.Evict() {
 		t.Error("eviction of a silent stream: got false, want true")
 	}
 	select {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -28,10 +28,9 @@
 	ctx       context.Context // ends with the attempt; never if another process made the attempt
 	conn      *conn
 	server    string // the server's name in the endpoint list or, if another process made the attempt, its address
-	hosts     *HostMonitor
 	detached  atomic.Bool
 	evicted   atomic.Bool // whether the response is given up at the next check of a silence
-	mu        sync.Mutex  // guards closed, and conn against a Detach or EvictSilent after the end of the stream
+	mu        sync.Mutex  // guards closed, and conn against a Detach or Evict after the end of the stream
 	closed    bool
 	buffered  []byte // bytes that were read from body and that Read has not returned yet
 	body      io.Reader
--- a/internal/upstream/stream_state.go
+++ b/internal/upstream/stream_state.go
@@ -70,11 +70,11 @@
 		return nil, err
 	}
 	body, raw := state.ReadAhead[:state.BufferedBody], state.ReadAhead[state.BufferedBody:]
-	c := &conn{Conn: server}
+	c := &conn{Conn: server, hosts: hosts}
 	c.br = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(raw), c), max(readBufferBytes, len(raw)))
 	c.br.Peek(len(raw)) // State must find all bytes that were read ahead in the buffer
 	return &Stream{
-		ctx: context.Background(), conn: c, server: server.RemoteAddr().String(), hosts: hosts, buffered: body, body: state.reader(c.br),
+		ctx: context.Background(), conn: c, server: server.RemoteAddr().String(), buffered: body, body: state.reader(c.br),
 		forwarded: state.Forwarded, done: make(chan error, 1),
 	}, nil
 }
