--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -166,7 +166,7 @@
 // stop makes the pending read and all later reads fail.
 func (b *requestBody) stop() {
 	b.stopped.Store(true)
-	b.conn.Conn.SetReadDeadline(expiredDeadline)
+	b.conn.Conn.SetReadDeadline(socket.ExpiredDeadline)
 }
 
 // errBodyTooLong is returned by Read for a body of unknown length that exceeds maxBodyBytes.
@@ -176,8 +176,8 @@
 func (b *requestBody) Read(p []byte) (n int, err error) {
 	b.conn.stopWatch()
 	b.conn.awaitRequestUntil(time.Now().Add(bodyStallTimeout))
-	if b.stopped.Load() { // the deadline set above may have replaced the expiredDeadline of stop
-		b.conn.Conn.SetReadDeadline(expiredDeadline)
+	if b.stopped.Load() { // the deadline set above may have replaced the socket.ExpiredDeadline of stop
+		b.conn.Conn.SetReadDeadline(socket.ExpiredDeadline)
 	}
 	b.conn.uploadWaitSince.Store(monotonicMicros(time.Now()))
 	n, err = b.source.Read(p)
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -94,9 +94,6 @@
 // timestampOf returns the time in a value of idleSince.
 func timestampOf(state int64) int64 { return max(state, -state) }
 
-// expiredDeadline is a deadline in the past, which ends a pending read.
-var expiredDeadline = time.Unix(1, 0)
-
 // readBytes returns bytes that were read ahead and then reads from the client. The connection is idle only while it waits here
 // for the first byte of a request. Marking the connection closing interrupts this wait; if a request has arrived nevertheless,
 // it is served before the connection is closed.
@@ -215,7 +212,7 @@
 	c.readDeadline = t
 	err := c.Conn.SetReadDeadline(t)
 	if c.idleSince.Load() == connClosing {
-		return c.Conn.SetReadDeadline(expiredDeadline)
+		return c.Conn.SetReadDeadline(socket.ExpiredDeadline)
 	}
 	return err
 }
@@ -232,7 +229,7 @@
 	if !c.idleSince.CompareAndSwap(state, connClosing) {
 		return false
 	}
-	c.Conn.SetReadDeadline(expiredDeadline)
+	c.Conn.SetReadDeadline(socket.ExpiredDeadline)
 	return true
 }
 
--- a/internal/frontend/disconnect.go
+++ b/internal/frontend/disconnect.go
@@ -102,7 +102,7 @@
 		return
 	}
 	close(c.watchStop)
-	c.Conn.SetReadDeadline(expiredDeadline)
+	c.Conn.SetReadDeadline(socket.ExpiredDeadline)
 	<-c.watchDone
 	c.watchDone = nil
 	c.Conn.SetReadDeadline(time.Time{})
--- a/internal/frontend/drain.go
+++ b/internal/frontend/drain.go
@@ -7,6 +7,7 @@
 
 	"damsonscale/internal/eventlog"
 	"damsonscale/internal/lifecycle"
+	"damsonscale/internal/socket"
 )
 
 // During a drain, idle connections are closed in three phases with ever shorter idle times, so that few requests are sent
@@ -143,6 +144,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c := range f.conns {
-		c.Conn.SetReadDeadline(expiredDeadline)
+		c.Conn.SetReadDeadline(socket.ExpiredDeadline)
 	}
 }
--- a/internal/frontend/eviction.go
+++ b/internal/frontend/eviction.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"damsonscale/internal/socket"
 	"damsonscale/internal/stallwriter"
 	"damsonscale/internal/upstream"
 )
@@ -76,7 +77,7 @@
 		return false
 	}
 	f.shed.stalledUploads.Add(1)
-	stalled.Conn.SetReadDeadline(expiredDeadline)
+	stalled.Conn.SetReadDeadline(socket.ExpiredDeadline)
 	return true
 }
 
@@ -136,7 +137,7 @@
 	if slowest != nil {
 		f.shed.slowHeads.Add(1)
 		slowest.headEvicted.Store(true)
-		slowest.Conn.SetReadDeadline(expiredDeadline)
+		slowest.Conn.SetReadDeadline(socket.ExpiredDeadline)
 	}
 }
 
--- a/internal/frontend/races_test.go
+++ b/internal/frontend/races_test.go
@@ -29,6 +29,7 @@
 	"damsonscale/internal/lifecycle"
 	"damsonscale/internal/memory"
 	"damsonscale/internal/sidecar"
+	"damsonscale/internal/socket"
 	"damsonscale/internal/takeover"
 	"damsonscale/internal/upstream"
 )
@@ -466,7 +467,7 @@
 	var once atomic.Bool
 	ln := serveWithReadHook(t, f, func(c *net.TCPConn, p []byte) (int, error) {
 		if once.CompareAndSwap(false, true) { // the read times out, and the request arrives before the result is handled
-			c.SetReadDeadline(expiredDeadline)
+			c.SetReadDeadline(socket.ExpiredDeadline)
 			n, err := c.Read(p)
 			expired <- true
 			<-sent
--- a/internal/frontend/stream_handover.go
+++ b/internal/frontend/stream_handover.go
@@ -106,7 +106,7 @@
 	}
 	if successor != nil && successor.AcceptsUnsent() {
 		c.interruptWrites.Store(true)
-		c.Conn.SetWriteDeadline(expiredDeadline)
+		c.Conn.SetWriteDeadline(socket.ExpiredDeadline)
 	} else {
 		c.enlargeSendBuffer()
 	}
--- a/internal/stallwriter/writer.go
+++ b/internal/stallwriter/writer.go
@@ -126,13 +126,10 @@
 	if w.stalledSince.Load() == 0 || !w.evicted.CompareAndSwap(false, true) {
 		return false
 	}
-	w.conn.SetWriteDeadline(expiredDeadline)
+	w.conn.SetWriteDeadline(socket.ExpiredDeadline)
 	return true
 }
 
-// expiredDeadline is a deadline in the past, which ends a pending write.
-var expiredDeadline = time.Unix(1, 0)
-
 // isWritable reports whether the system calls a socket writable. An error counts as writable: the next write will show it.
 func isWritable(fd int) bool {
 	poll := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLOUT}}
--- a/internal/stallwriter/writer_test.go
+++ b/internal/stallwriter/writer_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"damsonscale/internal/lab/standin"
+	"damsonscale/internal/socket"
 )
 
 // expectWhole writes to a peer and checks that it gets every byte. begin reads the first bytes, in its own time, and returns them.
@@ -126,7 +127,7 @@
 	w := New(sender, MaxStallTimeout, interrupted.Load)
 	time.AfterFunc(100*time.Millisecond, func() {
 		interrupted.Store(true)
-		sender.SetWriteDeadline(time.Unix(1, 0))
+		sender.SetWriteDeadline(socket.ExpiredDeadline)
 	})
 	accepted, err := w.Write(make([]byte, 64<<20))
 	if err != ErrInterrupted {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -23,9 +23,6 @@
 // readBuffers are read buffers that no exchange uses. An idle connection has none.
 var readBuffers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferBytes) }}
 
-// expiredDeadline is a deadline in the past, which makes pending reads and writes return at once.
-var expiredDeadline = time.Unix(1, 0)
-
 // conn is a connection to a server. It is owned either by one attempt or by the endpoint's list of idle connections.
 type conn struct {
 	net.Conn
@@ -83,7 +80,7 @@
 		readBuffers.Put(c.br)
 		c.br = nil
 	}()
-	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(expiredDeadline) })
+	stop := context.AfterFunc(a.ctx, func() { c.SetDeadline(socket.ExpiredDeadline) })
 	defer func() {
 		if !stop() { // the deadline is, or is about to be, in the past: the next read would fail
 			reuse = false
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -145,7 +145,7 @@
 		case until.IsZero() && length < 0 && buffer.mayStream && err == nil:
 			until = time.Now().Add(maxBufferTime)
 			c.SetReadDeadline(until)
-			if a.ctx.Err() != nil { // the deadline set above may have replaced expiredDeadline
+			if a.ctx.Err() != nil { // the deadline set above may have replaced socket.ExpiredDeadline
 				return false, errRequestEnded
 			}
 		case err != nil && !until.IsZero() && timedOut(a.ctx, err):
--- a/internal/upstream/silence.go
+++ b/internal/upstream/silence.go
@@ -135,6 +135,6 @@
 	if !s.evicted.CompareAndSwap(false, true) {
 		return false
 	}
-	s.conn.SetReadDeadline(expiredDeadline)
+	s.conn.SetReadDeadline(socket.ExpiredDeadline)
 	return true
 }
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"damsonscale/internal/socket"
 )
 
 // ErrDetached is returned by Stream.Read after Detach.
@@ -111,11 +113,11 @@
 // readBody reads from the server for at most the given time.
 func (s *Stream) readBody(p []byte, timeout time.Duration) (int, error) {
 	s.conn.SetReadDeadline(time.Now().Add(timeout))
-	if s.ctx.Err() != nil { // the deadline set above may have replaced expiredDeadline
+	if s.ctx.Err() != nil { // the deadline set above may have replaced socket.ExpiredDeadline
 		return 0, errRequestEnded
 	}
 	if s.detached.Load() {
-		s.conn.SetReadDeadline(expiredDeadline)
+		s.conn.SetReadDeadline(socket.ExpiredDeadline)
 	}
 	return s.body.Read(p)
 }
@@ -144,7 +146,7 @@
 		return
 	}
 	s.detached.Store(true)
-	s.conn.SetReadDeadline(expiredDeadline)
+	s.conn.SetReadDeadline(socket.ExpiredDeadline)
 }
 
 // Attach reverses Detach, so that Read can be called again.
